--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GOBIN := $(shell go env GOPATH)/bin
+LINT := $(GOBIN)/golangci-lint
+LINT_VERSION := v2.15.0
+
+.PHONY: check format vet lint test bench soak tools
+
+check: format vet lint test
+
+format:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "gofmt: $$out"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint: $(LINT)
+	go tool staticcheck ./...
+	$(LINT) run ./...
+
+test:
+	go run ./cmd/checktest -- -race ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+soak:
+	go test -run 'Property|Soak' ./core/... -rapid.checks=20000
+
+tools: $(LINT)
+
+$(LINT):
+	GOBIN=$(GOBIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- /dev/null
+++ b/core/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident defines the identifiers, units and outcomes shared by every other package.
+package ident
--- /dev/null
+++ b/core/object/valid.go
@@ -0,0 +1,232 @@
+package object
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// MaxTokens bounds any token count that an operator enters, so that sums of counts cannot overflow.
+const MaxTokens ident.Tokens = 1 << 50
+
+// Fault is one invalid field.
+type Fault struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// Faults is a list of invalid fields. An empty list means that the value is valid.
+type Faults []Fault
+
+// Error returns all faults in one line.
+func (f Faults) Error() string {
+	parts := make([]string, 0, len(f))
+	for _, fault := range f {
+		parts = append(parts, fault.Path+": "+fault.Message)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Err returns f as an error, or nil if there is no fault.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+func (f *Faults) check(ok bool, path, message string) {
+	if !ok {
+		*f = append(*f, Fault{Path: path, Message: message})
+	}
+}
+
+func (f *Faults) id(path, id string) {
+	f.check(idPattern.MatchString(id), path, "must be 1 to 64 letters, digits, '.', '_' or '-', and start with a letter or digit")
+}
+
+func (f *Faults) format(n int) {
+	f.check(n >= 1 && n <= Format, "format", fmt.Sprintf("must be between 1 and %d", Format))
+}
+
+func (f *Faults) hash(path, s string) {
+	b, err := hex.DecodeString(s)
+	f.check(err == nil && len(b) == 32 && s == strings.ToLower(s), path, "must be a SHA-256 hash in lower-case hexadecimal")
+}
+
+func (f *Faults) tokens(path string, n ident.Tokens) {
+	f.check(n >= 0 && n <= MaxTokens, path, fmt.Sprintf("must be between 0 and %d", MaxTokens))
+}
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// ValidID reports whether s may name an object.
+func ValidID(s string) bool { return idPattern.MatchString(s) }
+
+// Validate checks names, keys and budgets.
+func (o Organisation) Validate() Faults {
+	var f Faults
+	f.format(o.Format)
+	f.id("id", string(o.ID))
+	f.check(o.Name != "" && len(o.Name) <= 200, "name", "must have 1 to 200 bytes")
+	f.id("class", string(o.Class))
+	seen := make(map[ident.KeyID]bool)
+	for i, k := range o.Keys {
+		p := fmt.Sprintf("keys[%d]", i)
+		f.id(p+".id", string(k.ID))
+		f.check(!seen[k.ID], p+".id", "is used twice")
+		f.hash(p+".sha256", k.SHA256)
+		f.tokens(p+".limit_tokens", k.LimitTokens)
+		seen[k.ID] = true
+	}
+	used := make(map[ident.BudgetID]bool)
+	for i, b := range o.Budgets {
+		p := fmt.Sprintf("budgets[%d]", i)
+		f.id(p, string(b))
+		f.check(!used[b], p, "is used twice")
+		used[b] = true
+	}
+	return f
+}
+
+// Validate checks the identifiers and limits.
+func (b Budget) Validate() Faults {
+	var f Faults
+	f.format(b.Format)
+	f.id("id", string(b.ID))
+	f.id("org", string(b.Org))
+	for i, l := range b.ClassLimits {
+		p := fmt.Sprintf("class_limits[%d]", i)
+		f.id(p+".class", string(l.Class))
+		f.tokens(p+".tokens", l.Tokens)
+	}
+	return f
+}
+
+// Validate checks the identifiers, address, capacity and state.
+func (t Target) Validate() Faults {
+	var f Faults
+	f.format(t.Format)
+	f.id("id", string(t.ID))
+	f.id("domain", string(t.Domain))
+	f.id("vm", string(t.VM))
+	f.check(t.Kind == TargetEngine || t.Kind == TargetService, "kind", `must be "engine" or "service"`)
+	f.check(t.Kind != TargetService || t.Service != "", "service", "is required for a service target")
+	u, err := url.Parse(t.URL)
+	f.check(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "", "url", "must be an http or https URL")
+	for i, v := range t.Versions {
+		f.id(fmt.Sprintf("versions[%d]", i), string(v))
+	}
+	f.check(t.Capacity >= 1 && t.Capacity <= 65536, "capacity", "must be between 1 and 65536")
+	f.check(t.State == TargetActive || t.State == TargetLeaving || t.State == TargetGone, "state", `must be "active", "leaving" or "gone"`)
+	return f
+}
+
+// Validate checks that the version belongs to one model or one service.
+func (v Version) Validate() Faults {
+	var f Faults
+	f.format(v.Format)
+	f.id("id", string(v.ID))
+	f.check((v.Model == "") != (v.Service == ""), "model", "exactly one of model and service is required")
+	f.check(v.WeightBytes >= 0, "weight_bytes", "must not be negative")
+	return f
+}
+
+// Validate checks the routes.
+func (s Service) Validate() Faults {
+	var f Faults
+	f.format(s.Format)
+	f.id("id", string(s.ID))
+	f.check(len(s.Routes) > 0, "routes", "must not be empty")
+	for i, r := range s.Routes {
+		p := fmt.Sprintf("routes[%d]", i)
+		f.check(r.Method != "" && r.Method == strings.ToUpper(r.Method), p+".method", "must be an upper-case HTTP method")
+		f.check(strings.HasPrefix(r.Path, "/"), p+".path", "must start with '/'")
+		f.tokens(p+".cost_tokens", r.CostTokens)
+	}
+	return f
+}
+
+// Validate checks the window and that no version appears twice.
+func (r Release) Validate() Faults {
+	var f Faults
+	f.format(r.Format)
+	f.id("id", string(r.ID))
+	f.check(!r.StartAt.IsZero(), "start_at", "is required")
+	f.check(r.FinishAt.Sub(r.StartAt) >= time.Second, "finish_at", "must be at least 1 s after start_at")
+	f.check(len(r.Added)+len(r.Changed)+len(r.Withdrawn) > 0, "added", "the release names no version")
+	seen := make(map[ident.VersionID]bool)
+	once := func(p string, v ident.VersionID) {
+		f.id(p, string(v))
+		f.check(!seen[v], p, "is named twice")
+		seen[v] = true
+	}
+	for i, c := range r.Added {
+		once(fmt.Sprintf("added[%d].version", i), c.Version)
+	}
+	for i, c := range r.Changed {
+		once(fmt.Sprintf("changed[%d].version", i), c.Version)
+		f.id(fmt.Sprintf("changed[%d].replaces", i), string(c.Replaces))
+	}
+	for i, v := range r.Withdrawn {
+		once(fmt.Sprintf("withdrawn[%d]", i), v)
+	}
+	return f
+}
+
+// Validate checks the release name.
+func (o Outcome) Validate() Faults {
+	var f Faults
+	f.format(o.Format)
+	f.id("release", string(o.Release))
+	return f
+}
+
+// Validate checks the identifiers.
+func (r Router) Validate() Faults {
+	var f Faults
+	f.format(r.Format)
+	f.id("id", string(r.ID))
+	f.id("domain", string(r.Domain))
+	return f
+}
+
+// Validate checks the hash and the holder.
+func (c Claim) Validate() Faults {
+	var f Faults
+	f.format(c.Format)
+	f.hash("hash", c.Hash)
+	f.id("holder", string(c.Holder))
+	return f
+}
+
+// Validate checks the names.
+func (l Lease) Validate() Faults {
+	var f Faults
+	f.format(l.Format)
+	f.id("name", l.Name)
+	return f
+}
+
+// Validate checks the token hash and the role.
+func (o Operator) Validate() Faults {
+	var f Faults
+	f.format(o.Format)
+	f.id("id", o.ID)
+	f.hash("sha256", o.SHA256)
+	f.check(o.Role == RoleViewer || o.Role == RoleOperator || o.Role == RoleOwner, "role", `must be "viewer", "operator" or "owner"`)
+	return f
+}
+
+// Validate checks the record's identity.
+func (a Audit) Validate() Faults {
+	var f Faults
+	f.format(a.Format)
+	f.id("id", a.ID)
+	return f
+}
