Add callers' API, settings, metrics and the operators' API

Cause: the parts need their outer edges before the router process is assembled. Conclusion: the node package can be written against these interfaces.

--- /dev/null
+++ b/io/admin/audit.go
@@ -0,0 +1,82 @@
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"geraniumsaddle/core/bill"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/store"
+)
+
+// auditTime sorts as text.
+const auditTime = "20060102T150405.000000000Z"
+
+// audited writes an audit record, makes the change and adds the result to the record. A change that
+// cannot be recorded is not made. A record without a result means that the router stopped in between.
+func (s *Server) audited(ctx context.Context, q *request, action string, key object.Key, change func() error) error {
+	now := s.clock.Now().UTC()
+	var nonce [4]byte
+	_, _ = rand.Read(nonce[:])
+	rec := object.Audit{
+		Format: object.Format, ID: now.Format(auditTime) + "-" + hex.EncodeToString(nonce[:]),
+		At: now, Who: q.who.ID, Action: action, Object: key,
+	}
+	version, err := s.putAudit(ctx, rec, store.Absent())
+	if err != nil {
+		return err
+	}
+	changeErr := change()
+	rec.Detail = "done"
+	if changeErr != nil {
+		rec.Detail = "refused: " + asProblem(changeErr).Code
+	}
+	if _, err := s.putAudit(ctx, rec, store.Match(version)); err != nil {
+		s.log.Warn("result of an audited change could not be recorded", "audit", rec.ID, "error", err)
+	}
+	s.log.Info("operator change", "operator", rec.Who, "action", action, "kind", key.Kind, "object", key.Name, "result", rec.Detail)
+	return changeErr
+}
+
+func (s *Server) putAudit(ctx context.Context, rec object.Audit, cond store.Condition) (ident.ObjectVersion, error) {
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		return 0, err
+	}
+	return s.objects.PutResolved(ctx, rec.Key(), raw, cond)
+}
+
+func (s *Server) listAudit(ctx context.Context, q *request) error {
+	return s.list(ctx, q, object.KindAudit)
+}
+
+func (s *Server) status(ctx context.Context, q *request) error {
+	writeJSON(q.w, http.StatusOK, s.fleet.Status(ctx))
+	return nil
+}
+
+func (s *Server) statement(ctx context.Context, q *request) error {
+	month := bill.MonthOf(s.clock.Now())
+	if v := q.r.URL.Query().Get("month"); v != "" {
+		t, err := time.Parse("2006-01", v)
+		if err != nil {
+			return problem(http.StatusBadRequest, "malformed", "month must have the form 2006-01")
+		}
+		month = bill.MonthOf(t)
+	}
+	st, err := s.fleet.Statement(ctx, ident.OrgID(q.r.PathValue("id")), month)
+	if err != nil {
+		return err
+	}
+	if q.r.URL.Query().Get("format") != "csv" {
+		writeJSON(q.w, http.StatusOK, st)
+		return nil
+	}
+	q.w.Header().Set("Content-Type", "text/csv; charset=utf-8")
+	return st.WriteCSV(q.w)
+}
--- /dev/null
+++ b/io/caller/refuse.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Code names the reason of a refusal.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeBudgetExhausted   Code = "budget_exhausted"
+	CodeOverloaded        Code = "overloaded"
+	CodeUnavailable       Code = "unavailable"
+	CodeInvalidKey        Code = "invalid_api_key"
+	CodeInvalidRequest    Code = "invalid_request"
+	CodeNotFound          Code = "not_found"
+	CodeConflict          Code = "idempotency_conflict"
+	CodeAlreadyRun        Code = "already_run"
+	CodeTooLarge          Code = "request_too_large"
+	CodeTargetFailed      Code = "target_failed"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeClaimUnavailable  Code = "claim_unavailable"
+	CodeJournalUnreached  Code = "journal_unavailable"
+	CodeInternal          Code = "internal"
+	CodeTokenExpired      Code = "operation_token_expired"
+	CodeLimitReached      Code = "key_limit_reached"
+	CodeTargetRejected    Code = "target_rejected"
+	CodeIncompleteAnswer  Code = "incomplete_answer"
+	CodeMissingIdempotent Code = "idempotency_key_required"
+)
+
+type codeRow struct {
+	status int
+	kind   string
+}
+
+// codeTable gives the HTTP status and the error type of each code.
+var codeTable = map[Code]codeRow{
+	CodeBudgetExhausted:   {http.StatusPaymentRequired, "budget_error"},
+	CodeLimitReached:      {http.StatusPaymentRequired, "budget_error"},
+	CodeOverloaded:        {http.StatusTooManyRequests, "capacity_error"},
+	CodeUnavailable:       {http.StatusServiceUnavailable, "capacity_error"},
+	CodeJournalUnreached:  {http.StatusServiceUnavailable, "capacity_error"},
+	CodeClaimUnavailable:  {http.StatusServiceUnavailable, "capacity_error"},
+	CodeInvalidKey:        {http.StatusUnauthorized, "authentication_error"},
+	CodeInvalidRequest:    {http.StatusBadRequest, "invalid_request_error"},
+	CodeMissingIdempotent: {http.StatusBadRequest, "invalid_request_error"},
+	CodeTokenExpired:      {http.StatusConflict, "invalid_request_error"},
+	CodeNotFound:          {http.StatusNotFound, "invalid_request_error"},
+	CodeConflict:          {http.StatusConflict, "invalid_request_error"},
+	CodeAlreadyRun:        {http.StatusConflict, "invalid_request_error"},
+	CodeTooLarge:          {http.StatusRequestEntityTooLarge, "invalid_request_error"},
+	CodeTargetFailed:      {http.StatusBadGateway, "target_error"},
+	CodeTargetRejected:    {http.StatusBadGateway, "target_error"},
+	CodeIncompleteAnswer:  {http.StatusBadGateway, "target_error"},
+	CodeOutcomeUnknown:    {http.StatusGatewayTimeout, "target_error"},
+	CodeInternal:          {http.StatusInternalServerError, "internal_error"},
+}
+
+// Refusal is the reason why a request got no answer, with its truthful outcome.
+type Refusal struct {
+	Code       Code
+	Message    string
+	Outcome    ident.Outcome
+	RetryAfter time.Duration
+	// Request is the id of the request, when another one than that of this HTTP request answers.
+	Request ident.RequestID
+}
+
+// Refuse returns a refusal. The message must not contain secrets or parts of a prompt.
+func Refuse(code Code, o ident.Outcome, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Outcome: o, Message: fmt.Sprintf(format, args...)}
+}
+
+// After sets the time after which a retry makes sense.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int { return codeTable[r.Code].status }
+
+// asRefusal turns any error into a refusal. An unexpected error has an unknown outcome.
+func asRefusal(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return Refuse(CodeInternal, ident.OutcomeUnknown, "internal error")
+}
+
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Type    string        `json:"type"`
+	Code    Code          `json:"code"`
+	Message string        `json:"message"`
+	Outcome ident.Outcome `json:"outcome"`
+}
+
+// body returns the JSON form of the refusal.
+func (r *Refusal) body() []byte {
+	b, err := json.Marshal(errorBody{errorFields{codeTable[r.Code].kind, r.Code, r.Message, r.Outcome}})
+	if err != nil {
+		return []byte(`{"error":{"type":"internal_error","code":"internal","message":"","outcome":"unknown"}}`)
+	}
+	return b
+}
+
+// defaultRetryAfter is sent with 429 and 503 when the refusal names no time.
+const defaultRetryAfter = time.Second
+
+func writeRefusal(w http.ResponseWriter, r *Refusal) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Request-Outcome", string(r.Outcome))
+	if r.Request != "" {
+		h.Set("X-Request-Id", string(r.Request))
+	}
+	status := r.Status()
+	retry := r.RetryAfter
+	if retry == 0 && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable) {
+		retry = defaultRetryAfter
+	}
+	if retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(r.body())
+}
--- /dev/null
+++ b/io/flags/router.go
@@ -0,0 +1,130 @@
+package flags
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// Router holds the settings of a router process.
+type Router struct {
+	Name           string
+	Domain         string
+	VM             string
+	CallerAddr     string
+	AdminAddr      string
+	PeerAddr       string
+	PlatformURL    string
+	Peers          []string
+	PeerCAFile     string
+	PeerCertFile   string
+	PeerKeyFile    string
+	OperationKey   string
+	OperatorToken  string
+	LogLevel       string
+	BodyBytes      int64
+	HeaderBytes    int
+	HeaderTimeout  time.Duration
+	RequestTimeout time.Duration
+	DrainTimeout   time.Duration
+
+	PromptBytesPerToken int
+	DefaultMaxTokens    int64
+	BudgetWait          time.Duration
+	JournalWait         time.Duration
+	QueueWait           time.Duration
+	WindowBytes         int
+	OrgStreamBytes      int64
+	ProcessStreamBytes  int64
+	SlowReaderAfter     time.Duration
+	Faults              bool
+}
+
+// BindRouter adds the flags of a router to fs.
+func BindRouter(fs *pflag.FlagSet, r *Router) {
+	fs.StringVar(&r.Name, "name", "", "name of the router, unique in the fleet")
+	fs.StringVar(&r.Domain, "domain", "", "failure domain of this VM")
+	fs.StringVar(&r.VM, "vm", "", "name of this VM in the platform's VM list (default: the router's name)")
+	fs.StringVar(&r.CallerAddr, "caller-addr", "127.0.0.1:8080", "TCP address for callers")
+	fs.StringVar(&r.AdminAddr, "admin-addr", "127.0.0.1:8090", "TCP address for operators, metrics and health")
+	fs.StringVar(&r.PeerAddr, "peer-addr", "127.0.0.1:0", "UDP address for other routers")
+	fs.StringVar(&r.PlatformURL, "platform-url", "", "base URL of the platform's object service")
+	fs.StringSliceVar(&r.Peers, "peers", nil, "peer addresses that are tried when the platform is away at the start")
+	fs.StringVar(&r.PeerCAFile, "peer-ca-file", "", "PEM file of the fleet authority; it is read again when it changes")
+	fs.StringVar(&r.PeerCertFile, "peer-cert-file", "", "PEM file of this router's certificate; it is read again when it changes")
+	fs.StringVar(&r.PeerKeyFile, "peer-key-file", "", "PEM file of this router's private key; it is read again when it changes")
+	fs.StringVar(&r.OperationKey, "operation-key", "", "secret, at least 16 bytes, the same in the fleet, that authenticates operation tokens")
+	fs.StringVar(&r.OperatorToken, "operator-token", "", "secret token of the first operator, with the role owner; empty for none")
+	fs.StringVar(&r.LogLevel, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	fs.Int64Var(&r.BodyBytes, "max-body-bytes", 4<<20, "largest request body, in bytes")
+	fs.IntVar(&r.HeaderBytes, "max-header-bytes", 32<<10, "largest request header, in bytes")
+	fs.DurationVar(&r.HeaderTimeout, "header-timeout", 10*time.Second, "time in which a caller must send the request header")
+	fs.DurationVar(&r.RequestTimeout, "request-timeout", 10*time.Minute, "longest time for one request")
+	fs.DurationVar(&r.DrainTimeout, "drain-timeout", 15*time.Minute, "longest time that a graceful shutdown waits for running requests")
+	bindTraffic(fs, r)
+	markSecret(fs, "operation-key")
+	markSecret(fs, "operator-token")
+}
+
+func bindTraffic(fs *pflag.FlagSet, r *Router) {
+	fs.IntVar(&r.PromptBytesPerToken, "prompt-bytes-per-token", 3, "bytes of a prompt for which one token is reserved")
+	fs.Int64Var(&r.DefaultMaxTokens, "default-max-tokens", 1024, "output bound of a request that sets none, in tokens")
+	fs.DurationVar(&r.BudgetWait, "budget-wait", 500*time.Millisecond, "longest wait for tokens before a request is refused")
+	fs.DurationVar(&r.JournalWait, "journal-wait", 20*time.Millisecond, "first wait for the journal peer's acknowledgement")
+	fs.DurationVar(&r.QueueWait, "queue-wait", 5*time.Second, "longest wait for capacity at a target")
+	fs.IntVar(&r.WindowBytes, "stream-window-bytes", 32<<10, "buffer of one stream, in bytes")
+	fs.Int64Var(&r.OrgStreamBytes, "org-stream-bytes", 64<<20, "buffers of all streams of an organisation, in bytes")
+	fs.Int64Var(&r.ProcessStreamBytes, "process-stream-bytes", 512<<20, "buffers of all streams of the process, in bytes")
+	fs.DurationVar(&r.SlowReaderAfter, "slow-reader-after", 10*time.Second, "time with a full buffer after which the target's stream is suspended")
+	fs.BoolVar(&r.Faults, "enable-fault-switches", false, "serve PUT /faults on the admin address, for tests")
+}
+
+// minSecretBytes is the least length of a shared secret.
+const minSecretBytes = 16
+
+// Validate returns every fault of the settings.
+func (r *Router) Validate() object.Faults {
+	var c check
+	c.id("name", r.Name)
+	c.id("domain", r.Domain)
+	if r.VM == "" {
+		r.VM = r.Name
+	}
+	c.id("vm", r.VM)
+	c.addr("caller-addr", r.CallerAddr)
+	c.addr("admin-addr", r.AdminAddr)
+	c.addr("peer-addr", r.PeerAddr)
+	for _, p := range r.Peers {
+		c.addr("peers", p)
+	}
+	c.url("platform-url", r.PlatformURL)
+	c.that(len(r.OperationKey) >= minSecretBytes, "operation-key", "must have at least 16 bytes")
+	c.level("log-level", r.LogLevel)
+	c.that((r.PeerCAFile == "") == (r.PeerCertFile == "") && (r.PeerCertFile == "") == (r.PeerKeyFile == ""),
+		"peer-cert-file", "peer-ca-file, peer-cert-file and peer-key-file go together")
+	c.between("max-body-bytes", r.BodyBytes, 1<<10, 64<<20)
+	c.between("max-header-bytes", int64(r.HeaderBytes), 1<<10, 1<<20)
+	c.between("prompt-bytes-per-token", int64(r.PromptBytesPerToken), 1, 16)
+	c.between("default-max-tokens", r.DefaultMaxTokens, 1, 1<<20)
+	c.between("stream-window-bytes", int64(r.WindowBytes), 4<<10, 1<<20)
+	c.between("org-stream-bytes", r.OrgStreamBytes, int64(r.WindowBytes), 1<<40)
+	c.between("process-stream-bytes", r.ProcessStreamBytes, r.OrgStreamBytes, 1<<40)
+	c.span("header-timeout", r.HeaderTimeout, 100*time.Millisecond, time.Minute)
+	c.span("request-timeout", r.RequestTimeout, time.Second, time.Hour)
+	c.span("drain-timeout", r.DrainTimeout, time.Second, 2*time.Hour)
+	c.span("budget-wait", r.BudgetWait, 0, time.Minute)
+	c.span("journal-wait", r.JournalWait, time.Millisecond, time.Second)
+	c.span("queue-wait", r.QueueWait, 0, 5*time.Minute)
+	c.span("slow-reader-after", r.SlowReaderAfter, 100*time.Millisecond, 10*time.Minute)
+	return c.faults
+}
+
+// DomainID returns the failure domain.
+func (r *Router) DomainID() ident.DomainID { return ident.DomainID(r.Domain) }
+
+// Level returns the log level.
+func (r *Router) Level() slog.Level { return levelOf(r.LogLevel) }
--- /dev/null
+++ b/io/node/view.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// view is an immutable snapshot of the configuration. The control goroutine replaces it; traffic
+// goroutines read it.
+type view struct {
+	orgs      map[ident.OrgID]object.Organisation
+	keys      map[string]keyRow // by SHA-256 of the secret
+	budgets   map[ident.BudgetID]object.Budget
+	targets   map[ident.TargetID]object.Target
+	versions  map[ident.VersionID]object.Version
+	services  map[ident.ServiceID]*serviceRow
+	releases  map[ident.ReleaseID]object.Release
+	outcomes  map[ident.ReleaseID]object.Outcome
+	operators map[string]object.Operator // by SHA-256 of the token
+	routers   map[ident.RouterID]object.Router
+	models    []ident.ModelID
+}
+
+type keyRow struct {
+	org ident.OrgID
+	key object.APIKey
+}
+
+// serviceRow is a plain service with a matcher for its routes.
+type serviceRow struct {
+	service object.Service
+	mux     *http.ServeMux
+}
+
+// routeMark is the handler that stands for a route in a matcher. It serves nothing.
+type routeMark struct{ route object.ServiceRoute }
+
+func (routeMark) ServeHTTP(http.ResponseWriter, *http.Request) {}
+
+// route returns the route of a call, or false if the service has none for it.
+func (s *serviceRow) route(method, path string) (object.ServiceRoute, bool) {
+	req, err := http.NewRequest(method, "http://service"+path, nil)
+	if err != nil {
+		return object.ServiceRoute{}, false
+	}
+	h, _ := s.mux.Handler(req)
+	mark, ok := h.(routeMark)
+	return mark.route, ok
+}
+
+func newServiceRow(s object.Service) (row *serviceRow, err error) {
+	row = &serviceRow{service: s, mux: http.NewServeMux()}
+	defer func() {
+		// ServeMux panics on a pattern that is malformed or registered twice.
+		if v := recover(); v != nil {
+			err = ErrBadObject
+		}
+	}()
+	for _, r := range s.Routes {
+		row.mux.Handle(r.Method+" "+r.Path, routeMark{r})
+	}
+	return row, nil
+}
+
+func newView() *view {
+	return &view{
+		orgs:      make(map[ident.OrgID]object.Organisation),
+		keys:      make(map[string]keyRow),
+		budgets:   make(map[ident.BudgetID]object.Budget),
+		targets:   make(map[ident.TargetID]object.Target),
+		versions:  make(map[ident.VersionID]object.Version),
+		services:  make(map[ident.ServiceID]*serviceRow),
+		releases:  make(map[ident.ReleaseID]object.Release),
+		outcomes:  make(map[ident.ReleaseID]object.Outcome),
+		operators: make(map[string]object.Operator),
+		routers:   make(map[ident.RouterID]object.Router),
+	}
+}
+
+// add decodes one object into the view. It returns ErrBadObject for an object that this program cannot use.
+func (v *view) add(k object.Key, raw []byte) error {
+	switch k.Kind {
+	case object.KindOrganisation:
+		var o object.Organisation
+		if err := decode(raw, &o); err != nil {
+			return err
+		}
+		v.addOrg(o)
+	case object.KindBudget:
+		var b object.Budget
+		if err := decode(raw, &b); err != nil {
+			return err
+		}
+		v.budgets[b.ID] = b
+	case object.KindTarget:
+		var t object.Target
+		if err := decode(raw, &t); err != nil {
+			return err
+		}
+		v.targets[t.ID] = t
+	case object.KindVersion:
+		var ver object.Version
+		if err := decode(raw, &ver); err != nil {
+			return err
+		}
+		v.versions[ver.ID] = ver
+	case object.KindService:
+		var s object.Service
+		if err := decode(raw, &s); err != nil {
+			return err
+		}
+		row, err := newServiceRow(s)
+		if err != nil {
+			return err
+		}
+		v.services[s.ID] = row
+	default:
+		return v.addOther(k, raw)
+	}
+	return nil
+}
+
+func (v *view) addOther(k object.Key, raw []byte) error {
+	switch k.Kind {
+	case object.KindRelease:
+		var r object.Release
+		if err := decode(raw, &r); err != nil {
+			return err
+		}
+		v.releases[r.ID] = r
+	case object.KindOutcome:
+		var o object.Outcome
+		if err := decode(raw, &o); err != nil {
+			return err
+		}
+		v.outcomes[o.Release] = o
+	case object.KindOperator:
+		var o object.Operator
+		if err := decode(raw, &o); err != nil {
+			return err
+		}
+		v.operators[o.SHA256] = o
+	case object.KindRouter:
+		var r object.Router
+		if err := decode(raw, &r); err != nil {
+			return err
+		}
+		v.routers[r.ID] = r
+	}
+	return nil
+}
+
+func (v *view) addOrg(o object.Organisation) {
+	v.orgs[o.ID] = o
+	for _, k := range o.Keys {
+		if !k.Revoked && !o.Disabled {
+			v.keys[k.SHA256] = keyRow{org: o.ID, key: k}
+		}
+	}
+}
+
+// finish computes what is derived from several objects.
+func (v *view) finish() {
+	seen := make(map[ident.ModelID]bool)
+	for _, ver := range v.versions {
+		if ver.Serving && !ver.Withdrawn && ver.Model != "" && !seen[ver.Model] {
+			seen[ver.Model] = true
+			v.models = append(v.models, ver.Model)
+		}
+	}
+	sort.Slice(v.models, func(i, j int) bool { return v.models[i] < v.models[j] })
+}
+
+func decode(raw []byte, o object.Value) error {
+	if err := json.Unmarshal(raw, o); err != nil {
+		return ErrBadObject
+	}
+	if o.Validate().Err() != nil {
+		return ErrBadObject
+	}
+	return nil
+}
