core/escrow: add ledger entries, accounts, policies and the shard writer

Cause: routers need to spend prepaid tokens and capacity slots without a round trip, and without overspend under partitions and lost replies.

--- /dev/null
+++ b/core/escrow/account.go
@@ -0,0 +1,262 @@
+package escrow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Account states. A holder that is not open refuses new holds, but still settles running requests.
+const (
+	stateClosed uint32 = 1 << iota
+	stateRevoked
+	stateExpired
+	stateLeaving
+	// stateProved follows the closing statement: tokens that arrive later would not be in it.
+	stateProved
+)
+
+// AccountConfig holds the fixed parts of an account.
+type AccountConfig struct {
+	Entry  EntryID
+	Holder HolderID
+	Policy Policy
+	// Freed is notified when free tokens rise, and when the account starts to refuse.
+	Freed *Signal
+	// Short is notified when a request starts to wait, so that the control loop asks for tokens
+	// before its next regular report.
+	Short *Signal
+}
+
+// Account is the router's side of one entry. All methods are safe for concurrent use.
+//
+//	free = granted + in - returned - settled - out - held
+type Account struct {
+	cfg AccountConfig
+
+	state    atomic.Uint32
+	free     atomic.Int64
+	held     atomic.Int64
+	settled  atomic.Int64
+	returned atomic.Int64
+	refused  atomic.Int64
+	pending  atomic.Int64
+
+	mu          sync.Mutex
+	open        uint64
+	version     ident.ObjectVersion
+	granted     ident.Tokens
+	in, out     ident.Tokens
+	peers       map[HolderID]*pair
+	expiresAt   time.Time
+	wanted      ident.Tokens // what other holders lack while nothing is unallotted
+	recalled    ident.ObjectVersion
+	seq         uint64
+	journalPeer ident.RouterID
+	demand      estimate
+}
+
+// NewAccount returns an account without tokens.
+func NewAccount(cfg AccountConfig) *Account {
+	if cfg.Freed == nil {
+		cfg.Freed = new(Signal)
+	}
+	if cfg.Short == nil {
+		cfg.Short = new(Signal)
+	}
+	return &Account{cfg: cfg}
+}
+
+// Entry returns the entry of the account.
+func (a *Account) Entry() EntryID { return a.cfg.Entry }
+
+// Holder returns the holder of the account.
+func (a *Account) Holder() HolderID { return a.cfg.Holder }
+
+// Free returns the tokens that a request can hold now.
+func (a *Account) Free() ident.Tokens { return ident.Tokens(a.free.Load()) }
+
+// Held returns the tokens of running requests.
+func (a *Account) Held() ident.Tokens { return ident.Tokens(a.held.Load()) }
+
+// Settled returns the tokens billed by this holder.
+func (a *Account) Settled() ident.Tokens { return ident.Tokens(a.settled.Load()) }
+
+// Usable reports whether the account accepts holds: it is not closed, revoked, expired or leaving.
+func (a *Account) Usable() bool { return a.state.Load() == 0 }
+
+// Closed reports whether the platform has closed the holder's row. Such an account is never used again.
+func (a *Account) Closed() bool { return a.state.Load()&stateClosed != 0 }
+
+// Hold reserves n tokens and reports whether they were free.
+func (a *Account) Hold(n ident.Tokens) bool {
+	if n < 0 || a.state.Load() != 0 || !take(&a.free, int64(n)) {
+		return false
+	}
+	a.held.Add(int64(n))
+	return true
+}
+
+// Settle ends a hold of which used tokens are billed and the rest becomes free. Use above the hold is
+// billed up to the hold, and the excess is returned. It reports false if held exceeds all holds, which
+// means that the hold was already settled.
+func (a *Account) Settle(held, used ident.Tokens) (overBound ident.Tokens, ok bool) {
+	if held < 0 || used < 0 || !take(&a.held, int64(held)) {
+		return 0, false
+	}
+	billed := min(held, used)
+	a.settled.Add(int64(billed))
+	if rest := held - billed; rest > 0 {
+		a.free.Add(int64(rest))
+		a.cfg.Freed.Notify()
+	}
+	return used - billed, true
+}
+
+// Release ends a hold without billing.
+func (a *Account) Release(held ident.Tokens) bool {
+	_, ok := a.Settle(held, 0)
+	return ok
+}
+
+// Return gives up to n free tokens back to the entry and returns how many.
+func (a *Account) Return(n ident.Tokens) ident.Tokens {
+	n = takeUpTo(&a.free, n)
+	a.returned.Add(int64(n))
+	return n
+}
+
+// take subtracts n from v unless that would make it negative.
+func take(v *atomic.Int64, n int64) bool {
+	for {
+		have := v.Load()
+		if have < n {
+			return false
+		}
+		if v.CompareAndSwap(have, have-n) {
+			return true
+		}
+	}
+}
+
+// takeUpTo subtracts n, or as much as there is, and returns the amount.
+func takeUpTo(v *atomic.Int64, n ident.Tokens) ident.Tokens {
+	for {
+		have := v.Load()
+		got := max(0, min(have, int64(n)))
+		if got == 0 || v.CompareAndSwap(have, have-got) {
+			return ident.Tokens(got)
+		}
+	}
+}
+
+func (a *Account) setState(bit uint32, on bool) {
+	for {
+		old := a.state.Load()
+		next := old &^ bit
+		if on {
+			next |= bit
+		}
+		if old == next {
+			return
+		}
+		if a.state.CompareAndSwap(old, next) {
+			a.cfg.Freed.Notify()
+			return
+		}
+	}
+}
+
+// Leave makes the account refuse new holds for good, as a first step of a graceful shutdown.
+func (a *Account) Leave() { a.setState(stateLeaving, true) }
+
+// ApplyEntry takes over a confirmed entry of the given object version. Grants merge by maximum, so
+// late and repeated entries are harmless; wants and the expiry come from the newest version only.
+func (a *Account) ApplyEntry(version ident.ObjectVersion, e *Entry, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	newest := version >= a.version
+	if newest {
+		a.version = version
+		a.expiresAt = e.ExpiresAt
+		a.wanted = e.Shrink
+		if e.Unallotted() <= 0 {
+			a.wanted += e.Wanted(a.cfg.Holder)
+		}
+		a.setState(stateExpired, !a.expiresAt.IsZero() && !now.Before(a.expiresAt))
+	}
+	if e.Revoked {
+		a.setState(stateRevoked, true)
+	}
+	h := e.Holder(a.cfg.Holder)
+	switch {
+	case h == nil && a.open == 0:
+		return
+	case h == nil:
+		// Opened tells an entry from after the row was closed from one before it was opened.
+		if e.Opened >= a.open {
+			a.setState(stateClosed, true)
+		}
+		return
+	case a.open == 0:
+		a.open = h.Open
+	case h.Open > a.open:
+		a.setState(stateClosed, true)
+	}
+	if h.Open != a.open || a.Closed() {
+		return
+	}
+	if n := h.Granted - a.granted; n > 0 {
+		a.granted = h.Granted
+		a.free.Add(int64(n))
+		a.cfg.Freed.Notify()
+	}
+}
+
+// SetJournalPeer declares the router that keeps the holder's journal. The declaration holds once a
+// confirmed entry shows it.
+func (a *Account) SetJournalPeer(r ident.RouterID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.journalPeer = r
+}
+
+// Report returns the counters and the want for the writer of the shard.
+func (a *Account) Report() Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seq++
+	r := Report{
+		Entry: a.cfg.Entry, Holder: a.cfg.Holder, Open: a.open, Seq: a.seq, Granted: a.granted,
+		Returned: ident.Tokens(a.returned.Load()), Settled: a.Settled(), In: a.in, Out: a.out,
+		JournalPeer: a.journalPeer,
+	}
+	if a.Usable() {
+		r.Want, r.Need = a.want()
+	}
+	return r
+}
+
+// Proof returns the closing statement of a holder that has left and has no running request, and returns
+// its free tokens. It reports false while a request runs or before the row is confirmed. Transfers that
+// arrive after the proof are refused.
+func (a *Account) Proof() (Proof, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.state.Load()&stateLeaving == 0 || a.open == 0 || a.Closed() {
+		return Proof{}, false
+	}
+	a.Return(a.Free())
+	p := Proof{
+		Holder: a.cfg.Holder, Open: a.open, Settled: a.Settled(), Returned: ident.Tokens(a.returned.Load()),
+		In: a.in, Out: a.out,
+	}
+	// A hold that raced with Leave shows as a rest.
+	if a.granted+p.In-p.Returned-p.Settled-p.Out != 0 {
+		return Proof{}, false
+	}
+	a.setState(stateProved, true)
+	return p, true
+}
--- /dev/null
+++ b/core/escrow/check.go
@@ -0,0 +1,71 @@
+package escrow
+
+import (
+	"fmt"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// counterField is one counter of an entry or a row with its field name.
+type counterField struct {
+	name  string
+	value ident.Tokens
+}
+
+// Check returns every fault of the entry: a counter out of range, a row out of order, or more tokens
+// handed out than were paid.
+func (e *Entry) Check() object.Faults { return e.validate("entry") }
+
+func (e *Entry) validate(path string) object.Faults {
+	var f object.Faults
+	fault := func(field, message string) {
+		f = append(f, object.Fault{Path: path + "." + field, Message: message})
+	}
+	counters := func(prefix string, fields []counterField) {
+		for _, c := range fields {
+			if c.value < 0 || c.value > object.MaxTokens {
+				fault(prefix+c.name, fmt.Sprintf("must be between 0 and %d", object.MaxTokens))
+			}
+		}
+	}
+	if e.ID == "" {
+		fault("id", "is required")
+	}
+	counters("", []counterField{
+		{"paid", e.Paid}, {"refunded", e.Refunded}, {"closed_settled", e.ClosedSettled},
+		{"written_off", e.WrittenOff}, {"shrink", e.Shrink},
+	})
+	if e.ClosedNetOut < -object.MaxTokens || e.ClosedNetOut > object.MaxTokens {
+		fault("closed_net_out", "is out of range")
+	}
+	if len(e.Holders) > MaxHolders {
+		fault("holders", fmt.Sprintf("must have at most %d rows", MaxHolders))
+	}
+	if len(e.Unresolved) > MaxHolders {
+		fault("unresolved", fmt.Sprintf("must have at most %d items", MaxHolders))
+	}
+	for i := range e.Holders {
+		h, p := &e.Holders[i], fmt.Sprintf("holders[%d].", i)
+		counters(p, []counterField{
+			{"granted", h.Granted}, {"returned", h.Returned}, {"settled", h.Settled},
+			{"in", h.In}, {"out", h.Out}, {"wanted", h.Wanted},
+		})
+		if h.ID == "" || i > 0 && e.Holders[i-1].ID >= h.ID {
+			fault(p+"id", "must be sorted, unique and not empty")
+		}
+		if h.Open < 1 || h.Open > e.Opened {
+			fault(p+"open", "must be between 1 and opened")
+		}
+	}
+	for i, u := range e.Unresolved {
+		counters(fmt.Sprintf("unresolved[%d].", i), []counterField{{"tokens", u.Tokens}})
+	}
+	for i, op := range e.Ops {
+		counters(fmt.Sprintf("op_ids[%d].", i), []counterField{{"tokens", op.Tokens}})
+	}
+	if len(f) == 0 && e.Unallotted() < 0 {
+		fault("paid", fmt.Sprintf("%d tokens more are handed out than paid", -e.Unallotted()))
+	}
+	return f
+}
--- /dev/null
+++ b/core/escrow/demand.go
@@ -0,0 +1,139 @@
+package escrow
+
+import (
+	"context"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+const (
+	// The fast average follows a shift of demand between domains; the slow one keeps the allotment
+	// through a pause. The larger one counts.
+	fastDemand = 30 * time.Second
+	slowDemand = 10 * time.Minute
+	// peakDecay is the share by which the remembered peak of holds falls at each tick.
+	peakDecay = 0.02
+)
+
+// estimate is an exponentially weighted average of the token rate.
+type estimate struct {
+	last       time.Time
+	first      time.Time
+	total      ident.Tokens
+	fast, slow float64
+	peak       float64
+}
+
+func (d *estimate) tick(now time.Time, total, held ident.Tokens) {
+	d.peak = max(float64(held), d.peak*(1-peakDecay))
+	if d.last.IsZero() {
+		d.first, d.last, d.total = now, now, total
+		return
+	}
+	dt := now.Sub(d.last)
+	if dt <= 0 {
+		return
+	}
+	rate := float64(total-d.total) / dt.Seconds()
+	age := now.Sub(d.first)
+	d.fast += weight(dt, fastDemand, age) * (rate - d.fast)
+	d.slow += weight(dt, slowDemand, age) * (rate - d.slow)
+	d.last, d.total = now, total
+}
+
+// weight is the weight of a sample of length dt. A young average is a plain mean.
+func weight(dt, window, age time.Duration) float64 {
+	return dt.Seconds() / max(dt, min(window, age)).Seconds()
+}
+
+// Tick takes a sample of the demand and applies the expiry. Call it about once a second.
+func (a *Account) Tick(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	total := a.Settled() + ident.Tokens(a.refused.Load())
+	a.demand.tick(now, total, a.Held())
+	a.setState(stateExpired, !a.expiresAt.IsZero() && !now.Before(a.expiresAt))
+}
+
+// Demand returns the current estimate.
+func (a *Account) Demand() Demand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load()
+}
+
+func (a *Account) load() Demand {
+	return Demand{
+		PerSecond: max(a.demand.fast, a.demand.slow), Held: a.Held(), PeakHeld: ident.Tokens(a.demand.peak),
+		Pending: ident.Tokens(a.pending.Load()),
+	}
+}
+
+// want returns the tokens that bring the account to its level, and the part of them that it lacks in the
+// near term. A refill starts below three quarters of the level, which bounds the calls to one for each
+// quarter of the partition cover.
+func (a *Account) want() (want, need ident.Tokens) {
+	d := a.load()
+	level, near, free := a.cfg.Policy.level(d), a.cfg.Policy.need(d), a.Free()
+	if free < level-level/4 || free < near {
+		want = max(0, level-free, near-free)
+	}
+	return min(want, object.MaxTokens), max(0, min(near-free, object.MaxTokens))
+}
+
+// Rebalance returns tokens to the entry as far as the newest confirmed entry calls for it: all free
+// tokens of an unusable account, otherwise what the policy recalls. It acts once per entry version, so
+// that a want is not answered twice before the entry shows the first answer.
+func (a *Account) Rebalance() ident.Tokens {
+	if !a.Usable() {
+		if a.Closed() {
+			return 0
+		}
+		return a.Return(a.Free())
+	}
+	a.mu.Lock()
+	d, wanted, done := a.load(), a.wanted, a.recalled == a.version
+	a.recalled = a.version
+	a.mu.Unlock()
+	if done || wanted <= 0 {
+		return 0
+	}
+	return a.Return(a.cfg.Policy.recall(d, a.Free(), wanted))
+}
+
+// addPending registers n tokens of a waiting request, or removes them with a negative n.
+func (a *Account) addPending(n ident.Tokens) {
+	if a == nil {
+		return
+	}
+	a.pending.Add(int64(n))
+	if n > 0 {
+		a.cfg.Short.Notify()
+	}
+}
+
+// HoldWait reserves n tokens like Hold and otherwise waits for them until the context ends. The error
+// is a *Refusal.
+func (a *Account) HoldWait(ctx context.Context, n ident.Tokens) error {
+	if a.Hold(n) {
+		return nil
+	}
+	a.addPending(n)
+	defer a.addPending(-n)
+	for {
+		ch := a.cfg.Freed.Wait()
+		if a.Hold(n) {
+			return nil
+		}
+		if !a.Usable() {
+			return a.refuse(n, nil)
+		}
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return a.refuse(n, ctx.Err())
+		}
+	}
+}
--- /dev/null
+++ b/core/escrow/entry.go
@@ -0,0 +1,161 @@
+package escrow
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// EntryID names a ledger entry: a budget, a limit inside a budget or a target.
+type EntryID string
+
+// BudgetEntry returns the entry of a budget.
+func BudgetEntry(id ident.BudgetID) EntryID { return EntryID(id) }
+
+// TargetEntry returns the entry of the capacity slots of a target.
+func TargetEntry(id ident.TargetID) EntryID { return EntryID(id) }
+
+// ClassEntry returns the entry of the limit of a traffic class inside a budget.
+func ClassEntry(id ident.BudgetID, c ident.Class) EntryID {
+	return EntryID(string(id) + "/class/" + string(c))
+}
+
+// KeyEntry returns the entry of the limit of an API key.
+func KeyEntry(org ident.OrgID, key ident.KeyID) EntryID {
+	return EntryID(string(org) + "/key/" + string(key))
+}
+
+// HolderID names one account of one incarnation of a router.
+type HolderID string
+
+// NewHolderID returns the holder for the nth account that the router opens on an entry, from 0.
+// An idle account is closed to keep shards small, and a later one needs an identity of its own
+// because its counters start at zero again.
+func NewHolderID(r ident.RouterID, nth uint64) HolderID {
+	if nth == 0 {
+		return HolderID(r)
+	}
+	return HolderID(string(r) + "/" + strconv.FormatUint(nth, 10))
+}
+
+// Router returns the incarnation of the router that the holder belongs to.
+func (h HolderID) Router() ident.RouterID {
+	r, _, _ := strings.Cut(string(h), "/")
+	return ident.RouterID(r)
+}
+
+// Entry is the platform's side of one budget or target. Counts are tokens, or slots for a target.
+type Entry struct {
+	ID       EntryID      `json:"id"`
+	Paid     ident.Tokens `json:"paid"`
+	Refunded ident.Tokens `json:"refunded,omitempty"`
+	// Ops lists the latest operator changes, oldest first, so that a repeated one has no effect.
+	Ops []Op `json:"op_ids,omitempty"`
+	// Opened counts the rows ever opened. Each new row takes the next number.
+	Opened  uint64   `json:"opened,omitempty"`
+	Holders []Holder `json:"holders,omitempty"` // sorted by ID
+	// ClosedSettled is what closed holders have billed.
+	ClosedSettled ident.Tokens `json:"closed_settled,omitempty"`
+	// ClosedNetOut is what closed holders sent to others, less what they received. It is negative
+	// when a receiver closes before its sender.
+	ClosedNetOut ident.Tokens `json:"closed_net_out,omitempty"`
+	Unresolved   []Unresolved `json:"unresolved,omitempty"`
+	// WrittenOff is what operators gave up out of Unresolved.
+	WrittenOff ident.Tokens `json:"written_off,omitempty"`
+	// Shrink is the part of a capacity cut that waits for holders to return slots.
+	Shrink    ident.Tokens `json:"shrink,omitempty"`
+	Revoked   bool         `json:"revoked,omitempty"`
+	ExpiresAt time.Time    `json:"expires_at,omitzero"`
+}
+
+// Holder is the row of one holder.
+type Holder struct {
+	ID HolderID `json:"id"`
+	// Open is the number of the row. A report that names another number belongs to a closed row.
+	Open     uint64       `json:"open"`
+	Granted  ident.Tokens `json:"granted,omitempty"`
+	Returned ident.Tokens `json:"returned,omitempty"`
+	Settled  ident.Tokens `json:"settled,omitempty"`
+	In       ident.Tokens `json:"in,omitempty"`
+	Out      ident.Tokens `json:"out,omitempty"`
+	// Wanted is the unmet part of the latest need. Seq is the latest report that was merged.
+	Wanted      ident.Tokens   `json:"wanted,omitempty"`
+	Seq         uint64         `json:"seq,omitempty"`
+	JournalPeer ident.RouterID `json:"journal_peer,omitempty"`
+}
+
+// Unresolved is an amount of a closed holder that is neither proved settled nor proved unspent.
+type Unresolved struct {
+	Holder HolderID     `json:"holder"`
+	Open   uint64       `json:"open"`
+	Tokens ident.Tokens `json:"tokens"`
+	Reason string       `json:"reason"`
+}
+
+// Unallotted returns what is neither refunded, granted, billed nor unresolved.
+func (e *Entry) Unallotted() ident.Tokens {
+	n := e.Paid - e.Refunded - e.ClosedSettled - e.ClosedNetOut - e.WrittenOff - e.UnresolvedTokens()
+	for i := range e.Holders {
+		n -= e.Holders[i].Granted - e.Holders[i].Returned
+	}
+	return n
+}
+
+// UnresolvedTokens returns the sum over Unresolved.
+func (e *Entry) UnresolvedTokens() ident.Tokens {
+	var n ident.Tokens
+	for i := range e.Unresolved {
+		n += e.Unresolved[i].Tokens
+	}
+	return n
+}
+
+// Settled returns what open and closed holders are known to have billed.
+func (e *Entry) Settled() ident.Tokens {
+	n := e.ClosedSettled
+	for i := range e.Holders {
+		n += e.Holders[i].Settled
+	}
+	return n
+}
+
+// Wanted returns the unmet wants of all holders but except.
+func (e *Entry) Wanted(except HolderID) ident.Tokens {
+	var n ident.Tokens
+	for i := range e.Holders {
+		if e.Holders[i].ID != except {
+			n += e.Holders[i].Wanted
+		}
+	}
+	return n
+}
+
+// Usable reports whether tokens of the entry may be granted and spent at the given time.
+func (e *Entry) Usable(now time.Time) bool {
+	return !e.Revoked && (e.ExpiresAt.IsZero() || now.Before(e.ExpiresAt))
+}
+
+// Holder returns the row of a holder, or nil.
+func (e *Entry) Holder(id HolderID) *Holder {
+	if i, ok := e.find(id); ok {
+		return &e.Holders[i]
+	}
+	return nil
+}
+
+func (e *Entry) find(id HolderID) (int, bool) {
+	return slices.BinarySearchFunc(e.Holders, id, func(h Holder, id HolderID) int { return cmp.Compare(h.ID, id) })
+}
+
+// Clone returns a copy that shares no memory with e.
+func (e *Entry) Clone() Entry {
+	c := *e
+	c.Ops = slices.Clone(e.Ops)
+	c.Holders = slices.Clone(e.Holders)
+	c.Unresolved = slices.Clone(e.Unresolved)
+	return c
+}
--- /dev/null
+++ b/core/escrow/ops.go
@@ -0,0 +1,146 @@
+package escrow
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// maxOps bounds the remembered operator changes of an entry. 16 of about 60 bytes keep 300 entries of
+// a shard within a third of the platform's 1 MB.
+const maxOps = 16
+
+// OpKind is the kind of an operator change.
+type OpKind string
+
+// The kinds of operator changes.
+const (
+	OpTopUp    OpKind = "top_up"
+	OpRefund   OpKind = "refund"
+	OpRelease  OpKind = "release"
+	OpWriteOff OpKind = "write_off"
+)
+
+// Op is an operator change with the identity that makes it idempotent.
+type Op struct {
+	ID     string       `json:"id"`
+	Kind   OpKind       `json:"kind"`
+	Tokens ident.Tokens `json:"tokens"`
+}
+
+// Do applies an operator change and reports whether the entry changed. A change whose ID is already
+// known has no effect; one with the same ID and other content is an error. An error leaves e as it was.
+func (e *Entry) Do(op Op) (bool, error) {
+	if op.ID == "" || op.Tokens <= 0 || op.Tokens > object.MaxTokens {
+		return false, trace.BadParameter("operation needs an id and between 1 and %d tokens", object.MaxTokens)
+	}
+	for _, known := range e.Ops {
+		if known.ID != op.ID {
+			continue
+		}
+		if known != op {
+			return false, trace.AlreadyExists("operation %q was a %s of %d tokens", op.ID, known.Kind, known.Tokens)
+		}
+		return false, nil
+	}
+	if err := e.apply(op); err != nil {
+		return false, err
+	}
+	e.Ops = append(e.Ops[max(0, len(e.Ops)+1-maxOps):len(e.Ops):len(e.Ops)], op)
+	return true, nil
+}
+
+func (e *Entry) apply(op Op) error {
+	switch op.Kind {
+	case OpTopUp:
+		if e.Revoked {
+			return trace.CompareFailed("budget is revoked")
+		}
+		if e.Paid+op.Tokens > object.MaxTokens {
+			return trace.LimitExceeded("paid would exceed %d tokens", object.MaxTokens)
+		}
+		e.Paid += op.Tokens
+	case OpRefund:
+		if free := e.Unallotted(); op.Tokens > free {
+			return trace.LimitExceeded("refund of %d tokens exceeds the %d unallotted", op.Tokens, free)
+		}
+		e.Refunded += op.Tokens
+	case OpRelease, OpWriteOff:
+		// A receiver may report more than a closed sender's proof contained. The difference is
+		// counted both by the receiver and in Unresolved, so it is not available here.
+		if n := e.UnresolvedTokens() - e.overcount(); op.Tokens > n {
+			return trace.LimitExceeded("%d tokens exceed the %d unresolved", op.Tokens, n)
+		}
+		e.takeUnresolved(op.Tokens)
+		if op.Kind == OpWriteOff {
+			e.WrittenOff += op.Tokens
+		}
+	default:
+		return trace.BadParameter("unknown operation %q", op.Kind)
+	}
+	return nil
+}
+
+// overcount returns by how much transfers received exceed transfers sent.
+func (e *Entry) overcount() ident.Tokens {
+	n := -e.ClosedNetOut
+	for i := range e.Holders {
+		n += e.Holders[i].In - e.Holders[i].Out
+	}
+	return max(0, n)
+}
+
+func (e *Entry) takeUnresolved(n ident.Tokens) {
+	kept := make([]Unresolved, 0, len(e.Unresolved))
+	for _, u := range e.Unresolved {
+		took := min(n, u.Tokens)
+		u.Tokens -= took
+		n -= took
+		if u.Tokens > 0 {
+			kept = append(kept, u)
+		}
+	}
+	e.Unresolved = kept
+}
+
+// Revoke ends the entry for good and reports whether it changed.
+func (e *Entry) Revoke() bool {
+	changed := !e.Revoked
+	e.Revoked = true
+	return changed
+}
+
+// SetExpiry sets the time from which tokens are no longer spent; the zero time means never.
+func (e *Entry) SetExpiry(at time.Time) bool {
+	changed := !e.ExpiresAt.Equal(at)
+	e.ExpiresAt = at
+	return changed
+}
+
+// SetCapacity makes the number of slots equal to n. Slots that holders have are taken out of use when
+// they come back; until then the rest of the cut is in Shrink.
+func (e *Entry) SetCapacity(n ident.Tokens) (bool, error) {
+	if n < 0 || n > object.MaxTokens {
+		return false, trace.BadParameter("capacity must be between 0 and %d", object.MaxTokens)
+	}
+	before := *e
+	now := e.Paid - e.Refunded - e.Shrink
+	if n > now {
+		undo := min(n-now, e.Shrink)
+		e.Shrink -= undo
+		e.Paid += n - now - undo
+	} else {
+		e.Shrink += now - n
+	}
+	e.settleShrink()
+	return before.Paid != e.Paid || before.Refunded != e.Refunded || before.Shrink != e.Shrink, nil
+}
+
+func (e *Entry) settleShrink() {
+	n := max(0, min(e.Shrink, e.Unallotted()))
+	e.Shrink -= n
+	e.Refunded += n
+}
--- /dev/null
+++ b/core/escrow/policy.go
@@ -0,0 +1,128 @@
+package escrow
+
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Demand is what an account knows of the load on it.
+type Demand struct {
+	// PerSecond is the rate of tokens billed and refused.
+	PerSecond float64
+	// Held is the number of tokens in running requests, and PeakHeld its recent maximum.
+	Held, PeakHeld ident.Tokens
+	// Pending is the number of tokens that waiting requests need.
+	Pending ident.Tokens
+}
+
+// Policy sizes allotments. It is one of EqualSplit, Cover, Recall and SlotCover.
+type Policy interface {
+	// level returns the free tokens that a holder should have to serve its demand.
+	level(d Demand) ident.Tokens
+	// need returns the free tokens below which a holder asks others to return some.
+	need(d Demand) ident.Tokens
+	// grant returns how much of want the entry gives to the row at index i.
+	grant(e *Entry, i int, want ident.Tokens) ident.Tokens
+	// recall returns how much of the free tokens a holder returns when others lack wanted tokens
+	// and nothing is unallotted.
+	recall(d Demand, free, wanted ident.Tokens) ident.Tokens
+	// transfers reports whether holders send tokens to each other.
+	transfers() bool
+}
+
+// EqualSplit gives each of a fixed number of holders the same part of what was paid. It is the
+// baseline that the other policies are measured against.
+type EqualSplit struct {
+	Holders int
+}
+
+func (EqualSplit) level(Demand) ident.Tokens { return 1 << 40 }
+
+func (p EqualSplit) grant(e *Entry, i int, want ident.Tokens) ident.Tokens {
+	h := &e.Holders[i]
+	part := (e.Paid - e.Refunded) / ident.Tokens(max(1, p.Holders))
+	return max(0, min(want, part-(h.Granted-h.Returned), e.Unallotted()))
+}
+
+func (EqualSplit) need(Demand) ident.Tokens { return 0 }
+
+func (EqualSplit) recall(Demand, ident.Tokens, ident.Tokens) ident.Tokens { return 0 }
+
+func (EqualSplit) transfers() bool { return false }
+
+// Cover gives each holder enough for its own demand during a partition of the given length.
+type Cover struct {
+	Partition time.Duration
+	// Min is the least that a holder with demand asks for.
+	Min ident.Tokens
+}
+
+// DefaultCover is the sizing for token budgets. A region may be cut off for an hour, so a holder keeps
+// an hour of its own demand.
+var DefaultCover = Cover{Partition: time.Hour, Min: 4096}
+
+func (p Cover) level(d Demand) ident.Tokens {
+	return max(p.Min, ident.Tokens(d.PerSecond*p.Partition.Seconds())) + d.Pending
+}
+
+func (p Cover) grant(e *Entry, _ int, want ident.Tokens) ident.Tokens {
+	free := e.Unallotted()
+	part := free / ident.Tokens(2*max(1, len(e.Holders)))
+	// A part below Min would make the last tokens cost one platform call each.
+	return max(0, min(want, max(part, p.Min), free))
+}
+
+func (Cover) need(d Demand) ident.Tokens { return d.Pending }
+
+func (Cover) recall(Demand, ident.Tokens, ident.Tokens) ident.Tokens { return 0 }
+
+func (Cover) transfers() bool { return true }
+
+// Recall is Cover with the return of idle tokens when another holder lacks them. A holder asks for
+// tokens below Keep of its own demand and returns half of what it has above twice Keep. The gap keeps
+// two holders from sending the same tokens back and forth.
+type Recall struct {
+	Cover Cover
+	Keep  time.Duration
+}
+
+// DefaultRecall is the policy for token budgets.
+var DefaultRecall = Recall{Cover: DefaultCover, Keep: time.Minute}
+
+func (p Recall) level(d Demand) ident.Tokens { return p.Cover.level(d) }
+
+func (p Recall) grant(e *Entry, i int, want ident.Tokens) ident.Tokens {
+	return p.Cover.grant(e, i, want)
+}
+
+func (p Recall) need(d Demand) ident.Tokens {
+	return ident.Tokens(d.PerSecond*p.Keep.Seconds()) + d.Pending
+}
+
+func (p Recall) recall(d Demand, free, wanted ident.Tokens) ident.Tokens {
+	return half(free-d.Pending-ident.Tokens(2*d.PerSecond*p.Keep.Seconds()), wanted)
+}
+
+func (Recall) transfers() bool { return true }
+
+// SlotCover shares the capacity slots of a target by the number of requests in progress.
+type SlotCover struct{}
+
+func (SlotCover) level(d Demand) ident.Tokens { return max(1, d.PeakHeld/4) + d.Pending }
+
+func (SlotCover) grant(e *Entry, _ int, want ident.Tokens) ident.Tokens {
+	free := e.Unallotted()
+	return max(0, min(want, max(free/ident.Tokens(2*max(1, len(e.Holders))), 1), free))
+}
+
+func (SlotCover) need(d Demand) ident.Tokens { return d.Pending }
+
+func (SlotCover) recall(d Demand, free, wanted ident.Tokens) ident.Tokens {
+	return half(free-d.Pending, wanted)
+}
+
+func (SlotCover) transfers() bool { return true }
+
+// half returns half of idle, rounded up, or wanted if that is less.
+func half(idle, wanted ident.Tokens) ident.Tokens { return max(0, min((idle+1)/2, wanted)) }
--- /dev/null
+++ b/core/escrow/transfer.go
@@ -0,0 +1,123 @@
+package escrow
+
+import (
+	"cmp"
+	"slices"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// Transfer carries the cumulative number of tokens that one holder has sent to another.
+type Transfer struct {
+	Entry EntryID      `json:"entry"`
+	From  HolderID     `json:"from"`
+	To    HolderID     `json:"to"`
+	Total ident.Tokens `json:"total"`
+}
+
+// Ask requests tokens from another holder.
+type Ask struct {
+	Entry EntryID      `json:"entry"`
+	From  HolderID     `json:"from"`
+	Need  ident.Tokens `json:"need"`
+	// Pending says that requests wait for the tokens. Without it the ask only rebalances.
+	Pending bool `json:"pending"`
+}
+
+// pair holds the cumulative counters towards one other holder.
+type pair struct {
+	out, acked, in ident.Tokens
+}
+
+func (a *Account) pair(id HolderID) *pair {
+	if a.peers == nil {
+		a.peers = make(map[HolderID]*pair)
+	}
+	p := a.peers[id]
+	if p == nil {
+		p = new(pair)
+		a.peers[id] = p
+	}
+	return p
+}
+
+// TransferOut moves n free tokens to another holder. The counter rises before the message exists, so
+// that tokens in transit are never spent by the sender. The message is sent until it is acknowledged.
+func (a *Account) TransferOut(to HolderID, n ident.Tokens) (Transfer, bool) {
+	if n <= 0 || to == a.cfg.Holder || a.Closed() || !take(&a.free, int64(n)) {
+		return Transfer{}, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pair(to)
+	p.out += n
+	a.out += n
+	return Transfer{Entry: a.cfg.Entry, From: a.cfg.Holder, To: to, Total: p.out}, true
+}
+
+// TransferIn merges the cumulative number of tokens that another holder has sent and reports
+// whether the total is merged, which is the acknowledgement.
+func (a *Account) TransferIn(from HolderID, total ident.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.state.Load()&(stateClosed|stateProved) != 0 || from == a.cfg.Holder || total > object.MaxTokens {
+		return false
+	}
+	p := a.pair(from)
+	n := total - p.in
+	if n <= 0 {
+		return true
+	}
+	p.in = total
+	a.in += n
+	a.free.Add(int64(n))
+	a.cfg.Freed.Notify()
+	return true
+}
+
+// TransferAcked records that the receiver has merged the total.
+func (a *Account) TransferAcked(to HolderID, total ident.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.peers[to]; p != nil {
+		p.acked = min(p.out, max(p.acked, total))
+	}
+}
+
+// Unacked returns the transfers that the receivers have not acknowledged, in the order of their names.
+func (a *Account) Unacked() []Transfer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var ts []Transfer
+	for id, p := range a.peers {
+		if p.out > p.acked {
+			ts = append(ts, Transfer{Entry: a.cfg.Entry, From: a.cfg.Holder, To: id, Total: p.out})
+		}
+	}
+	slices.SortFunc(ts, func(x, y Transfer) int { return cmp.Compare(x.To, y.To) })
+	return ts
+}
+
+// Ask returns what the account lacks for its waiting requests, or false if it lacks nothing or its
+// policy makes no transfers.
+func (a *Account) Ask() (Ask, bool) {
+	need := ident.Tokens(a.pending.Load()) - a.Free()
+	if need <= 0 || !a.Usable() || !a.cfg.Policy.transfers() {
+		return Ask{}, false
+	}
+	return Ask{Entry: a.cfg.Entry, From: a.cfg.Holder, Need: need, Pending: true}, true
+}
+
+// Answer moves tokens to a holder that asks. An account with waiting requests of its own yields only to
+// a holder that comes first by name: two that wait would otherwise swap the same tokens for ever.
+func (a *Account) Answer(ask Ask) (Transfer, bool) {
+	if ask.Entry != a.cfg.Entry || !a.cfg.Policy.transfers() {
+		return Transfer{}, false
+	}
+	spare := a.Free()
+	if a.pending.Load() > 0 && (!ask.Pending || ask.From > a.cfg.Holder) {
+		spare -= ident.Tokens(a.pending.Load())
+	}
+	return a.TransferOut(ask.From, min(spare, ask.Need))
+}
--- /dev/null
+++ b/core/escrow/wallet.go
@@ -0,0 +1,161 @@
+package escrow
+
+import (
+	"context"
+	"fmt"
+
+	"geraniumsaddle/core/ident"
+)
+
+// WalletBudget is one budget of an organisation with the limits of traffic classes inside it.
+type WalletBudget struct {
+	Budget  ident.BudgetID
+	Account *Account
+	Classes map[ident.Class]*Account
+}
+
+// Wallet holds the accounts of an organisation's budgets in their order of use. A limit of a key or of
+// a class is an account of an entry of its own, so it holds fleet-wide like a budget. A wallet is not
+// modified after it is built; a change of configuration builds another one over the same accounts.
+type Wallet struct {
+	Budgets []WalletBudget
+	Keys    map[ident.KeyID]*Account
+	// Freed is the signal that all accounts of the wallet notify.
+	Freed *Signal
+}
+
+// Reservation is a hold on one budget and on the limits that apply to the request.
+type Reservation struct {
+	Budget ident.BudgetID
+	Tokens ident.Tokens
+	// accounts are the budget, the class limit and the key limit. The last two may be nil.
+	accounts [3]*Account
+}
+
+// Refusal says why a request was refused. Entry is the first budget or limit that lacked tokens, and
+// is empty if the organisation has no usable budget.
+type Refusal struct {
+	Entry EntryID
+	Need  ident.Tokens
+	Free  ident.Tokens
+	// Err is the end of the wait, if there was one.
+	Err error
+}
+
+// Error describes what was missing.
+func (r *Refusal) Error() string {
+	if r.Entry == "" {
+		return "no usable budget"
+	}
+	return fmt.Sprintf("%s has %d free tokens of %d needed", r.Entry, r.Free, r.Need)
+}
+
+// Unwrap returns the end of the wait.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// Hold reserves n tokens on the first budget that has them. If it reports false, nothing is held.
+func (w *Wallet) Hold(key ident.KeyID, class ident.Class, n ident.Tokens) (Reservation, bool) {
+	r, _, ok := w.hold(key, class, n)
+	return r, ok
+}
+
+// hold also returns the account to wait for, which is nil if no budget is usable.
+func (w *Wallet) hold(key ident.KeyID, class ident.Class, n ident.Tokens) (Reservation, *Account, bool) {
+	k := w.Keys[key]
+	if k != nil && !k.fits(n) {
+		return Reservation{}, k, false
+	}
+	var short *Account
+	for i := range w.Budgets {
+		b := &w.Budgets[i]
+		r := Reservation{Budget: b.Budget, Tokens: n, accounts: [3]*Account{b.Account, b.Classes[class], k}}
+		lacks := r.hold()
+		if lacks == nil {
+			return r, nil, true
+		}
+		// Waiting for an unusable account is in vain.
+		if short == nil && lacks.Usable() {
+			short = lacks
+		}
+	}
+	return Reservation{}, short, false
+}
+
+// fits reports whether a hold would succeed now.
+func (a *Account) fits(n ident.Tokens) bool { return a.Usable() && a.Free() >= n }
+
+// hold takes all accounts of the reservation or none, and returns the one that lacks tokens. It looks
+// before it takes, because undoing a hold wakes waiters, and a waiting request would wake itself.
+func (r *Reservation) hold() *Account {
+	for _, a := range r.accounts {
+		if a != nil && !a.fits(r.Tokens) {
+			return a
+		}
+	}
+	for i, a := range r.accounts {
+		if a == nil || a.Hold(r.Tokens) {
+			continue
+		}
+		for _, held := range r.accounts[:i] {
+			if held != nil {
+				held.Release(r.Tokens)
+			}
+		}
+		return a
+	}
+	return nil
+}
+
+// HoldWait reserves like Hold and otherwise waits for settlements, transfers and refills until the
+// context ends. The error is a *Refusal.
+func (w *Wallet) HoldWait(ctx context.Context, key ident.KeyID, class ident.Class, n ident.Tokens) (Reservation, error) {
+	var waitsFor *Account
+	defer func() { waitsFor.addPending(-n) }()
+	for {
+		ch := w.Freed.Wait()
+		r, short, ok := w.hold(key, class, n)
+		if ok {
+			return r, nil
+		}
+		if short == nil {
+			return Reservation{}, &Refusal{Need: n}
+		}
+		if short != waitsFor {
+			waitsFor.addPending(-n)
+			waitsFor = short
+			waitsFor.addPending(n)
+		}
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return Reservation{}, short.refuse(n, ctx.Err())
+		}
+	}
+}
+
+// refuse counts the request into the demand, so that a holder without tokens still asks for some.
+func (a *Account) refuse(n ident.Tokens, err error) *Refusal {
+	a.refused.Add(int64(n))
+	return &Refusal{Entry: a.cfg.Entry, Need: n, Free: a.Free(), Err: err}
+}
+
+// Settle ends the reservation on the budget and on the limits. It returns the use above the bound, and
+// false if the reservation was already settled.
+func (r Reservation) Settle(used ident.Tokens) (overBound ident.Tokens, ok bool) {
+	for i, a := range r.accounts {
+		if a == nil {
+			continue
+		}
+		over, settled := a.Settle(r.Tokens, used)
+		if i == 0 {
+			overBound, ok = over, settled
+		}
+	}
+	return overBound, ok
+}
+
+// Release ends the reservation without billing.
+func (r Reservation) Release() bool {
+	_, ok := r.Settle(0)
+	return ok
+}
--- /dev/null
+++ b/core/escrow/writer.go
@@ -0,0 +1,172 @@
+package escrow
+
+import (
+	"slices"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// Report is the state of one account as its holder sends it to the writer of the shard. The counters
+// are cumulative, so any later report replaces all earlier ones.
+type Report struct {
+	Entry  EntryID  `json:"entry"`
+	Holder HolderID `json:"holder"`
+	// Open is the row that the holder has seen in a confirmed entry, or 0 before that. A report with
+	// Open 0 only opens a row: its counters are ignored, because a late copy could arrive after the
+	// row was closed and would count them twice.
+	Open uint64 `json:"open"`
+	Seq  uint64 `json:"seq"`
+	// Granted is the grant that the holder has seen confirmed. A new grant needs it to be current,
+	// which makes a report that is applied twice harmless.
+	Granted  ident.Tokens `json:"granted"`
+	Returned ident.Tokens `json:"returned"`
+	Settled  ident.Tokens `json:"settled"`
+	In       ident.Tokens `json:"in"`
+	Out      ident.Tokens `json:"out"`
+	// Want brings the holder to its level. Need is the part that it lacks in the near term; other
+	// holders return tokens for it when nothing is unallotted.
+	Want        ident.Tokens   `json:"want"`
+	Need        ident.Tokens   `json:"need"`
+	JournalPeer ident.RouterID `json:"journal_peer,omitempty"`
+}
+
+// Batch is a set of reports of one failure domain for one shard.
+type Batch struct {
+	Reports []Report
+	Now     time.Time
+	// Flush writes settlements that nothing else makes urgent. Without it a batch that only moves
+	// settlements changes nothing, which saves a platform call.
+	Flush bool
+}
+
+// Writer computes the next value of a shard.
+type Writer struct {
+	Policy Policy
+}
+
+// Apply merges a batch into a shard and grants what the policy allows. It returns the new value and
+// whether it differs enough to be written. The given shard is not modified. Applying the same batch to
+// its own result changes nothing, so a conditional update is retried after a conflict or a lost reply
+// by reading the shard and applying the batch again.
+func (w Writer) Apply(s Shard, b Batch) (Shard, bool) {
+	var order []EntryID
+	next := make(map[EntryID]*Entry)
+	for _, r := range b.Reports {
+		if next[r.Entry] != nil || !r.valid() {
+			continue
+		}
+		if old := s.Entry(r.Entry); old != nil {
+			e := old.Clone()
+			next[r.Entry] = &e
+			order = append(order, r.Entry)
+		}
+	}
+	// All counters are merged before any grant. Otherwise a return behind a want in the batch would
+	// be granted only when the batch is applied again.
+	for _, r := range b.Reports {
+		if e := next[r.Entry]; e != nil && r.valid() {
+			e.merge(r)
+		}
+	}
+	for _, r := range b.Reports {
+		if e := next[r.Entry]; e != nil && r.valid() {
+			w.serve(e, r, b.Now)
+		}
+	}
+	changed := false
+	for _, id := range order {
+		if e := next[id]; e.differs(s.Entry(id), b.Flush) {
+			s, changed = s.With(*e), true
+		}
+	}
+	return s, changed
+}
+
+// valid rejects counters that would overflow or shrink sums.
+func (r *Report) valid() bool {
+	for _, n := range [...]ident.Tokens{r.Granted, r.Returned, r.Settled, r.In, r.Out, r.Want, r.Need} {
+		if n < 0 || n > object.MaxTokens {
+			return false
+		}
+	}
+	return r.Holder != ""
+}
+
+// merge takes over the counters of a report, or opens a row.
+func (e *Entry) merge(r Report) {
+	i, ok := e.find(r.Holder)
+	if !ok {
+		if r.Open == 0 {
+			e.open(i, r)
+		}
+		return
+	}
+	h := &e.Holders[i]
+	if r.Open != h.Open {
+		return
+	}
+	h.Returned = max(h.Returned, r.Returned)
+	h.Settled = max(h.Settled, r.Settled)
+	h.In = max(h.In, r.In)
+	h.Out = max(h.Out, r.Out)
+	if r.Seq > h.Seq {
+		h.Seq = r.Seq
+		h.JournalPeer = r.JournalPeer
+	}
+	e.settleShrink()
+}
+
+// serve grants what the policy allows to the latest report of a holder.
+func (w Writer) serve(e *Entry, r Report, now time.Time) {
+	i, ok := e.find(r.Holder)
+	if !ok || e.Holders[i].Open != r.Open || e.Holders[i].Seq != r.Seq {
+		return
+	}
+	h := &e.Holders[i]
+	if !e.Usable(now) {
+		h.Wanted = 0
+		return
+	}
+	if h.Granted == r.Granted {
+		h.Granted += min(w.Policy.grant(e, i, r.Want), object.MaxTokens-h.Granted)
+	}
+	h.Wanted = max(0, r.Need-(h.Granted-r.Granted))
+}
+
+// differs reports whether e is worth a write over old. Fields that other holders wait for always are;
+// counters that only accounting needs are when flush is set.
+func (e *Entry) differs(old *Entry, flush bool) bool {
+	if len(e.Holders) != len(old.Holders) || e.Shrink != old.Shrink {
+		return true
+	}
+	for i := range e.Holders {
+		h, was := &e.Holders[i], &old.Holders[i]
+		if h.urgent(was) || flush && h.moved(was) {
+			return true
+		}
+	}
+	return false
+}
+
+// urgent reports whether the row differs in a field that other holders wait for.
+func (h *Holder) urgent(old *Holder) bool {
+	return h.Granted != old.Granted || h.Returned != old.Returned || h.JournalPeer != old.JournalPeer ||
+		(h.Wanted > 0) != (old.Wanted > 0) || h.Wanted > old.Wanted
+}
+
+// moved reports whether the row differs in a counter that only accounting needs.
+func (h *Holder) moved(old *Holder) bool {
+	return h.Settled != old.Settled || h.In != old.In || h.Out != old.Out
+}
+
+// open adds an empty row at index i. The holder echoes its number before it is granted tokens, so a
+// late copy of the first report cannot send tokens to a closed holder.
+func (e *Entry) open(i int, r Report) {
+	if len(e.Holders) >= MaxHolders {
+		return
+	}
+	e.Opened++
+	e.Holders = slices.Insert(e.Holders, i, Holder{ID: r.Holder, Open: e.Opened, JournalPeer: r.JournalPeer})
+}
