--- /dev/null
+++ b/core/record/lookup.go
@@ -0,0 +1,33 @@
+package record
+
+import "geraniumsaddle/core/ident"
+
+// Found is a request in the journal. Settlement is nil while the hold is open.
+type Found struct {
+	Hold       Hold
+	Settlement *Settlement
+}
+
+func (s *state) lookup(req ident.RequestID) (Found, bool) {
+	if h, ok := s.holds[req]; ok {
+		return Found{Hold: h}, true
+	}
+	return closedFound(s.recent.byRequest(req))
+}
+
+func (s *state) lookupKey(k Hash) (Found, bool) {
+	if k == (Hash{}) {
+		return Found{}, false
+	}
+	if req, ok := s.byKey[k]; ok {
+		return s.lookup(req)
+	}
+	return closedFound(s.recent.byKey(k))
+}
+
+func closedFound(c Closed, ok bool) (Found, bool) {
+	if !ok {
+		return Found{}, false
+	}
+	return Found{Hold: c.Hold, Settlement: &c.Settlement}, true
+}
--- /dev/null
+++ b/core/record/prove.go
@@ -0,0 +1,54 @@
+package record
+
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Reason says why a rest cannot be proved.
+type Reason string
+
+const (
+	// ReasonNotDeclared means that the ledger names another peer or term.
+	ReasonNotDeclared Reason = "not_declared"
+	// ReasonNeverConfirmed means that the router confirmed no acknowledgement of this peer.
+	ReasonNeverConfirmed Reason = "never_confirmed"
+	// ReasonLearnedLate means that the death was learned after the coverage grace.
+	ReasonLearnedLate Reason = "learned_late"
+)
+
+// Verdict is Proof or NotProvable.
+type Verdict interface{ verdict() }
+
+// Proof states that the router released nothing beyond the replica's state.
+type Proof struct {
+	Router      ident.RouterID
+	Declaration Declaration
+	Counters    []Counters
+	Open        []Hold
+}
+
+// NotProvable states why the router may have released more than the replica knows.
+type NotProvable struct{ Reason Reason }
+
+func (Proof) verdict()       {}
+func (NotProvable) verdict() {}
+
+// Gone closes the replica and judges the coverage. The VM list must say that the router's VM is gone for good, which
+// implies that it no longer runs. Read now after learning of it, never before. The declaration comes from the confirmed
+// holder row that the close is conditional on. The time of the first call counts.
+func (r *Replica) Gone(d Declaration, now time.Time) Verdict {
+	if !r.gone {
+		r.gone, r.goneAt = true, now
+	}
+	switch {
+	case !r.loaded || d.Peer != r.self || d.Term != r.term:
+		return NotProvable{ReasonNotDeclared}
+	case r.confirmed.number == 0:
+		return NotProvable{ReasonNeverConfirmed}
+	case r.goneAt.Sub(r.confirmed.at) >= Grace-ClockMargin:
+		return NotProvable{ReasonLearnedLate}
+	}
+	return Proof{Router: r.router, Declaration: d, Counters: r.state.allCounters(), Open: r.state.openHolds()}
+}
--- /dev/null
+++ b/core/record/recover.go
@@ -0,0 +1,132 @@
+package record
+
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Result is what the target tells about an open request of a dead router: Ran, Absent or Unknown.
+type Result interface{ result() }
+
+// Ran means that the target ran the request to its end.
+type Ran struct{ PromptTokens, OutputTokens ident.Tokens }
+
+// Absent means that the target has no trace of the request.
+type Absent struct {
+	// Certain is set only when no target can have received the request: the target kept its memory since the hold was
+	// opened, and no connection of the dead router can still deliver it.
+	Certain bool
+}
+
+// Unknown means that the target cannot be asked or does not keep requests.
+type Unknown struct{}
+
+func (Ran) result()     {}
+func (Absent) result()  {}
+func (Unknown) result() {}
+
+// Bill is the bill record of one request. The request is its identity.
+type Bill struct {
+	Request      ident.RequestID `json:"request_id"`
+	Org          ident.OrgID     `json:"org"`
+	Budget       ident.BudgetID  `json:"budget"`
+	Key          ident.KeyID     `json:"key"`
+	Model        ident.ModelID   `json:"model,omitempty"`
+	Service      ident.ServiceID `json:"service,omitempty"`
+	Version      ident.VersionID `json:"version,omitempty"`
+	Target       ident.TargetID  `json:"target,omitempty"`
+	PromptTokens ident.Tokens    `json:"prompt_tokens"`
+	OutputTokens ident.Tokens    `json:"output_tokens"`
+	Billed       ident.Tokens    `json:"billed"`
+	Outcome      ident.Outcome   `json:"outcome"`
+	Router       ident.RouterID  `json:"router"`
+	At           time.Time       `json:"at"`
+}
+
+// NewBill returns the bill of a settled hold.
+func NewBill(router ident.RouterID, h Hold, s Settlement) Bill {
+	return Bill{
+		Request: h.Request, Org: h.Org, Budget: h.Budget, Key: h.Key, Model: h.Model, Service: h.Service,
+		Version: h.Version, Target: h.Target, PromptTokens: s.PromptTokens, OutputTokens: s.OutputTokens,
+		Billed: s.Billed, Outcome: s.Outcome, Router: router, At: s.At,
+	}
+}
+
+// BudgetClose is the proved state of one budget at a closed holder. The holder's unspent rest is
+// granted + in - returned - settled - out - unresolved.
+type BudgetClose struct {
+	Counters   Counters     `json:"counters"`
+	Unresolved ident.Tokens `json:"unresolved"`
+}
+
+// CloseProof allows the ledger to close a holder. Budgets are sorted.
+type CloseProof struct {
+	Router      ident.RouterID `json:"router"`
+	Declaration Declaration    `json:"declaration"`
+	Budgets     []BudgetClose  `json:"budgets"`
+}
+
+// Recovery is the outcome of a dead router's open requests.
+type Recovery struct {
+	// Settlements has one entry for each open hold. One without a known result has no bill yet.
+	Settlements []Settlement
+	// Bills covers the open holds with a known result. Bills of requests that the router settled are included, because
+	// the router may have died before it wrote them. Duplicates have the same identity and content.
+	Bills []Bill
+	// Proof is nil when the coverage is not provable.
+	Proof  *CloseProof
+	Reason Reason
+}
+
+// Recover settles the open requests of a dead router. A request without a result counts as Unknown. The same arguments
+// give the same recovery.
+func (r *Replica) Recover(v Verdict, results map[ident.RequestID]Result, at time.Time) Recovery {
+	var rec Recovery
+	for _, c := range r.state.recent.list() {
+		rec.Bills = append(rec.Bills, NewBill(r.router, c.Hold, c.Settlement))
+	}
+	billed := map[ident.BudgetID]ident.Tokens{}
+	unresolved := map[ident.BudgetID]ident.Tokens{}
+	for _, h := range r.state.openHolds() {
+		s, known := settle(h, results[h.Request], at)
+		rec.Settlements = append(rec.Settlements, s)
+		billed[h.Budget] += s.Billed
+		unresolved[h.Budget] += s.Unresolved
+		if known {
+			rec.Bills = append(rec.Bills, NewBill(r.router, h, s))
+		}
+	}
+	switch v := v.(type) {
+	case NotProvable:
+		rec.Reason = v.Reason
+	case Proof:
+		rec.Proof = &CloseProof{Router: v.Router, Declaration: v.Declaration}
+		for _, c := range v.Counters {
+			c.Settled += billed[c.Budget]
+			rec.Proof.Budgets = append(rec.Proof.Budgets, BudgetClose{Counters: c, Unresolved: unresolved[c.Budget]})
+		}
+	}
+	return rec
+}
+
+func settle(h Hold, res Result, at time.Time) (Settlement, bool) {
+	known := true
+	s := Settlement{Request: h.Request, Outcome: ident.OutcomeUnknown, At: at}
+	switch res := res.(type) {
+	case Ran:
+		s.Outcome = ident.OutcomeRun
+		s.PromptTokens, s.OutputTokens = res.PromptTokens, res.OutputTokens
+		used := res.PromptTokens + res.OutputTokens
+		s.Billed = min(used, h.Tokens)
+		s.OverBound = used - s.Billed
+	case Absent:
+		if res.Certain {
+			s.Outcome = ident.OutcomeNotRun
+		}
+	default:
+		known = false
+		s.Unresolved = h.Tokens
+	}
+	return s, known
+}
