--- /dev/null
+++ b/core/target/state.go
@@ -0,0 +1,56 @@
+package target
+
+import (
+	"context"
+
+	"github.com/looplab/fsm"
+
+	"geraniumsaddle/core/object"
+)
+
+// The events of a target's lifecycle.
+const (
+	eventLeave   = "leave"
+	eventRestore = "restore"
+	eventRemove  = "remove"
+)
+
+// newLifecycle returns the lifecycle of a target. An operator may take back a leave; gone is final.
+func newLifecycle() *fsm.FSM {
+	active, leaving, gone := string(object.TargetActive), string(object.TargetLeaving), string(object.TargetGone)
+	return fsm.NewFSM(active, fsm.Events{
+		{Name: eventLeave, Src: []string{active}, Dst: leaving},
+		{Name: eventRestore, Src: []string{leaving}, Dst: active},
+		{Name: eventRemove, Src: []string{active, leaving}, Dst: gone},
+	}, nil)
+}
+
+// eventFor is the event that leads to each state.
+var eventFor = map[object.TargetState]string{
+	object.TargetActive:  eventRestore,
+	object.TargetLeaving: eventLeave,
+	object.TargetGone:    eventRemove,
+}
+
+// advance moves the lifecycle to the wanted state where that is allowed and reports whether it moved.
+func advance(f *fsm.FSM, want object.TargetState) bool {
+	event := eventFor[want]
+	if !f.Can(event) {
+		return false
+	}
+	return f.Event(context.Background(), event) == nil
+}
+
+// rank orders the states from least to most final.
+var rank = map[object.TargetState]int{
+	object.TargetActive:  0,
+	object.TargetLeaving: 1,
+	object.TargetGone:    2,
+}
+
+func later(a, b object.TargetState) object.TargetState {
+	if rank[b] > rank[a] {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/core/target/subset.go
@@ -0,0 +1,47 @@
+package target
+
+import (
+	"slices"
+
+	"geraniumsaddle/core/ident"
+)
+
+// minRouters is how many routers use each target at least, so that the loss of a router leaves no
+// target without traffic.
+const minRouters = 2
+
+// routerHashes returns the sorted, distinct hashes of the routers' names. Names without epoch keep the
+// subset of a router over a restart.
+func routerHashes(routers []ident.RouterID) []uint64 {
+	hashes := make([]uint64, 0, len(routers))
+	for _, r := range routers {
+		hashes = append(hashes, hash("router/"+r.Name()))
+	}
+	slices.Sort(hashes)
+	return slices.Compact(hashes)
+}
+
+// split divides the members into the subset of the router self and the rest. Each target takes its
+// first routers by rendezvous hashing, so every target is in some subset, and a change of one router
+// or target moves few others. The mean size of a subset is at least size.
+func split(members []*member, self uint64, routers []uint64, size int) (usable, others []*member) {
+	if len(members) <= size || len(routers) <= minRouters {
+		return members, nil
+	}
+	each := max(minRouters, (size*len(routers)+len(members)-1)/len(members))
+	for _, m := range members {
+		mine := mix(self ^ m.hash)
+		before := 0
+		for _, r := range routers {
+			if mix(r^m.hash) > mine {
+				before++
+			}
+		}
+		if before < each {
+			usable = append(usable, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return usable, others
+}
