Add stand-ins and clients of the platform, engines and plain services

Cause: the first end-to-end path needs something to call. Change: io/fakes/{store,engine,desk} are in-memory stand-ins served as HTTP handlers; io/{store,engine,desk} are their clients. io/engine/reach sends a request once and tells a request of which no byte was written from one that may have reached the target.

--- /dev/null
+++ b/io/desk/example_test.go
@@ -0,0 +1,29 @@
+package desk_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/io/desk"
+	fake "geraniumsaddle/io/fakes/desk"
+)
+
+func ExampleClient_Call() {
+	srv := httptest.NewServer(fake.New(fake.Config{Default: 5}, clockwork.NewRealClock()))
+	defer srv.Close()
+	c, err := desk.New(desk.Config{URL: srv.URL})
+	if err != nil {
+		panic(err)
+	}
+	header := http.Header{"Idempotency-Key": {"order-1"}}
+	resp, err := c.Call(context.Background(), http.MethodPost, "/reservations", header, []byte(`{"item":"shelf-4","quantity":2}`))
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(resp.Status, string(resp.Body))
+	// Output: 201 {"reservation_id":"res-1","item":"shelf-4","quantity":2,"left":3}
+}
--- /dev/null
+++ b/io/engine/client.go
@@ -0,0 +1,187 @@
+// Package engine calls model engines: chat completions as event streams, load reports, cache events, orders and
+// state. It never repeats a request by itself.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/engine/reach"
+)
+
+// The classes of errors, shared with the client of plain services.
+var (
+	// ErrNotSent means that the engine cannot have received the request or was over capacity and did not run it.
+	ErrNotSent = reach.ErrNotSent
+	// ErrUnknown means that the engine may have run the request.
+	ErrUnknown = reach.ErrUnknown
+	// ErrRejected means that the engine answered with an error status, which is in Error.Status.
+	ErrRejected = reach.ErrRejected
+)
+
+// Error is the failure of one call.
+type Error = reach.Error
+
+// Config describes one engine.
+type Config struct {
+	// URL is the base URL of the engine.
+	URL string
+	// Transport is shared between targets. Nil makes a transport for this client alone.
+	Transport *reach.Transport
+	// Timeout bounds each call but a stream; zero means 5 s.
+	Timeout time.Duration
+	// IdleTimeout bounds the wait for the next bytes of a stream; zero means 30 s.
+	IdleTimeout time.Duration
+	// MaxEvent bounds one event of a stream in bytes; zero means 32 KB.
+	MaxEvent int
+}
+
+// Client calls one engine. It is safe for concurrent use.
+type Client struct {
+	cfg   Config
+	base  *url.URL
+	clock clockwork.Clock
+}
+
+// New returns a client.
+func New(cfg Config, clock clockwork.Clock) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil {
+		return nil, trace.BadParameter("engine URL: %v", err)
+	}
+	if u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, trace.BadParameter("engine URL %q: must be an http or https URL", cfg.URL)
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = reach.New(reach.Config{})
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = 5 * time.Second
+	}
+	if cfg.IdleTimeout <= 0 {
+		cfg.IdleTimeout = 30 * time.Second
+	}
+	if cfg.MaxEvent <= 0 {
+		cfg.MaxEvent = 32 << 10
+	}
+	return &Client{cfg: cfg, base: u, clock: clock}, nil
+}
+
+// Request is one chat completion.
+type Request struct {
+	ID      ident.RequestID
+	Version ident.VersionID
+	// Route names the caller's route, for the evidence of a release.
+	Route string
+	// Priority orders the requests that wait at the engine; a lower number is served first.
+	Priority int
+	// Body is the JSON body in the form of the OpenAI API. Its member "stream" must be true. The stream carries
+	// the usage only when "stream_options" has "include_usage".
+	Body []byte
+}
+
+// Start starts a chat completion and returns its stream. The stream ends with the context.
+func (c *Client) Start(ctx context.Context, req Request) (*Stream, error) {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", string(req.ID))
+	h.Set("X-Model-Version", string(req.Version))
+	h.Set("X-Priority", strconv.Itoa(req.Priority))
+	if req.Route != "" {
+		h.Set("X-Route", req.Route)
+	}
+	return c.open(ctx, call{method: http.MethodPost, path: []string{"v1", "chat", "completions"}, header: h, body: req.Body}, req.ID, 0)
+}
+
+// Resume returns the stream of an earlier request from the given chunk. The error is ErrRejected with status 404 when
+// the engine no longer keeps the stream.
+func (c *Client) Resume(ctx context.Context, id ident.RequestID, offset int64) (*Stream, error) {
+	q := url.Values{"offset": {strconv.FormatInt(offset, 10)}}
+	return c.open(ctx, call{method: http.MethodGet, path: []string{"v1", "streams", string(id)}, query: q}, id, offset)
+}
+
+// call is one call of the engine.
+type call struct {
+	method string
+	path   []string
+	query  url.Values
+	header http.Header
+	body   []byte
+}
+
+// send sends a call and returns the answer if its status is 2xx.
+func (c *Client) send(ctx context.Context, k call) (*http.Response, error) {
+	escaped := make([]string, 0, len(k.path))
+	for _, p := range k.path {
+		escaped = append(escaped, url.PathEscape(p))
+	}
+	u := c.base.JoinPath(escaped...)
+	u.RawQuery = k.query.Encode()
+	r, err := http.NewRequestWithContext(ctx, k.method, u.String(), nil)
+	if err != nil {
+		return nil, &Error{Class: ErrNotSent, Err: err}
+	}
+	if k.header != nil {
+		r.Header = k.header
+	}
+	resp, err := c.cfg.Transport.Do(r, k.body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return nil, reach.Rejection(resp)
+	}
+	return resp, nil
+}
+
+func (c *Client) open(ctx context.Context, k call, id ident.RequestID, offset int64) (*Stream, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	resp, err := c.send(ctx, k) //nolint:bodyclose // Stream.Close closes the body.
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	s := &Stream{resp: resp, ctx: ctx, cancel: cancel, idle: c.cfg.IdleTimeout, clock: c.clock, offset: offset}
+	s.dec = newDecoder(s, string(id), c.cfg.MaxEvent)
+	return s, nil
+}
+
+// maxAnswer bounds an answer other than a stream in bytes.
+const maxAnswer = 4 << 20
+
+// do sends a call within the timeout and decodes the JSON answer into out unless it is nil.
+func (c *Client) do(ctx context.Context, k call, out any) error {
+	b, err := c.fetch(ctx, k)
+	if err != nil || out == nil {
+		return err
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return &Error{Class: ErrUnknown, Err: err}
+	}
+	return nil
+}
+
+func (c *Client) fetch(ctx context.Context, k call) ([]byte, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, c.cfg.Timeout)
+	defer cancel()
+	resp, err := c.send(ctx, k) //nolint:bodyclose // ReadBody closes the body.
+	if err != nil {
+		return nil, err
+	}
+	return reach.ReadBody(resp, maxAnswer)
+}
+
+// rejectedWith reports whether err is a rejection with the given status.
+func rejectedWith(err error, status int) bool {
+	var e *Error
+	return errors.As(err, &e) && errors.Is(e.Class, ErrRejected) && e.Status == status
+}
--- /dev/null
+++ b/io/engine/reach/reach.go
@@ -0,0 +1,138 @@
+// Package reach sends HTTP/1.1 requests to targets and reports whether a failed request can have reached its target.
+//
+// It never repeats a request. net/http repeats a request by itself when a kept-alive connection fails and the
+// request has no body or a body that can be read again, so every request sent here carries a body that can be read
+// only once.
+package reach
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+)
+
+// The classes of errors. Test for them with errors.Is.
+var (
+	// ErrNotSent means that the target cannot have received the request or has refused it before running it.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrUnknown means that the target may have received the request.
+	ErrUnknown = errors.New("request may have reached the target")
+	// ErrRejected means that the target answered with an error status.
+	ErrRejected = errors.New("request was rejected by the target")
+)
+
+// Error is the failure of one request.
+type Error struct {
+	// Class is ErrNotSent, ErrUnknown or ErrRejected.
+	Class error
+	// Status is the HTTP status of the answer, or zero without an answer.
+	Status int
+	// Code is the target's error code, if the answer has one.
+	Code string
+	// RetryAfter is the wait that the target asks for, or zero.
+	RetryAfter time.Duration
+	// Err is the cause, or nil.
+	Err error
+}
+
+// Error returns the class with the status, the code and the cause.
+func (e *Error) Error() string {
+	s := e.Class.Error()
+	if e.Status != 0 {
+		s += fmt.Sprintf(": status %d", e.Status)
+	}
+	if e.Code != "" {
+		s += ": " + e.Code
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the class and the cause.
+func (e *Error) Unwrap() []error {
+	if e.Err == nil {
+		return []error{e.Class}
+	}
+	return []error{e.Class, e.Err}
+}
+
+// Config bounds a transport. Zero fields take the defaults named at each field.
+type Config struct {
+	// DialTimeout bounds the connection setup; 2 s.
+	DialTimeout time.Duration
+	// HeaderTimeout bounds the wait for the answer's headers after the request was written; 30 s.
+	HeaderTimeout time.Duration
+	// MaxIdlePerHost is the number of idle connections kept for each target; 256.
+	MaxIdlePerHost int
+	// IdleTimeout closes an idle connection; 20 s. It should be less than the idle timeout of the targets, because
+	// a request written to a connection that the target is closing has an unknown outcome.
+	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds the headers of an answer; 16 KB.
+	MaxHeaderBytes int64
+}
+
+// Transport sends requests over pooled connections. It is safe for concurrent use.
+type Transport struct {
+	http *http.Transport
+}
+
+// New returns a transport.
+func New(cfg Config) *Transport {
+	orDuration := func(d *time.Duration, def time.Duration) {
+		if *d <= 0 {
+			*d = def
+		}
+	}
+	orDuration(&cfg.DialTimeout, 2*time.Second)
+	orDuration(&cfg.HeaderTimeout, 30*time.Second)
+	orDuration(&cfg.IdleTimeout, 20*time.Second)
+	if cfg.MaxIdlePerHost <= 0 {
+		cfg.MaxIdlePerHost = 256
+	}
+	if cfg.MaxHeaderBytes <= 0 {
+		cfg.MaxHeaderBytes = 16 << 10
+	}
+	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 15 * time.Second}
+	return &Transport{http: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxIdleConnsPerHost:    cfg.MaxIdlePerHost,
+		IdleConnTimeout:        cfg.IdleTimeout,
+		ResponseHeaderTimeout:  cfg.HeaderTimeout,
+		MaxResponseHeaderBytes: cfg.MaxHeaderBytes,
+		DisableCompression:     true,
+	}}
+}
+
+// CloseIdle closes the idle connections.
+func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
+
+// Do sends one request with the given body and returns the answer, whatever its status. It follows no redirect. An
+// error is an *Error of class ErrNotSent or ErrUnknown. The caller closes the body of the answer.
+func (t *Transport) Do(r *http.Request, body []byte) (*http.Response, error) {
+	var used usage
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: used.start})
+	r = r.WithContext(ctx)
+	r.Body = &onceBody{rest: body}
+	r.GetBody = nil
+	r.ContentLength = int64(len(body))
+	resp, err := t.http.RoundTrip(r)
+	if err == nil {
+		return resp, nil
+	}
+	if used.end() {
+		return nil, &Error{Class: ErrUnknown, Err: err}
+	}
+	return nil, &Error{Class: ErrNotSent, Err: err}
+}
