--- /dev/null
+++ b/io/peer/keys.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/url"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"geraniumsaddle/core/object"
+)
+
+// nameScheme is the scheme of the URI in a certificate that carries the router name.
+const nameScheme = "geraniumsaddle-router"
+
+// clockSkew is how far certificates are dated back, because the clocks of VMs differ.
+const clockSkew = 5 * time.Minute
+
+// Pair is a certificate and its private key in PEM form.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// NewAuthority returns a new self-signed certificate authority of a fleet (ECDSA P-256).
+func NewAuthority(fleet string, now time.Time, validity time.Duration) (Pair, error) {
+	tmpl := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: fleet},
+		NotBefore:             now.Add(-clockSkew),
+		NotAfter:              now.Add(validity),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	return newPair(tmpl, nil, nil)
+}
+
+// Issue returns a node certificate for the router with the given name, signed by the authority.
+func (p Pair) Issue(router string, now time.Time, validity time.Duration) (Pair, error) {
+	if !object.ValidID(router) {
+		return Pair{}, trace.BadParameter("router name %q is not a valid identifier", router)
+	}
+	ca, key, err := p.parse()
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	if !ca.IsCA {
+		return Pair{}, trace.BadParameter("certificate of %q is not an authority", ca.Subject.CommonName)
+	}
+	tmpl := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: router},
+		NotBefore:   now.Add(-clockSkew),
+		NotAfter:    now.Add(validity),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		URIs:        []*url.URL{{Scheme: nameScheme, Opaque: router}},
+	}
+	return newPair(tmpl, ca, key)
+}
+
+func newPair(tmpl, parent *x509.Certificate, signer *ecdsa.PrivateKey) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	tmpl.SerialNumber = serial
+	if parent == nil {
+		parent, signer = tmpl, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, signer)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, trace.Wrap(err)
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+func (p Pair) parse() (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	cb, _ := pem.Decode(p.Cert)
+	kb, _ := pem.Decode(p.Key)
+	if cb == nil || kb == nil {
+		return nil, nil, trace.BadParameter("certificate or private key is not in PEM form")
+	}
+	cert, err := x509.ParseCertificate(cb.Bytes)
+	if err != nil {
+		return nil, nil, trace.BadParameter("parse certificate: %v", err)
+	}
+	key, err := x509.ParsePKCS8PrivateKey(kb.Bytes)
+	if err != nil {
+		return nil, nil, trace.BadParameter("parse private key: %v", err)
+	}
+	ec, ok := key.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, nil, trace.BadParameter("private key is not an ECDSA key")
+	}
+	return cert, ec, nil
+}
+
+// RouterName returns the router name that a node certificate carries.
+func RouterName(cert *x509.Certificate) (string, error) {
+	for _, u := range cert.URIs {
+		if u.Scheme == nameScheme && object.ValidID(u.Opaque) {
+			return u.Opaque, nil
+		}
+	}
+	return "", trace.AccessDenied("certificate carries no router name")
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,217 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/member"
+	"geraniumsaddle/io/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers a Probe with an Ack of the same number and passes one-way messages on.
+type echo struct{ got chan peer.Envelope }
+
+func (e *echo) HandleMessage(from peer.Sender, m peer.Message) {
+	e.got <- peer.Envelope{From: from.ID, Msg: m}
+}
+
+func (e *echo) HandleCall(_ context.Context, _ peer.Sender, m peer.Message) (peer.Message, error) {
+	switch m := m.(type) {
+	case peer.Probe:
+		return peer.ProbeAck{Ack: member.Ack{Seq: m.Seq}}, nil
+	case peer.Want:
+		return peer.Push{Push: config.Push{Objects: []config.Object{{Value: make([]byte, 2<<20)}}}}, nil
+	case peer.Leaving:
+		return nil, nil
+	}
+	return nil, peer.Failure{Code: "unexpected", Message: m.Type().String()}
+}
+
+type fleet struct {
+	tb        testing.TB
+	clock     clockwork.Clock
+	authority peer.Pair
+}
+
+func newFleet(tb testing.TB, clock clockwork.Clock) *fleet {
+	ca, err := peer.NewAuthority("fleet", clock.Now(), time.Hour)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return &fleet{tb: tb, clock: clock, authority: ca}
+}
+
+func (f *fleet) issue(name string) peer.Pair {
+	p, err := f.authority.Issue(name, f.clock.Now(), time.Hour)
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	return p
+}
+
+type node struct {
+	*peer.Transport
+	certs *peer.Certs
+	cuts  *peer.Cuts
+	got   chan peer.Envelope
+}
+
+func (f *fleet) node(id ident.RouterID, change func(*peer.Config)) *node {
+	certs, err := peer.NewCerts(f.clock, f.issue(id.Name()), f.authority.Cert)
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	n := &node{certs: certs, got: make(chan peer.Envelope, 4096)}
+	cfg := peer.Config{Self: id, Addr: "127.0.0.1:0", Certs: certs, Clock: f.clock, Handler: &echo{got: n.got}}
+	if change != nil {
+		change(&cfg)
+	}
+	n.cuts = cfg.Cuts
+	n.Transport, err = peer.New(cfg)
+	if err != nil {
+		f.tb.Fatal(err)
+	}
+	f.tb.Cleanup(func() {
+		if err := n.Close(); err != nil {
+			f.tb.Error(err)
+		}
+	})
+	return n
+}
+
+func withCuts(c *peer.Config) { c.Cuts = &peer.Cuts{} }
+
+func probe(seq uint64) peer.Probe { return peer.Probe{Probe: member.Probe{Seq: seq}} }
+
+// TestCallAndSend guards against lost or crossed answers, and against a reply over the size limit that
+// leaves the caller waiting.
+func TestCallAndSend(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	a, b := f.node("a.1", nil), f.node("b.1", nil)
+	ctx := t.Context()
+	for seq := range uint64(50) {
+		m, err := a.Call(ctx, b.Addr(), probe(seq))
+		is.NoErr(err)
+		is.Equal(m.(peer.ProbeAck).Seq, seq)
+		is.NoErr(a.Send(b.Addr(), probe(seq)))
+	}
+	for seq := range uint64(50) {
+		env := <-b.got
+		is.Equal(env.From, ident.RouterID("a.1"))
+		is.Equal(env.Msg.(peer.Probe).Seq, seq) // one-way messages keep their order
+	}
+	is.NoErr(b.Send(a.Addr(), peer.Leaving{})) // the accepted connection serves the way back
+	is.Equal((<-a.got).Msg.Type(), peer.TypeLeaving)
+	m, err := a.Call(ctx, b.Addr(), peer.Leaving{})
+	is.NoErr(err)
+	is.Equal(m.Type(), peer.TypeDone)
+	_, err = a.Call(ctx, b.Addr(), peer.Want{})
+	var fail peer.Failure
+	is.True(errors.As(err, &fail))
+	is.Equal(fail.Code, "reply_too_large")
+	is.Equal(a.Counts()[peer.TypeProbe-1].Sent, uint64(100))
+}
+
+// TestOneWayCut guards against a cut that also blocks the other direction, and against a connection
+// that stays unusable after the cut is healed.
+func TestOneWayCut(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	a, b := f.node("a.1", withCuts), f.node("b.1", nil)
+	is.NoErr(a.Send(b.Addr(), probe(1)))
+	is.Equal((<-b.got).Msg.(peer.Probe).Seq, uint64(1))
+	a.cuts.Set(b.Addr(), peer.FromPeer)
+	is.NoErr(a.Send(b.Addr(), probe(2)))
+	is.Equal((<-b.got).Msg.(peer.Probe).Seq, uint64(2)) // still arrives
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := a.Call(ctx, b.Addr(), probe(3))
+	is.True(errors.Is(err, context.DeadlineExceeded)) // the answer is cut off
+	a.cuts.Clear()
+	m, err := a.Call(t.Context(), b.Addr(), probe(4))
+	is.NoErr(err)
+	is.Equal(m.(peer.ProbeAck).Seq, uint64(4))
+}
+
+// TestTrust guards against routers of another fleet, senders under another router's name, and a
+// rotation that needs a restart.
+func TestTrust(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	other := newFleet(t, f.clock)
+	a, b, x := f.node("a.1", nil), f.node("b.1", nil), other.node("b.1", nil)
+	_, err := x.Call(t.Context(), a.Addr(), probe(1))
+	is.True(err != nil) // certificate of another authority
+	_, err = peer.NewCerts(f.clock, other.issue("a"), f.authority.Cert)
+	is.True(err != nil) // own certificate that the bundle does not sign
+
+	_, err = a.Call(t.Context(), b.Addr(), probe(1))
+	is.NoErr(err)
+	is.True(a.certs.Load(other.issue("a"), f.authority.Cert) != nil) // refused, the old one stays
+	both := append(append([]byte{}, f.authority.Cert...), other.authority.Cert...)
+	is.NoErr(b.certs.Load(f.issue("b"), both))
+	is.NoErr(a.certs.Load(other.issue("a"), both))
+	a.Recheck()
+	is.NoErr(b.certs.Load(other.issue("b"), other.authority.Cert))
+	b.Recheck() // closes the connection under the old authority
+	var seq uint64
+	for err = errors.New("not yet"); err != nil && seq < 1000; seq++ {
+		_, err = a.Call(t.Context(), b.Addr(), probe(seq)) // the close may arrive late
+	}
+	is.NoErr(err)
+}
+
+// TestByteBudget guards against low-priority traffic that uses up the budget of the others.
+func TestByteBudget(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	f := newFleet(t, clock)
+	a, b := f.node("a.1", func(c *peer.Config) { c.PeerRate, c.PeerBurst = 1000, peer.MaxMessage }), f.node("b.1", nil)
+	load := peer.Load{Domain: ident.DomainID(make([]byte, 100_000))}
+	var err error
+	sent := 0
+	for err == nil && sent < 100 {
+		if err = a.Send(b.Addr(), load); err == nil {
+			sent++
+		}
+	}
+	is.True(errors.Is(err, peer.ErrOverBudget))
+	is.Equal(sent, 5)                          // half of the burst
+	is.NoErr(a.Send(b.Addr(), peer.Verdict{})) // the other half is left for high priority
+	is.Equal(a.Counts()[peer.TypeLoad-1].DroppedLowBudget, uint64(1))
+	clock.Advance(100 * time.Second)
+	is.NoErr(a.Send(b.Addr(), load)) // refilled
+}
+
+// TestKeysRefuseBadNames guards against a certificate whose name could be read as another router's.
+func TestKeysRefuseBadNames(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	for _, name := range []string{"", "a/b", "a b", "ä", "-a"} {
+		_, err := f.authority.Issue(name, f.clock.Now(), time.Hour)
+		is.True(err != nil)
+	}
+	_, err := f.issue("a").Issue("b", f.clock.Now(), time.Hour)
+	is.True(err != nil) // a node certificate is no authority
+}
+
+func ExamplePair_Issue() {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	authority, _ := peer.NewAuthority("be-central", now, 10*365*24*time.Hour)
+	node, _ := authority.Issue("router-a1", now, 90*24*time.Hour)
+	certs, err := peer.NewCerts(clockwork.NewFakeClockAt(now), node, authority.Cert)
+	fmt.Println(certs.Name(), err)
+	// Output: router-a1 <nil>
+}
