--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,221 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/queue"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// model keeps every request that should be waiting.
+type model struct {
+	q       *queue.Queue
+	now     time.Time
+	waiting map[ident.RequestID]queue.Item
+	popped  []queue.Next
+	n       int
+}
+
+func (m *model) leave(t *rapid.T, it queue.Item) {
+	if _, ok := m.waiting[it.ID]; !ok {
+		t.Fatalf("request %s left the queue without waiting in it", it.ID)
+	}
+	delete(m.waiting, it.ID)
+}
+
+func (m *model) dropped(t *rapid.T, ds []queue.Drop) {
+	for _, d := range ds {
+		m.leave(t, d.Item)
+		if d.RetryAfter < time.Second {
+			t.Fatalf("drop without a Retry-After hint: %+v", d)
+		}
+		if d.Cause == queue.CauseDeadline && !m.now.Add(d.Item.Service).After(d.Item.Deadline) {
+			t.Fatalf("dropped a request that could meet its deadline: %+v", d)
+		}
+	}
+}
+
+func (m *model) pushed(t *rapid.T, it queue.Item, res queue.PushResult) {
+	switch res := res.(type) {
+	case queue.Queued:
+		m.dropped(t, res.Evicted)
+		m.waiting[it.ID] = it
+	case queue.Refused:
+		if res.Cause == queue.CauseDuplicate {
+			if _, ok := m.waiting[it.ID]; !ok {
+				t.Fatalf("request %s is no duplicate", it.ID)
+			}
+		} else if res.RetryAfter < time.Second && res.Cause != queue.CauseTooLarge {
+			t.Fatalf("refusal without a Retry-After hint: %+v", res)
+		}
+	}
+}
+
+func (m *model) pop(t *rapid.T) {
+	switch res := m.q.Pop(m.now).(type) {
+	case queue.Next:
+		m.dropped(t, res.Dropped)
+		m.leave(t, res.Item)
+		if !res.Item.Deadline.IsZero() && m.now.Add(res.Item.Service).After(res.Item.Deadline) {
+			t.Fatalf("dispatched a request that misses its deadline: %+v", res.Item)
+		}
+		for _, it := range m.waiting {
+			if it.Org == res.Item.Org && it.Priority < res.Item.Priority {
+				t.Fatalf("%s was dispatched before %s of a higher priority", res.Item.ID, it.ID)
+			}
+		}
+		m.popped = append(m.popped, res)
+	case queue.Empty:
+		m.dropped(t, res.Dropped)
+		if len(m.waiting) > 0 {
+			t.Fatalf("empty with %d requests waiting", len(m.waiting))
+		}
+	}
+}
+
+// TestNothingLostOrDoubled guards against requests that are lost, dispatched twice, or dispatched past
+// their deadline, and against growth beyond the bounds.
+func TestNothingLostOrDoubled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := queue.Config{MaxItems: 6, MaxBytes: 8192, Quantum: 100}
+		m := &model{q: queue.New(cfg), now: start, waiting: make(map[ident.RequestID]queue.Item)}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				m.n++
+				it := queue.Item{
+					ID:       ident.RequestID(fmt.Sprint(rapid.IntRange(max(0, m.n-4), m.n).Draw(t, "id"))),
+					Org:      rapid.SampledFrom([]ident.OrgID{"a", "b", "c"}).Draw(t, "org"),
+					Priority: ident.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
+					Cost:     ident.Tokens(rapid.Int64Range(1, 1000).Draw(t, "cost")),
+					Bytes:    ident.Bytes(rapid.Int64Range(0, 9000).Draw(t, "bytes")),
+					Service:  time.Duration(rapid.IntRange(0, 3).Draw(t, "service")) * time.Second,
+				}
+				if rapid.Bool().Draw(t, "has deadline") {
+					it.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "deadline")) * time.Second)
+				}
+				m.pushed(t, it, m.q.Push(m.now, it))
+			},
+			"pop": m.pop,
+			"return": func(t *rapid.T) {
+				if len(m.popped) == 0 {
+					t.Skip("nothing popped")
+				}
+				n := m.popped[len(m.popped)-1]
+				m.popped = m.popped[:len(m.popped)-1]
+				m.pushed(t, n.Item, m.q.Return(m.now, n))
+			},
+			"cancel": func(t *rapid.T) {
+				id := ident.RequestID(fmt.Sprint(rapid.IntRange(0, m.n).Draw(t, "id")))
+				_, ok := m.waiting[id]
+				if m.q.Cancel(id) != ok {
+					t.Fatalf("cancel of %s: want %v", id, ok)
+				}
+				delete(m.waiting, id)
+			},
+			"expire": func(t *rapid.T) { m.dropped(t, m.q.Expire(m.now)) },
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				if m.q.Len() != len(m.waiting) {
+					t.Fatalf("%d in the queue, %d should wait", m.q.Len(), len(m.waiting))
+				}
+				if m.q.Len() > cfg.MaxItems || m.q.Bytes() > cfg.MaxBytes {
+					t.Fatalf("over the bounds: %d items, %d bytes", m.q.Len(), m.q.Bytes())
+				}
+			},
+		})
+		for len(m.waiting) > 0 {
+			m.pop(t)
+		}
+		if m.q.Len() != 0 || m.q.Bytes() != 0 {
+			t.Fatalf("drained queue holds %d items, %d bytes", m.q.Len(), m.q.Bytes())
+		}
+	})
+}
+
+// TestFloodKeepsFairShare guards against an organisation that floods the queue, with new requests or
+// with retries of what was refused, and so delays or evicts the requests of others.
+func TestFloodKeepsFairShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxCost, quantum, orgs = 5000, 500, 4
+		q := queue.New(queue.Config{MaxItems: 64, Quantum: quantum})
+		cost := rapid.Int64Range(1, maxCost)
+		flood := rapid.IntRange(5, 40).Draw(t, "flood")
+		served := make(map[ident.OrgID]ident.Tokens)
+		now, n := start, 0
+		push := func(org ident.OrgID, p ident.Priority) queue.PushResult {
+			n++
+			c := ident.Tokens(cost.Draw(t, "cost"))
+			return q.Push(now, queue.Item{ID: ident.RequestID(fmt.Sprint(n)), Org: org, Cost: c, Priority: p, Service: time.Second})
+		}
+		small := func(org ident.OrgID) {
+			queued, ok := push(org, ident.PriorityLow).(queue.Queued)
+			if !ok {
+				t.Fatalf("refused a request of a small organisation")
+			}
+			for _, d := range queued.Evicted {
+				if d.Item.Org != "flood" {
+					t.Fatalf("evicted a request of %s for one of %s", d.Item.Org, org)
+				}
+			}
+		}
+		// Each small organisation always has three requests waiting, far below its part of the queue.
+		for i := range 3 * orgs {
+			small(ident.OrgID(fmt.Sprint("org", i%orgs)))
+		}
+		for range 60 {
+			for range flood {
+				push("flood", ident.PriorityHigh)
+			}
+			for range orgs + 1 {
+				res := q.Pop(now).(queue.Next)
+				served[res.Item.Org] += res.Item.Cost
+				if res.Item.Org != "flood" {
+					small(res.Item.Org)
+				}
+			}
+			now = now.Add(100 * time.Millisecond)
+			// Deficit round robin keeps organisations that always wait within a constant of each other.
+			for i := range orgs {
+				org := ident.OrgID(fmt.Sprint("org", i))
+				if served["flood"]-served[org] > 2*(maxCost+quantum) {
+					t.Fatalf("flood got %d tokens and %s %d", served["flood"], org, served[org])
+				}
+			}
+		}
+	})
+}
+
+// TestRetryBudget guards against retries that exceed their share of the traffic.
+func TestRetryBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := queue.RetryConfig{Share: 0.1, PerSecond: 2, Burst: 5}
+		now := start
+		b := queue.NewRetryBudget(cfg, now)
+		attempts, retries := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"attempt": func(*rapid.T) { b.Attempt(); attempts++ },
+			"retry": func(*rapid.T) {
+				if b.Allow(now) {
+					retries++
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				limit := cfg.Burst + cfg.Share*float64(attempts) + cfg.PerSecond*now.Sub(start).Seconds()
+				if float64(retries) > limit+1e-6 {
+					t.Fatalf("%d retries, at most %.2f are allowed", retries, limit)
+				}
+			},
+		})
+	})
+}
