Add the versioned object store with digests and platform feed

Store applies objects by version, Digest/Diff/Push/Receive exchange what differs, and Feed lists, watches, resumes and relists one kind. The property test found that a peer's stale copy could bring back an object that a complete list no longer names; a floor by kind (the version of the latest complete list) now refuses it, and bucket references carry the floor so that the peer drops its copy.

--- /dev/null
+++ b/core/config/store.go
@@ -0,0 +1,221 @@
+package config
+
+import (
+	"slices"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// Limits of what a store accepts. A peer or a platform outside of them is faulty.
+const (
+	MaxKinds             = 64
+	MaxName              = 256
+	MaxValue ident.Bytes = 1 << 20
+)
+
+// Result says what Apply did.
+type Result uint8
+
+// The results of Apply.
+const (
+	Applied Result = iota + 1
+	// Older means that the store holds a later version.
+	Older
+	// Known means that the store holds this version.
+	Known
+	// Invalid means that the object has no kind, name or version, or exceeds a limit.
+	Invalid
+)
+
+// Store holds the newest known version of each object. It is not safe for concurrent use.
+type Store struct {
+	tables map[object.Kind]*table
+	kinds  []object.Kind // sorted
+	turn   int
+}
+
+// table holds the objects of one kind.
+type table struct {
+	items   map[string]item
+	live    int
+	highest ident.ObjectVersion
+	// announced is the highest version that a source or a peer has named.
+	announced ident.ObjectVersion
+	// floor is the version of the latest complete list. An older object that the list did not name was
+	// deleted, even if the store has never seen it and a peer still holds it.
+	floor   ident.ObjectVersion
+	buckets [bucketCount]uint64
+}
+
+type item struct {
+	version ident.ObjectVersion
+	deleted bool
+	value   []byte
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{tables: make(map[object.Kind]*table)} }
+
+// Apply adds o if it is newer than what the store holds. The value must not be changed afterwards.
+//
+// At equal versions a deletion mark wins: a list marks what it did not contain with the list's
+// version, and an object of just that version can only be missing if it was deleted later.
+func (s *Store) Apply(o Object) Result {
+	if o.Kind == "" || len(o.Kind) > MaxName || o.Name == "" || len(o.Name) > MaxName || o.Version == 0 ||
+		ident.Bytes(len(o.Value)) > MaxValue {
+		return Invalid
+	}
+	t := s.table(o.Kind)
+	if t == nil {
+		return Invalid
+	}
+	old, had := t.items[o.Name]
+	switch {
+	case o.Version < old.version, !had && !o.Deleted && o.Version <= t.floor:
+		return Older
+	case o.Version == old.version && (old.deleted || !o.Deleted):
+		return Known
+	}
+	it := item{version: o.Version, deleted: o.Deleted, value: o.Value}
+	if o.Deleted {
+		it.value = nil
+	}
+	t.put(o.Name, old, had, it)
+	return Applied
+}
+
+func (s *Store) table(kind object.Kind) *table {
+	t, ok := s.tables[kind]
+	if !ok {
+		if len(s.tables) >= MaxKinds {
+			return nil
+		}
+		t = &table{items: make(map[string]item)}
+		s.tables[kind] = t
+		i, _ := slices.BinarySearch(s.kinds, kind)
+		s.kinds = slices.Insert(s.kinds, i, kind)
+	}
+	return t
+}
+
+func (t *table) put(name string, old item, had bool, it item) {
+	b := bucketOf(name)
+	if had {
+		t.buckets[b] ^= itemHash(name, old)
+		if !old.deleted {
+			t.live--
+		}
+	}
+	t.buckets[b] ^= itemHash(name, it)
+	if !it.deleted {
+		t.live++
+	}
+	t.items[name] = it
+	t.highest = max(t.highest, it.version)
+	t.announced = max(t.announced, t.highest)
+}
+
+// Get returns an object. It returns false for an absent or deleted one.
+func (s *Store) Get(key object.Key) (Object, bool) {
+	t, ok := s.tables[key.Kind]
+	if !ok {
+		return Object{}, false
+	}
+	it, ok := t.items[key.Name]
+	if !ok || it.deleted {
+		return Object{}, false
+	}
+	return it.object(key.Kind, key.Name), true
+}
+
+func (it item) object(kind object.Kind, name string) Object {
+	return Object{Kind: kind, Name: name, Version: it.version, Deleted: it.deleted, Value: it.value}
+}
+
+// Version returns the version that the store holds of an object or of its deletion mark, or zero.
+func (s *Store) Version(key object.Key) ident.ObjectVersion {
+	t, ok := s.tables[key.Kind]
+	if !ok {
+		return 0
+	}
+	return t.items[key.Name].version
+}
+
+// All returns the objects of a kind that are not deleted, sorted by name.
+func (s *Store) All(kind object.Kind) []Object {
+	t, ok := s.tables[kind]
+	if !ok {
+		return nil
+	}
+	objs := make([]Object, 0, t.live)
+	for _, name := range t.names() {
+		if it := t.items[name]; !it.deleted {
+			objs = append(objs, it.object(kind, name))
+		}
+	}
+	return objs
+}
+
+func (t *table) names() []string {
+	names := make([]string, 0, len(t.items))
+	for name := range t.items {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Relisted marks as deleted all objects of a kind that a complete list at the given version did not
+// name. Objects with a later version stay. It returns the new deletion marks.
+func (s *Store) Relisted(kind object.Kind, listed map[string]bool, at ident.ObjectVersion) []Object {
+	t := s.table(kind)
+	if t == nil {
+		return nil
+	}
+	t.announced = max(t.announced, at)
+	t.floor = max(t.floor, at)
+	return s.markAbsent(kind, t, at, func(name string) bool { return !listed[name] })
+}
+
+// markAbsent marks the live objects up to a version that absent reports.
+func (s *Store) markAbsent(kind object.Kind, t *table, at ident.ObjectVersion, absent func(string) bool) []Object {
+	var marks []Object
+	for _, name := range t.names() {
+		it := t.items[name]
+		if it.deleted || it.version > at || !absent(name) {
+			continue
+		}
+		o := Object{Kind: kind, Name: name, Version: at, Deleted: true}
+		if s.Apply(o) == Applied {
+			marks = append(marks, o)
+		}
+	}
+	return marks
+}
+
+// KindStatus tells what is applied of one kind.
+type KindStatus struct {
+	Kind    object.Kind         `json:"kind"`
+	Highest ident.ObjectVersion `json:"highest"`
+	// Announced is the highest version that a source or a peer has named. The store is behind while it
+	// exceeds Highest.
+	Announced ident.ObjectVersion `json:"announced"`
+	Objects   int                 `json:"objects"`
+	Deleted   int                 `json:"deleted"`
+}
+
+// Behind reports whether a later version is known to exist than the store holds.
+func (k KindStatus) Behind() bool { return k.Announced > k.Highest }
+
+// Status returns one row for each kind, sorted by kind.
+func (s *Store) Status() []KindStatus {
+	rows := make([]KindStatus, 0, len(s.kinds))
+	for _, kind := range s.kinds {
+		t := s.tables[kind]
+		rows = append(rows, KindStatus{
+			Kind: kind, Highest: t.highest, Announced: t.announced, Objects: t.live, Deleted: len(t.items) - t.live,
+		})
+	}
+	return rows
+}
--- a/core/config/types.go
+++ b/core/config/types.go
@@ -32,6 +32,9 @@
 	Highest ident.ObjectVersion `cbor:"2,keyasint"`
 	// Hash does not depend on the order in which the objects were applied.
 	Hash uint64 `cbor:"3,keyasint"`
+	// Floor is the version of the latest complete list. An object that the sender does not hold and
+	// whose version is not above the floor is deleted.
+	Floor ident.ObjectVersion `cbor:"4,keyasint,omitempty"`
 }
 
 // Digest summarises a store.
@@ -60,16 +63,23 @@
 // Empty reports whether the want asks for nothing.
 func (w Want) Empty() bool { return len(w.Kinds) == 0 }
 
-// KindRefs lists references of one kind.
+// KindRefs lists all references of some buckets of one kind.
 type KindRefs struct {
 	Kind object.Kind `cbor:"1,keyasint"`
 	Refs []Ref       `cbor:"2,keyasint"`
+	// Floor is as in KindDigest and holds for the named buckets.
+	Floor ident.ObjectVersion `cbor:"3,keyasint,omitempty"`
+	// Of is the number of buckets into which the kind is divided.
+	Of      int   `cbor:"4,keyasint"`
+	Buckets []int `cbor:"5,keyasint"`
 }
 
 // Push carries objects and references to a peer.
 type Push struct {
 	Objects []Object   `cbor:"1,keyasint,omitempty"`
 	Refs    []KindRefs `cbor:"2,keyasint,omitempty"`
+	// More names the kinds of which the sender holds newer objects that did not fit.
+	More []object.Kind `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty reports whether the push carries nothing.
--- /dev/null
+++ b/core/config/world_test.go
@@ -0,0 +1,260 @@
+package config_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+const kind = object.KindTarget
+
+// platform keeps one kind with its history, as the object service does.
+type platform struct {
+	version ident.ObjectVersion
+	objects map[string]config.Object
+	history []config.Object
+	floor   ident.ObjectVersion // changes up to here are compacted
+}
+
+func (p *platform) change(name string, deleted bool) {
+	if _, ok := p.objects[name]; deleted && !ok {
+		return
+	}
+	p.version++
+	o := config.Object{Kind: kind, Name: name, Version: p.version, Deleted: deleted}
+	if !deleted {
+		o.Value = fmt.Appendf(nil, `{"v":%d}`, p.version)
+		p.objects[name] = o
+	} else {
+		delete(p.objects, name)
+	}
+	p.history = append(p.history, o)
+}
+
+func (p *platform) page(after string, limit int) config.ListPage {
+	page := config.ListPage{Version: p.version, Last: true}
+	var names []string
+	for name := range p.objects {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if len(page.Objects) == limit {
+			page.Last = false
+			break
+		}
+		page.Objects = append(page.Objects, p.objects[name])
+	}
+	return page
+}
+
+// process is a router with a store; watchers also have a feed and a running request.
+type process struct {
+	store *config.Store
+	feed  *config.Feed
+	req   config.FeedAction
+	// pos is the place of the running watch in the platform's history.
+	pos  ident.ObjectVersion
+	seen map[string]ident.ObjectVersion
+}
+
+func newProcess(watches bool, seed uint64) *process {
+	p := &process{store: config.New(), seen: make(map[string]ident.ObjectVersion)}
+	if watches {
+		p.feed = config.NewFeed(p.store, kind, rand.New(rand.NewPCG(seed, 1)))
+	}
+	return p
+}
+
+// run lets the process make one step with the platform. fault 1 fails the request, 2 repeats an event.
+func (p *process) run(pl *platform, now time.Time, fault int) {
+	if p.feed == nil {
+		return
+	}
+	if p.req == nil {
+		if p.req = p.feed.Next(now); p.req == nil {
+			return
+		}
+		if w, ok := p.req.(config.WatchFrom); ok {
+			p.pos = w.Version
+		}
+	}
+	switch req := p.req.(type) {
+	case config.ListFrom:
+		p.req = nil
+		if fault == 1 {
+			p.feed.Handle(config.ListFailed{}, now)
+			return
+		}
+		p.feed.Handle(pl.page(req.After, 2), now)
+	case config.WatchFrom:
+		if fault == 1 || p.pos < pl.floor {
+			p.req = nil
+			if fault == 1 {
+				p.feed.Handle(config.WatchClosed{}, now)
+			} else {
+				p.feed.Handle(config.WatchCompacted{}, now)
+			}
+			return
+		}
+		for _, o := range pl.history {
+			if o.Version > p.pos {
+				p.feed.Handle(config.WatchEvent{Object: o}, now)
+				if fault == 2 {
+					p.feed.Handle(config.WatchEvent{Object: o}, now)
+				}
+				p.pos = o.Version
+				return
+			}
+		}
+	}
+}
+
+// sync lets b learn from a's digest. With lose, the push is lost or arrives twice.
+func sync(a, b *process, fault int) {
+	want := b.store.Diff(a.store.Digest())
+	for range 8 {
+		if want.Empty() {
+			return
+		}
+		push := a.store.Push(want)
+		switch fault {
+		case 1:
+			return
+		case 2:
+			b.store.Receive(push)
+		}
+		_, want = b.store.Receive(push)
+	}
+}
+
+func (p *process) check(t *rapid.T, names []string) {
+	for _, name := range names {
+		v := p.store.Version(object.Key{Kind: kind, Name: name})
+		if v < p.seen[name] {
+			t.Fatalf("%s went back from version %d to %d", name, p.seen[name], v)
+		}
+		p.seen[name] = v
+	}
+}
+
+// TestVersionsNeverGoBackAndStoresConverge guards against any order of changes, faults of the platform,
+// lost and repeated pushes, partitions, restarts and relists that lets a process go back to an older
+// version, brings a deleted object back, or leaves processes different after healing.
+func TestVersionsNeverGoBackAndStoresConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d", "e", "f"}
+		pl := &platform{objects: make(map[string]config.Object)}
+		procs := []*process{newProcess(true, 1), newProcess(true, 2), newProcess(false, 3), newProcess(false, 4)}
+		now := time.Unix(0, 0)
+		index := rapid.IntRange(0, len(procs)-1)
+		fault := rapid.SampledFrom([]int{0, 0, 1, 2})
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				pl.change(rapid.SampledFrom(names).Draw(t, "name"), rapid.Bool().Draw(t, "deleted"))
+			},
+			"compact": func(t *rapid.T) { pl.floor = pl.version },
+			"platform": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				procs[index.Draw(t, "process")].run(pl, now, fault.Draw(t, "fault"))
+			},
+			"sync": func(t *rapid.T) {
+				sync(procs[index.Draw(t, "from")], procs[index.Draw(t, "to")], fault.Draw(t, "fault"))
+			},
+			"restart": func(t *rapid.T) {
+				i := index.Draw(t, "process")
+				procs[i] = newProcess(i < 2, uint64(i))
+			},
+			"": func(t *rapid.T) {
+				for _, p := range procs {
+					p.check(t, names)
+				}
+			},
+		})
+		for range 60 + len(pl.history) {
+			now = now.Add(10 * time.Second)
+			for i, p := range procs {
+				p.run(pl, now, 0)
+				sync(p, procs[(i+1)%len(procs)], 0)
+				sync(p, procs[(i+2)%len(procs)], 0)
+				p.check(t, names)
+			}
+		}
+		for i, p := range procs {
+			got := p.store.All(kind)
+			want := pl.page("", len(names)).Objects
+			if !slices.EqualFunc(got, want, func(a, b config.Object) bool {
+				return a.Name == b.Name && a.Version == b.Version && string(a.Value) == string(b.Value)
+			}) {
+				t.Fatalf("process %d holds %v, the platform %v", i, got, want)
+			}
+			if !p.store.Diff(procs[0].store.Digest()).Empty() {
+				t.Fatalf("process %d has another digest after healing", i)
+			}
+		}
+	})
+}
+
+func organisation(i int, v ident.ObjectVersion) config.Object {
+	return config.Object{
+		Kind: object.KindOrganisation, Name: fmt.Sprintf("org-%05d", i), Version: v,
+		Value: fmt.Appendf(nil, `{"format":1,"id":"org-%05d","name":"organisation %d","class":"chat","keys":[{"id":"k1","sha256":"%064d"}],"budgets":["b%d"]}`, i, i, i, i),
+	}
+}
+
+// TestLargeStore guards against a bounded push that leaves gaps, and against a starting router that does
+// not get all of a large store from one peer.
+func TestLargeStore(t *testing.T) {
+	is := is.New(t)
+	a, b := config.New(), config.New()
+	const n = 5000
+	for i := range n {
+		is.Equal(a.Apply(organisation(i, ident.ObjectVersion(i+1))), config.Applied)
+	}
+	rounds := 0
+	for want := b.Diff(a.Digest()); !want.Empty(); rounds++ {
+		_, want = b.Receive(a.Push(want))
+	}
+	is.True(rounds < 20)
+	is.Equal(b.Status()[0].Objects, n)
+	is.True(!b.Status()[0].Behind())
+
+	for _, i := range []int{17, 2500} { // two changes below the highest version of the other store
+		is.Equal(a.Apply(organisation(i, n+1+ident.ObjectVersion(i))), config.Applied)
+	}
+	top := organisation(4999, 3*n)
+	a.Apply(top)
+	b.Apply(top)
+	want := b.Diff(a.Digest())
+	is.Equal(len(want.Kinds[0].Buckets), 256)
+	push := a.Push(want)
+	is.True(len(push.Refs[0].Refs) < 100)
+	_, want = b.Receive(push)
+	is.Equal(len(want.Kinds[0].Names), 2)
+	b.Receive(a.Push(want))
+	is.True(b.Diff(a.Digest()).Empty())
+}
+
+func ExampleStore_Apply() {
+	s := config.New()
+	o := config.Object{Kind: object.KindTarget, Name: "e1", Version: 7, Value: []byte(`{}`)}
+	fmt.Println(s.Apply(o) == config.Applied)
+	o.Version = 6
+	fmt.Println(s.Apply(o) == config.Older)
+	fmt.Println(s.Status()[0].Highest)
+	// Output:
+	// true
+	// true
+	// 7
+}
