Serve chat completions through a router in a separate process

Cause: a request had no path from a caller to an engine. Change: io/node follows the platform's objects, allots tokens and capacity slots from the ledger, chooses a target, copies the stream and settles the usage. The commands router, platform, engine, service and settings check run it in separate processes.

--- a/core/escrow/demand.go
+++ b/core/escrow/demand.go
@@ -103,6 +103,9 @@
 	return a.Return(a.cfg.Policy.recall(d, a.Free(), wanted))
 }
 
+// Expect registers n tokens that requests outside of HoldWait wait for, or removes them with a negative n.
+func (a *Account) Expect(n ident.Tokens) { a.addPending(n) }
+
 // addPending registers n tokens of a waiting request, or removes them with a negative n.
 func (a *Account) addPending(n ident.Tokens) {
 	if a == nil {
--- a/io/admin/audit.go
+++ b/io/admin/audit.go
@@ -6,9 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
-	"time"
 
-	"geraniumsaddle/core/bill"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/store"
@@ -59,24 +57,3 @@
 	writeJSON(q.w, http.StatusOK, s.fleet.Status(ctx))
 	return nil
 }
-
-func (s *Server) statement(ctx context.Context, q *request) error {
-	month := bill.MonthOf(s.clock.Now())
-	if v := q.r.URL.Query().Get("month"); v != "" {
-		t, err := time.Parse("2006-01", v)
-		if err != nil {
-			return problem(http.StatusBadRequest, "malformed", "month must have the form 2006-01")
-		}
-		month = bill.MonthOf(t)
-	}
-	st, err := s.fleet.Statement(ctx, ident.OrgID(q.r.PathValue("id")), month)
-	if err != nil {
-		return err
-	}
-	if q.r.URL.Query().Get("format") != "csv" {
-		writeJSON(q.w, http.StatusOK, st)
-		return nil
-	}
-	q.w.Header().Set("Content-Type", "text/csv; charset=utf-8")
-	return st.WriteCSV(q.w)
-}
--- a/io/admin/deps.go
+++ b/io/admin/deps.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"geraniumsaddle/core/bill"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/store"
@@ -26,8 +25,6 @@
 	Status(ctx context.Context) Status
 	// CheckRelease returns the reasons for which a release note cannot be met.
 	CheckRelease(ctx context.Context, r object.Release) object.Faults
-	// Statement returns the bills of an organisation in a month.
-	Statement(ctx context.Context, org ident.OrgID, month bill.Month) (bill.Statement, error)
 }
 
 // Status is the state of the fleet as one router sees it.
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -50,7 +50,6 @@
 	}{
 		{"POST /admin/v1/organisations/{id}/keys", object.RoleOperator, s.createKey},
 		{"DELETE /admin/v1/organisations/{id}/keys/{key}", object.RoleOperator, s.revokeKey},
-		{"GET /admin/v1/organisations/{id}/statement", object.RoleViewer, s.statement},
 		{"GET /admin/v1/budgets/{id}/ledger", object.RoleViewer, s.ledger},
 		{"POST /admin/v1/budgets/{id}/top-ups", object.RoleOperator, s.topUp},
 		{"POST /admin/v1/budgets/{id}/refunds", object.RoleOperator, s.refund},
--- a/io/cmds/root.go
+++ b/io/cmds/root.go
@@ -2,11 +2,16 @@
 package cmds
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/spf13/cobra"
+
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/flags"
 )
 
 // Exit codes of the program.
@@ -16,8 +21,17 @@
 	exitSettings = 2
 )
 
-// ErrSettings marks an error in settings, for which the program exits with 2.
-var ErrSettings = errors.New("invalid settings")
+// settingsError holds the faults of settings. The program exits with 2 for it.
+type settingsError struct{ faults object.Faults }
+
+// Error returns one line for each fault.
+func (e *settingsError) Error() string {
+	s := "invalid settings:"
+	for _, f := range e.faults {
+		s += "\n  " + f.Path + ": " + f.Message
+	}
+	return s
+}
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
@@ -25,11 +39,14 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	ctx, stop := signals(context.Background())
+	defer stop()
+	err := root.ExecuteContext(ctx)
+	var settings *settingsError
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.Is(err, ErrSettings):
+	case errors.As(err, &settings):
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitSettings
 	default:
@@ -39,10 +56,28 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "geraniumsaddle",
 		Short:         "Router fleet for prepaid token budgets",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &settingsError{object.Faults{{Path: "command line", Message: err.Error()}}}
+	})
+	root.AddCommand(newRouter(), newSettings(), newPlatform(), newEngine(), newService())
+	return root
+}
+
+// checked is a settings struct.
+type checked interface{ Validate() object.Faults }
+
+// load sets unset flags from the environment and validates all settings.
+func load(cmd *cobra.Command, s checked) error {
+	faults := flags.ApplyEnv(cmd.Flags(), os.LookupEnv)
+	faults = append(faults, s.Validate()...)
+	if len(faults) > 0 {
+		return &settingsError{faults}
+	}
+	return nil
 }
--- /dev/null
+++ b/io/cmds/router.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"fmt"
+	"log/slog"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/spf13/cobra"
+
+	"geraniumsaddle/io/flags"
+	"geraniumsaddle/io/node"
+)
+
+func newRouter() *cobra.Command {
+	var cfg flags.Router
+	cmd := &cobra.Command{
+		Use:   "router",
+		Short: "Run a router until it is interrupted",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := load(cmd, &cfg); err != nil {
+				return err
+			}
+			return runRouter(cmd, cfg)
+		},
+	}
+	flags.BindRouter(cmd.Flags(), &cfg)
+	return cmd
+}
+
+func runRouter(cmd *cobra.Command, cfg flags.Router) error {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	log := slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), &slog.HandlerOptions{Level: cfg.Level()}))
+	n, err := node.New(cfg, node.Deps{Clock: clockwork.NewRealClock(), Log: log, Registry: reg})
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q}\n", n.ID(), n.CallerAddr(), n.AdminAddr())
+	return n.Run(cmd.Context())
+}
+
+func newSettings() *cobra.Command {
+	cmd := &cobra.Command{Use: "settings", Short: "Work with settings"}
+	var cfg flags.Router
+	check := &cobra.Command{
+		Use:   "check",
+		Short: "Validate the settings of a router and name every error",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := load(cmd, &cfg); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+			return err
+		},
+	}
+	flags.BindRouter(check.Flags(), &cfg)
+	cmd.AddCommand(check)
+	return cmd
+}
--- /dev/null
+++ b/io/cmds/signal.go
@@ -0,0 +1,29 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signals returns a context that ends with the first SIGINT or SIGTERM. A second one ends the process at once.
+func signals(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-ch:
+			cancel()
+		case <-ctx.Done():
+			return
+		}
+		<-ch
+		os.Exit(exitFailure)
+	}()
+	return ctx, func() {
+		signal.Stop(ch)
+		cancel()
+	}
+}
--- a/io/engine/sse.go
+++ b/io/engine/sse.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// buffered reports whether a whole event is in the buffer.
+func (d *decoder) buffered() bool {
+	n, _ := blankLine(d.buf[d.start:d.end], 0)
+	return n >= 0
+}
+
 // blankLine returns the position and the size of the first end of an event, looking from a position on.
 func blankLine(b []byte, from int) (pos, size int) {
 	for i := from; ; {
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -68,6 +68,10 @@
 // Header returns the headers of the answer.
 func (s *Stream) Header() http.Header { return s.resp.Header }
 
+// Buffered reports whether Next returns without reading from the connection, so that a caller that writes the
+// chunks on knows when to flush.
+func (s *Stream) Buffered() bool { return s.err == nil && s.dec.buffered() }
+
 // Next returns the next chunk. The error is io.EOF after the end mark of the stream; any other error is an Error of
 // class ErrUnknown with one of the faults of a stream as its cause. It reads no further than its buffer, so a
 // caller that stops calling Next stops the engine by backpressure.
--- /dev/null
+++ b/io/node/accts.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"sync"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// account is an escrow account with the object that holds its entry.
+type account struct {
+	*escrow.Account
+	shard object.Key
+	// nth counts the accounts that this router has opened on the entry.
+	nth uint64
+}
+
+// accounts holds the router's escrow accounts. Traffic goroutines look them up; the control goroutine
+// adds, reports and closes them.
+type accounts struct {
+	holder ident.RouterID
+	policy escrow.Policy
+	slots  escrow.Policy
+	// short is notified when a request waits for tokens or slots.
+	short *escrow.Signal
+	// freeSlots is notified when a slot of any target becomes free.
+	freeSlots *escrow.Signal
+
+	mu      sync.RWMutex
+	byEntry map[escrow.EntryID]*account
+	wallets map[ident.OrgID]*walletRow
+	freed   map[ident.OrgID]*escrow.Signal
+	slotOf  map[ident.TargetID]*account
+	peer    ident.RouterID
+}
+
+// walletRow is a wallet with the configuration that it was built from.
+type walletRow struct {
+	wallet *escrow.Wallet
+	view   *view
+}
+
+func newAccounts(holder ident.RouterID) *accounts {
+	return &accounts{
+		holder: holder, policy: escrow.DefaultRecall, slots: escrow.SlotCover{},
+		short: new(escrow.Signal), freeSlots: new(escrow.Signal),
+		byEntry: make(map[escrow.EntryID]*account),
+		wallets: make(map[ident.OrgID]*walletRow),
+		freed:   make(map[ident.OrgID]*escrow.Signal),
+		slotOf:  make(map[ident.TargetID]*account),
+	}
+}
+
+// wallet returns the wallet of an organisation and opens its accounts.
+func (a *accounts) wallet(v *view, org ident.OrgID) *escrow.Wallet {
+	a.mu.RLock()
+	row := a.wallets[org]
+	a.mu.RUnlock()
+	if row != nil && row.view == v && !row.stale() {
+		return row.wallet
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.build(v, org)
+	a.wallets[org] = &walletRow{wallet: w, view: v}
+	return w
+}
+
+// stale reports whether an account of the wallet is closed and must be replaced.
+func (r *walletRow) stale() bool {
+	for i := range r.wallet.Budgets {
+		if r.wallet.Budgets[i].Account.Closed() {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *accounts) build(v *view, org ident.OrgID) *escrow.Wallet {
+	o := v.orgs[org]
+	freed := a.freed[org]
+	if freed == nil {
+		freed = new(escrow.Signal)
+		a.freed[org] = freed
+	}
+	w := &escrow.Wallet{Keys: make(map[ident.KeyID]*escrow.Account), Freed: freed}
+	for _, id := range o.Budgets {
+		b, ok := v.budgets[id]
+		if !ok || b.Org != org {
+			continue
+		}
+		row := escrow.WalletBudget{Budget: id, Account: a.open(escrow.BudgetEntry(id), freed).Account,
+			Classes: make(map[ident.Class]*escrow.Account)}
+		for _, l := range b.ClassLimits {
+			row.Classes[l.Class] = a.open(escrow.ClassEntry(id, l.Class), freed).Account
+		}
+		w.Budgets = append(w.Budgets, row)
+	}
+	for _, k := range o.Keys {
+		if k.LimitTokens > 0 && !k.Revoked {
+			w.Keys[k.ID] = a.open(escrow.KeyEntry(org, k.ID), freed).Account
+		}
+	}
+	return w
+}
+
+// open returns the account of a ledger entry. A closed one is replaced by a new holder.
+func (a *accounts) open(id escrow.EntryID, freed *escrow.Signal) *account {
+	return a.ensure(id, escrow.LedgerKey(id), a.policy, freed)
+}
+
+func (a *accounts) ensure(id escrow.EntryID, shard object.Key, p escrow.Policy, freed *escrow.Signal) *account {
+	acct := a.byEntry[id]
+	if acct != nil && !acct.Closed() {
+		return acct
+	}
+	var nth uint64
+	if acct != nil {
+		nth = acct.nth + 1
+	}
+	acct = &account{shard: shard, nth: nth, Account: escrow.NewAccount(escrow.AccountConfig{
+		Entry: id, Holder: escrow.NewHolderID(a.holder, nth), Policy: p, Freed: freed, Short: a.short})}
+	if a.peer != "" {
+		acct.SetJournalPeer(a.peer)
+	}
+	a.byEntry[id] = acct
+	return acct
+}
+
+// openSlots opens the slot accounts of the targets of the own failure domain.
+func (a *accounts) openSlots(domain ident.DomainID, targets []ident.TargetID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range targets {
+		id := slotEntry(t)
+		a.slotOf[t] = a.ensure(id, escrow.SlotsKey(domain, t), a.slots, a.freeSlots)
+	}
+}
+
+// slot returns the slot account of a target, or nil.
+func (a *accounts) slot(t ident.TargetID) *account {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.slotOf[t]
+}
+
+// TryReserve takes a slot of a target. It implements target.Slots.
+func (a *accounts) TryReserve(t ident.TargetID) bool {
+	acct := a.slot(t)
+	return acct != nil && acct.Hold(1)
+}
+
+// Release returns a slot of a target. It implements target.Slots.
+func (a *accounts) Release(t ident.TargetID) {
+	if acct := a.slot(t); acct != nil {
+		acct.Release(1)
+	}
+}
+
+// all returns the accounts, in no order.
+func (a *accounts) all() []*account {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	out := make([]*account, 0, len(a.byEntry))
+	for _, acct := range a.byEntry {
+		out = append(out, acct)
+	}
+	return out
+}
+
+// find returns the account of an entry, or nil.
+func (a *accounts) find(id escrow.EntryID) *account {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.byEntry[id]
+}
--- /dev/null
+++ b/io/node/pools.go
@@ -0,0 +1,202 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/desk"
+	"geraniumsaddle/io/engine"
+	"geraniumsaddle/io/engine/reach"
+	"geraniumsaddle/io/store"
+)
+
+const (
+	loadEvery   = 2 * time.Second
+	loadTimeout = 1 * time.Second
+	buildEvery  = 200 * time.Millisecond
+	vmsEvery    = 1 * time.Second
+)
+
+// pools owns the target registry. It belongs to the control goroutine, apart from the clients.
+type pools struct {
+	n        *Node
+	registry *target.Registry
+	polled   map[ident.TargetID]time.Time
+	polling  map[ident.TargetID]bool
+	builtAt  time.Time
+	known    map[ident.TargetID]object.Target
+	versions map[ident.VersionID]bool
+
+	mu      sync.RWMutex
+	engines map[string]*engine.Client
+	desks   map[string]*desk.Client
+	reach   *reach.Transport
+}
+
+func newPools(n *Node, rng *rand.Rand) *pools {
+	return &pools{
+		n: n, registry: target.New(target.Config{Domain: n.domain, Router: n.id, Start: n.clock.Now()}, rng),
+		polled: make(map[ident.TargetID]time.Time), polling: make(map[ident.TargetID]bool),
+		known: make(map[ident.TargetID]object.Target), versions: make(map[ident.VersionID]bool),
+		engines: make(map[string]*engine.Client), desks: make(map[string]*desk.Client),
+		reach: reach.New(reach.Config{MaxIdlePerHost: 1024, HeaderTimeout: n.cfg.RequestTimeout}),
+	}
+}
+
+// configure takes over the targets and versions of a view and publishes a new table.
+func (p *pools) configure(v *view, now time.Time) {
+	for id := range p.known {
+		if _, ok := v.targets[id]; !ok {
+			p.registry.DeleteTarget(id)
+			delete(p.known, id)
+		}
+	}
+	var own []ident.TargetID
+	for id, t := range v.targets {
+		p.registry.PutTarget(t)
+		p.known[id] = t
+		if t.Domain == p.n.domain {
+			own = append(own, id)
+		}
+	}
+	p.n.accounts.openSlots(p.n.domain, own)
+	for id := range p.versions {
+		if _, ok := v.versions[id]; !ok {
+			p.registry.DeleteVersion(id)
+			delete(p.versions, id)
+		}
+	}
+	for id, ver := range v.versions {
+		p.registry.PutVersion(ver)
+		p.versions[id] = true
+	}
+	p.build(now)
+}
+
+func (p *pools) build(now time.Time) {
+	p.builtAt = now
+	p.n.table.Store(p.registry.Build(now))
+}
+
+// tick polls load reports and rebuilds the table.
+func (p *pools) tick(now time.Time) {
+	if now.Sub(p.builtAt) >= buildEvery {
+		p.build(now)
+	}
+	for id, t := range p.known {
+		if t.Domain != p.n.domain || p.polling[id] || now.Sub(p.polled[id]) < loadEvery || !p.mayPoll(id) {
+			continue
+		}
+		p.polling[id], p.polled[id] = true, now
+		p.n.spawn(func(ctx context.Context) { p.poll(ctx, t) })
+	}
+}
+
+func (p *pools) mayPoll(id ident.TargetID) bool {
+	return p.registry.State(id) != object.TargetGone
+}
+
+func (p *pools) poll(ctx context.Context, t object.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	l, err := p.load(ctx, t)
+	p.n.post(loadEvent{load: l, failed: err != nil, targets: t.ID})
+}
+
+func (p *pools) load(ctx context.Context, t object.Target) (target.Load, error) {
+	if t.Kind == object.TargetService {
+		c, err := p.desk(t.URL)
+		if err != nil {
+			return target.Load{}, err
+		}
+		l, err := c.Load(ctx)
+		return target.Load{Target: t.ID, Running: l.Running, Queued: l.Queued, AsOf: l.AsOf}, err
+	}
+	c, err := p.engine(t.URL)
+	if err != nil {
+		return target.Load{}, err
+	}
+	l, err := c.Load(ctx)
+	return target.Load{Target: t.ID, Running: l.Running, Queued: l.Queued, AsOf: l.AsOf}, err
+}
+
+// report applies a load report.
+func (p *pools) report(ev loadEvent, _ time.Time) {
+	delete(p.polling, ev.targets)
+	if !ev.failed {
+		p.registry.Report(ev.load)
+	}
+}
+
+// engine returns the client of the engine at a URL.
+func (p *pools) engine(url string) (*engine.Client, error) {
+	p.mu.RLock()
+	c := p.engines[url]
+	p.mu.RUnlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := engine.New(engine.Config{URL: url, Transport: p.reach}, p.n.clock)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines[url] = c
+	return c, nil
+}
+
+// desk returns the client of the plain service at a URL.
+func (p *pools) desk(url string) (*desk.Client, error) {
+	p.mu.RLock()
+	c := p.desks[url]
+	p.mu.RUnlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := desk.New(desk.Config{URL: url, Transport: p.reach})
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.desks[url] = c
+	return c, nil
+}
+
+// pollVMs asks for the VM list.
+func (n *Node) pollVMs(now time.Time) {
+	if n.vmsRunning || now.Sub(n.vmsAt) < vmsEvery || !n.isWatcher() {
+		return
+	}
+	n.vmsRunning, n.vmsAt = true, now
+	n.spawn(func(ctx context.Context) {
+		vms, err := n.store.VMs(ctx)
+		n.platformCall("vms", err)
+		n.post(vmsEvent{vms, err})
+	})
+}
+
+// targetStates maps the states of VMs to those of their targets.
+var targetStates = map[store.VMState]object.TargetState{
+	store.VMLive: object.TargetActive, store.VMLeaving: object.TargetLeaving, store.VMGone: object.TargetGone,
+}
+
+func (n *Node) learnVMs(ev vmsEvent, now time.Time) {
+	n.vmsRunning = false
+	if ev.err != nil {
+		return
+	}
+	for _, vm := range ev.vms {
+		if s, ok := targetStates[vm.State]; ok {
+			n.pools.registry.SetVM(vm.Name, s)
+		}
+	}
+	n.pools.build(now)
+	n.members.learnVMs(ev.vms, now)
+}
--- /dev/null
+++ b/io/node/reap.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/engine"
+)
+
+const (
+	// reapEvery is the interval of attempts to confirm that a target no longer holds a request.
+	reapEvery = 500 * time.Millisecond
+	// reapFor is the time after which a target that answers nothing is taken to hold the request no longer: the
+	// longest that an engine keeps a stream without readers, twice.
+	reapFor = time.Minute
+)
+
+// random returns a random number for a request.
+func (t *traffic) random() uint64 { return rand.Uint64() } //nolint:gosec // spreads load, no secret
+
+// reap cancels a request at its target and returns the slot once the target holds it no longer. Returning it earlier
+// could send the target more requests than its capacity.
+func (t *traffic) reap(c *engine.Client, id ident.RequestID, choice target.Choice, r target.Result) {
+	t.n.spawn(func(ctx context.Context) {
+		defer choice.Release(r)
+		end := t.n.clock.Now().Add(reapFor)
+		for t.n.clock.Now().Before(end) {
+			if cancelled(ctx, c, id) {
+				return
+			}
+			select {
+			case <-t.n.clock.After(reapEvery):
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// cancelled reports whether the target holds the request no longer.
+func cancelled(ctx context.Context, c *engine.Client, id ident.RequestID) bool {
+	if _, err := c.Cancel(ctx, id); err != nil {
+		return false
+	}
+	st, err := c.Status(ctx, id)
+	return err == nil && st.State != engine.RequestRunning
+}
+
+// streamSet holds the streams that are copied to callers, so that those of slow readers can be suspended.
+type streamSet struct {
+	mu   sync.Mutex
+	rows map[*streamRow]struct{}
+}
+
+// streamRow is one stream.
+type streamRow struct {
+	cur     atomic.Pointer[engine.Stream]
+	blocked atomic.Int64 // time at which a write to the caller began, or zero
+}
+
+func (s *streamSet) add(st *engine.Stream) *streamRow {
+	row := new(streamRow)
+	row.cur.Store(st)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rows == nil {
+		s.rows = make(map[*streamRow]struct{})
+	}
+	s.rows[row] = struct{}{}
+	return row
+}
+
+func (s *streamSet) remove(r *streamRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, r)
+}
+
+func (r *streamRow) stream() *engine.Stream { return r.cur.Load() }
+
+// replace closes the stream and puts another one in its place.
+func (r *streamRow) replace(s *engine.Stream) {
+	if old := r.cur.Swap(s); old != nil {
+		_ = old.Close()
+	}
+}
+
+func (r *streamRow) writing(now time.Time) { r.blocked.Store(now.UnixNano()) }
+func (r *streamRow) written()              { r.blocked.Store(0) }
+
+// suspend closes the streams whose callers have not read for the given time. The copying goroutine resumes a stream
+// at its offset when the caller reads again.
+func (s *streamSet) suspend(now time.Time, after time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for r := range s.rows {
+		since := r.blocked.Load()
+		if since == 0 || now.UnixNano()-since < int64(after) {
+			continue
+		}
+		n++
+		_ = r.stream().Close()
+	}
+	return n
+}
--- /dev/null
+++ b/io/node/serve.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/caller"
+)
+
+func timeCount(n int64) time.Duration { return time.Duration(n) }
+
+func (n *Node) callerHandler() http.Handler {
+	return caller.New(n, caller.Limits{BodyBytes: ident.Bytes(n.cfg.BodyBytes), RequestTimeout: n.cfg.RequestTimeout},
+		n.log, observer{n}, n.clock.Now)
+}
+
+// observer records finished requests.
+type observer struct{ n *Node }
+
+// Finished implements caller.Observer.
+func (o observer) Finished(f caller.Finished) {
+	o.n.metrics.Request(f.Route, string(f.Code), f.Outcome, f.Caller.Class, f.Caller.Org, f.Total)
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", n.ready)
+	return mux
+}
+
+// ready answers 204 while the router takes requests: it has a configuration and is not shutting down.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if n.traffic.draining.Load() || len(n.view.Load().orgs) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// drain shuts the router down gracefully.
+func (n *Node) drain() {
+	n.traffic.draining.Store(true)
+	ctx, cancel := context.WithTimeout(n.life, n.cfg.DrainTimeout)
+	defer cancel()
+	_ = n.callers.Shutdown(ctx)
+	n.traffic.running.Wait()
+}
+
+// Call implements caller.Backend.
+func (n *Node) Call(context.Context, caller.ServiceRequest) (caller.ServiceAnswer, error) {
+	return caller.ServiceAnswer{}, caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "no such service")
+}
+
+// Bill implements caller.Backend.
+func (n *Node) Bill(context.Context, ident.OrgID, ident.RequestID) (any, error) {
+	return nil, caller.Refuse(caller.CodeNotFound, ident.OutcomeRun, "no such bill")
+}
+
+// MintOperation implements caller.Backend.
+func (n *Node) MintOperation(context.Context, ident.OrgID) (string, error) {
+	return "", caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "operations are not available")
+}
--- /dev/null
+++ b/io/node/traffic.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/stream"
+	"geraniumsaddle/io/caller"
+)
+
+// traffic holds the state of running requests. It is safe for concurrent use.
+type traffic struct {
+	n        *Node
+	draining atomic.Bool
+	running  sync.WaitGroup
+	count    atomic.Int64
+	limiter  *stream.Limiter
+	streams  streamSet
+}
+
+func newTraffic(n *Node) *traffic {
+	return &traffic{
+		n: n, limiter: stream.NewLimiter(ident.Bytes(n.cfg.OrgStreamBytes), ident.Bytes(n.cfg.ProcessStreamBytes)),
+	}
+}
+
+// freshWait is the longest time that a request waits for a control goroutine that has just resumed.
+const freshWait = time.Second
+
+// admit counts a request in. A router that was paused lets no request through until its control goroutine has run.
+func (t *traffic) admit(ctx context.Context) (func(), error) {
+	t.running.Add(1)
+	t.count.Add(1)
+	done := func() { t.count.Add(-1); t.running.Done() }
+	if t.draining.Load() {
+		done()
+		return nil, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router is shutting down")
+	}
+	if t.n.fresh() {
+		return done, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
+	defer cancel()
+	if err := t.n.ask(ctx, func() { t.n.tick(t.n.clock.Now()) }); err != nil {
+		done()
+		return nil, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router's configuration is not current")
+	}
+	return done, nil
+}
+
+// Authenticate implements caller.Backend.
+func (n *Node) Authenticate(_ context.Context, secret string) (caller.Identity, error) {
+	sum := sha256.Sum256([]byte(secret))
+	v := n.view.Load()
+	row, ok := v.keys[hex.EncodeToString(sum[:])]
+	if !ok && len(v.orgs) == 0 {
+		return caller.Identity{}, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has no configuration yet")
+	}
+	if !ok {
+		return caller.Identity{}, caller.Refuse(caller.CodeInvalidKey, ident.OutcomeNotRun, "the API key is not known or is revoked")
+	}
+	class := row.key.Class
+	if class == "" {
+		class = v.orgs[row.org].Class
+	}
+	return caller.Identity{Org: row.org, Key: row.key.ID, Class: class}, nil
+}
+
+// reserve holds tokens for a request. It waits a bounded time for settlements, transfers and refills.
+func (n *Node) reserve(ctx context.Context, who caller.Identity, need ident.Tokens) (escrow.Reservation, error) {
+	w := n.accounts.wallet(n.view.Load(), who.Org)
+	if res, ok := w.Hold(who.Key, who.Class, need); ok {
+		return res, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.BudgetWait)
+	defer cancel()
+	res, err := w.HoldWait(ctx, who.Key, who.Class, need)
+	if err == nil {
+		return res, nil
+	}
+	var ref *escrow.Refusal
+	if !errors.As(err, &ref) {
+		return escrow.Reservation{}, err
+	}
+	return escrow.Reservation{}, n.budgetRefusal(ref, need)
+}
+
+// budgetRefusal says what was missing. Tokens that other routers hold, or that the platform has but does not answer
+// for, may come later, so those refusals name a time to retry.
+func (n *Node) budgetRefusal(ref *escrow.Refusal, need ident.Tokens) *caller.Refusal {
+	if ref.Entry == "" {
+		return caller.Refuse(caller.CodeBudgetExhausted, ident.OutcomeNotRun, "the organisation has no usable budget; %d tokens are needed", need)
+	}
+	r := caller.Refuse(caller.CodeBudgetExhausted, ident.OutcomeNotRun,
+		"the request needs %d tokens and %s has %d free at this router", need, ref.Entry, ref.Free)
+	if !n.platformReachable() {
+		r.Message += "; the platform is not reachable, so no more can be allotted now"
+		return r.After(5 * time.Second)
+	}
+	return r
+}
+
+// platformSilence is the time without an answer after which the platform counts as not reachable.
+const platformSilence = 5 * time.Second
+
+func (n *Node) platformReachable() bool {
+	return n.clock.Now().UnixNano()-n.lastReply.Load() < int64(platformSilence)
+}
+
+// Models implements caller.Backend.
+func (n *Node) Models(context.Context) []ident.ModelID { return n.view.Load().models }
+
+// Budget implements caller.Backend.
+func (n *Node) Budget(_ context.Context, org ident.OrgID) (caller.Balance, error) {
+	v := n.view.Load()
+	b := caller.Balance{AsOf: n.clock.Now().UTC()}
+	w := n.accounts.wallet(v, org)
+	for i := range w.Budgets {
+		row := &w.Budgets[i]
+		b.HeldTokens += row.Account.Held()
+		free := row.Account.Free()
+		e := n.ledgerEntry(row.Budget)
+		if e == nil {
+			b.AvailableTokens += free
+			continue
+		}
+		settled := e.Settled()
+		if h := e.Holder(row.Account.Holder()); h != nil {
+			settled += row.Account.Settled() - h.Settled
+		}
+		b.PaidTokens += e.Paid - e.Refunded
+		b.BilledTokens += settled
+		b.AvailableTokens += free + max(0, e.Unallotted())
+	}
+	return b, nil
+}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/target"
 )
 
 // view is an immutable snapshot of the configuration. The control goroutine replaces it; traffic
@@ -41,17 +43,6 @@
 
 func (routeMark) ServeHTTP(http.ResponseWriter, *http.Request) {}
 
-// route returns the route of a call, or false if the service has none for it.
-func (s *serviceRow) route(method, path string) (object.ServiceRoute, bool) {
-	req, err := http.NewRequest(method, "http://service"+path, nil)
-	if err != nil {
-		return object.ServiceRoute{}, false
-	}
-	h, _ := s.mux.Handler(req)
-	mark, ok := h.(routeMark)
-	return mark.route, ok
-}
-
 func newServiceRow(s object.Service) (row *serviceRow, err error) {
 	row = &serviceRow{service: s, mux: http.NewServeMux()}
 	defer func() {
@@ -175,6 +166,62 @@
 	sort.Slice(v.models, func(i, j int) bool { return v.models[i] < v.models[j] })
 }
 
+// keep copies the form of an object from an older view.
+func (v *view) keep(k object.Key, old *view) {
+	switch k.Kind {
+	case object.KindOrganisation:
+		if o, ok := old.orgs[ident.OrgID(k.Name)]; ok {
+			v.addOrg(o)
+		}
+	case object.KindBudget:
+		if o, ok := old.budgets[ident.BudgetID(k.Name)]; ok {
+			v.budgets[o.ID] = o
+		}
+	case object.KindTarget:
+		if o, ok := old.targets[ident.TargetID(k.Name)]; ok {
+			v.targets[o.ID] = o
+		}
+	case object.KindVersion:
+		if o, ok := old.versions[ident.VersionID(k.Name)]; ok {
+			v.versions[o.ID] = o
+		}
+	case object.KindService:
+		if o, ok := old.services[ident.ServiceID(k.Name)]; ok {
+			v.services[o.service.ID] = o
+		}
+	case object.KindRelease:
+		if o, ok := old.releases[ident.ReleaseID(k.Name)]; ok {
+			v.releases[o.ID] = o
+		}
+	case object.KindOutcome:
+		if o, ok := old.outcomes[ident.ReleaseID(k.Name)]; ok {
+			v.outcomes[o.Release] = o
+		}
+	}
+}
+
+// hasModel reports whether the model has a version in service.
+func (v *view) hasModel(m ident.ModelID) bool { return slices.Contains(v.models, m) }
+
+// serves reports whether a target belongs to a pool.
+func (v *view) serves(t object.Target, k target.Key) bool {
+	if k.Service != "" {
+		return t.Service == k.Service
+	}
+	for _, id := range t.Versions {
+		if v.versions[id].Model == k.Model {
+			return true
+		}
+	}
+	return false
+}
+
+// size returns the number of objects in the view.
+func (v *view) size() int {
+	return len(v.orgs) + len(v.budgets) + len(v.targets) + len(v.versions) + len(v.services) + len(v.releases) +
+		len(v.outcomes) + len(v.operators) + len(v.routers)
+}
+
 func decode(raw []byte, o object.Value) error {
 	if err := json.Unmarshal(raw, o); err != nil {
 		return ErrBadObject
