Add claims of non-idempotent calls and operation tokens

A non-idempotent call must reach a target at most once, whichever router a retry meets. Registry decides for each arrival whether it runs here, waits, is replayed, needs the platform's claim, belongs to another incarnation, or is refused with its outcome.

--- /dev/null
+++ b/core/claim/event.go
@@ -0,0 +1,142 @@
+package claim
+
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Handle takes an event and returns what the attempt does next. An event of an attempt that no longer has its call
+// changes nothing.
+func (r *Registry) Handle(e Event, now time.Time) Decision {
+	r.advance(now)
+	switch e := e.(type) {
+	case HomeAnswered:
+		return fromHome(e)
+	case HomeUnreachable:
+		return Refuse{ident.OutcomeUnknown, ReasonHomeAway}
+	}
+	ref := e.ref()
+	c := r.calls[ref.ID]
+	if c == nil || c.request != ref.Request {
+		return Refuse{ident.OutcomeUnknown, ReasonSuperseded}
+	}
+	switch e := e.(type) {
+	case Created:
+		return r.created(c)
+	case Exists:
+		return r.exists(c, e)
+	case PlatformUnavailable:
+		return r.unavailable(c)
+	case Dispatching:
+		return r.dispatching(c)
+	case NotSent:
+		return r.notSent(c)
+	case Finished:
+		return r.finish(c, e)
+	case LostReply:
+		return r.lose(c)
+	}
+	return None{}
+}
+
+func fromHome(e HomeAnswered) Decision {
+	switch d := e.Decision.(type) {
+	case Replay, Conflict, Refuse:
+		return d
+	}
+	return Refuse{ident.OutcomeUnknown, ReasonHomeRefused}
+}
+
+func (r *Registry) created(c *call) Decision {
+	if c.phase != claiming {
+		return None{}
+	}
+	c.phase = granted
+	return Run{Ref{c.id, c.request}}
+}
+
+func (r *Registry) exists(c *call, e Exists) Decision {
+	if c.phase != claiming {
+		return None{}
+	}
+	if e.Holder == r.self && e.Claimed == c.claim {
+		// The reply to this call's own creation was lost. Nothing was sent, because the call never left claiming.
+		return r.created(c)
+	}
+	if e.Holder == r.self {
+		// An earlier entry of this incarnation expired, so its end is no longer known.
+		c.phase = lost
+		return Refuse{ident.OutcomeUnknown, ReasonForgotten}
+	}
+	c.phase, c.home = foreign, e.Holder
+	return AskHome{e.Ref, e.Holder}
+}
+
+func (r *Registry) unavailable(c *call) Decision {
+	if c.phase != claiming {
+		return None{}
+	}
+	c.phase = unproved
+	return Refuse{ident.OutcomeUnknown, ReasonPlatformAway}
+}
+
+func (r *Registry) dispatching(c *call) Decision {
+	if c.phase != granted {
+		return Refuse{ident.OutcomeUnknown, ReasonSuperseded}
+	}
+	c.phase = sent
+	return Send{Ref{c.id, c.request}}
+}
+
+func (r *Registry) notSent(c *call) Decision {
+	if c.phase != granted && c.phase != sent {
+		return None{}
+	}
+	c.phase = idle
+	return Refuse{ident.OutcomeNotRun, ReasonNotDispatched}
+}
+
+func (r *Registry) lose(c *call) Decision {
+	if c.phase != sent {
+		return None{}
+	}
+	c.phase = lost
+	return Refuse{ident.OutcomeUnknown, ReasonLostReply}
+}
+
+func (r *Registry) finish(c *call, e Finished) Decision {
+	if c.phase != sent && c.phase != lost {
+		return None{}
+	}
+	c.phase, c.answer = finished, e.Answer
+	r.keepAnswer(c)
+	return Replay{c.request, e.Answer}
+}
+
+// keepAnswer drops the oldest answers above the byte limit. The outcome of a call stays known without its answer.
+func (r *Registry) keepAnswer(c *call) {
+	if c.answer == nil {
+		return
+	}
+	if c.size() > r.lim.AnswerBytes/16 {
+		c.answer = nil
+		return
+	}
+	r.bytes += c.size()
+	r.answers = append(r.answers, c)
+	for r.bytes > r.lim.AnswerBytes || len(r.answers) > 0 && r.answers[0].answer == nil {
+		r.dropAnswer(r.answers[0])
+		r.answers = r.answers[1:]
+	}
+}
+
+func (r *Registry) dropAnswer(c *call) {
+	if c.answer == nil {
+		return
+	}
+	r.bytes -= c.size()
+	c.answer = nil
+}
+
+func (c *call) size() ident.Bytes { return ident.Bytes(len(c.answer.Body) + len(c.answer.Type)) }
