--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -44,7 +44,7 @@
 )
 
 func mustEnc() cbor.EncMode {
-	m, err := cbor.EncOptions{Sort: cbor.SortNone}.EncMode()
+	m, err := cbor.EncOptions{Sort: cbor.SortNone, Time: cbor.TimeRFC3339NanoUTC}.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -7,19 +7,23 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/record"
 	"geraniumsaddle/io/peer"
 )
 
 func samples() []peer.Message {
 	up := member.Update{ID: "b.2", Addr: "127.0.0.1:7001", Domain: "d1", VM: "vm-b", Incarnation: 3, State: member.StateSuspect}
-	key := peer.EntryKey{Kind: object.KindLedger, Object: "07", Entry: "budget-1"}
-	row := peer.JournalRow{Seq: 9, Kind: peer.JournalHold, Key: key, Request: "r1", KeyHash: []byte{1, 2}, Tokens: 500, At: 1}
+	key := object.Key{Kind: object.KindLedger, Name: "07"}
+	at := time.Date(2030, 1, 2, 3, 4, 5, 6000, time.UTC)
+	hold := record.Hold{Request: "r1", Org: "o", Budget: "b", Tokens: 500, IdempotencyKey: record.Hash{7}, At: at}
 	return []peer.Message{
 		peer.Probe{Probe: member.Probe{Seq: 1, From: up, Updates: []member.Update{up}, Sync: true}},
 		peer.ProbeAck{Ack: member.Ack{Seq: 1, From: up, Relayed: true}},
@@ -28,20 +32,22 @@
 		peer.Digest{Digest: config.Digest{Kinds: []config.KindDigest{{Kind: object.KindTarget, Highest: 5, Hash: 1 << 63}}}},
 		peer.Want{Want: config.Want{Kinds: []config.KindWant{{Kind: object.KindTarget, Newer: true, Buckets: []uint64{1, 2}, Names: []string{"x"}}}}},
 		peer.Push{Push: config.Push{Objects: []config.Object{{Kind: object.KindTarget, Name: "t", Version: 4, Value: []byte("{}")}}}},
-		peer.LedgerReport{Rows: []peer.LedgerRow{{Key: key, Holder: "a.1", Returned: 5, Closing: true}}},
-		peer.LedgerState{Objects: []config.Object{{Kind: object.KindLedger, Name: "07", Version: 9, Value: []byte("{}")}}},
-		peer.TransferAsk{Key: key, Holder: "a.1", Wanted: 10},
-		peer.Transfer{Key: key, From: "a.1", To: "b.2", Out: 7},
-		peer.TransferAck{Key: key, From: "a.1", To: "b.2", In: 7},
-		peer.JournalAppend{Owner: "a.1", Snapshot: true, Last: true, Rows: []peer.JournalRow{row}},
-		peer.JournalAck{Owner: "a.1", Seq: 9, NeedSnapshot: true},
-		peer.JournalFind{Request: "r1", KeyHash: []byte{1}},
-		peer.JournalFound{Owner: "a.1", Rows: []peer.JournalRow{row}, More: true},
+		peer.LedgerReport{Shard: key, Reports: []escrow.Report{{Entry: "b", Holder: "a.1", Returned: 5, Seq: 1}}},
+		peer.LedgerState{Shard: key, Version: 9, Entries: []escrow.Entry{{ID: "b", Paid: 5, ExpiresAt: at, Holders: []escrow.Holder{{ID: "a.1", Granted: 3}}}}},
+		peer.TransferAsk{Ask: escrow.Ask{Entry: "b", From: "a.1", Need: 10, Pending: true}},
+		peer.Transfer{Transfer: escrow.Transfer{Entry: "b", From: "a.1", To: "b.2", Total: 7}},
+		peer.TransferAck{Transfer: escrow.Transfer{Entry: "b", From: "a.1", To: "b.2", Total: 7}},
+		peer.JournalAppend{Append: &record.Append{Router: "a.1", Term: 2, Entries: []record.Entry{{Seq: 9, Open: &hold}}}},
+		peer.JournalAck{Ack: record.Ack{Peer: "b.2", Term: 2, Instance: 1 << 63, Seq: 9, Number: 4}},
+		peer.JournalFind{Key: record.Hash{1}, Request: "r1"},
+		peer.JournalFound{Owner: "a.1", Hold: &hold, Settlement: &record.Settlement{Request: "r1", Outcome: "run", At: at, Answer: &record.Answer{Status: 200, Body: []byte("x")}}},
 		peer.Evidence{Domain: "d1", Cells: []peer.EvidenceCell{{Router: "a.1", Version: "v2", Route: "/x", Requests: 9, Latency: []uint64{1}}}},
 		peer.Verdict{Rows: []peer.VerdictRow{{Release: "rel", Version: "v2", Bad: true, Verdict: object.VerdictTakenBack}}},
 		peer.Load{Domain: "d1", Rows: []peer.LoadRow{{Target: "t", Running: 1, Capacity: 8}}},
 		peer.Done{},
 		peer.Failure{Code: "c", Message: "m"},
+		peer.ClaimAsk{Org: "o", Key: "k", Body: record.Hash{2}, Request: "r1", Call: peer.ServiceCall{Service: "s", Method: "POST", Path: "/x", Headers: []peer.Header{{Name: "Accept", Values: []string{"*"}}}, Body: []byte("b"), TimeoutMS: 5}},
+		peer.ClaimAnswer{Request: "r1", Status: 201, Body: []byte("b"), Outcome: "run"},
 	}
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/record"
 )
 
 // Message is one of the message structs of this package.
@@ -39,130 +41,91 @@
 // Push carries configuration objects and references.
 type Push struct{ config.Push }
 
-// EntryKey names one ledger entry: the object that holds it and the budget or target in it.
-type EntryKey struct {
-	Kind   object.Kind `cbor:"1,keyasint"`
-	Object string      `cbor:"2,keyasint"`
-	Entry  string      `cbor:"3,keyasint"`
-}
-
-// LedgerRow holds a holder's cumulative counters and its wants for one entry.
-type LedgerRow struct {
-	Key         EntryKey       `cbor:"1,keyasint"`
-	Holder      ident.RouterID `cbor:"2,keyasint"`
-	Returned    ident.Tokens   `cbor:"3,keyasint,omitempty"`
-	Settled     ident.Tokens   `cbor:"4,keyasint,omitempty"`
-	Wanted      ident.Tokens   `cbor:"5,keyasint,omitempty"`
-	JournalPeer ident.RouterID `cbor:"6,keyasint,omitempty"`
-	// Seen is the version of the ledger object that the holder has last confirmed.
-	Seen ident.ObjectVersion `cbor:"7,keyasint,omitempty"`
-	// Closing asks the writer to close the holder after a graceful shutdown.
-	Closing bool `cbor:"8,keyasint,omitempty"`
-}
-
-// LedgerReport goes from a holder to the writer of a ledger object.
+// LedgerReport goes from a holder to the writer of a shard. It is a call; LedgerState answers it.
 type LedgerReport struct {
-	Rows []LedgerRow `cbor:"1,keyasint"`
+	Shard   object.Key      `cbor:"1,keyasint"`
+	Reports []escrow.Report `cbor:"2,keyasint"`
 }
 
-// LedgerState carries ledger objects as confirmed by the platform.
+// LedgerState carries entries of a shard as confirmed by the platform at a version.
 type LedgerState struct {
-	Objects []config.Object `cbor:"1,keyasint"`
+	Shard   object.Key          `cbor:"1,keyasint"`
+	Version ident.ObjectVersion `cbor:"2,keyasint"`
+	Entries []escrow.Entry      `cbor:"3,keyasint"`
 }
 
 // TransferAsk asks another holder for tokens or slots of an entry.
-type TransferAsk struct {
-	Key    EntryKey       `cbor:"1,keyasint"`
-	Holder ident.RouterID `cbor:"2,keyasint"`
-	Wanted ident.Tokens   `cbor:"3,keyasint"`
-}
-
-// Transfer states the cumulative amount that holder From has sent to holder To.
-type Transfer struct {
-	Key  EntryKey       `cbor:"1,keyasint"`
-	From ident.RouterID `cbor:"2,keyasint"`
-	To   ident.RouterID `cbor:"3,keyasint"`
-	Out  ident.Tokens   `cbor:"4,keyasint"`
-}
-
-// TransferAck states the cumulative amount that holder To has received from holder From.
-type TransferAck struct {
-	Key  EntryKey       `cbor:"1,keyasint"`
-	From ident.RouterID `cbor:"2,keyasint"`
-	To   ident.RouterID `cbor:"3,keyasint"`
-	In   ident.Tokens   `cbor:"4,keyasint"`
-}
-
-// JournalKind says what a journal row records.
-type JournalKind uint8
-
-// The kinds of journal rows.
-const (
-	JournalHold JournalKind = iota + 1
-	JournalClaim
-	JournalSettle
-	JournalReturn
-	JournalOut
-)
+type TransferAsk struct{ escrow.Ask }
+
+// Transfer states the cumulative amount that one holder has sent to another.
+type Transfer struct{ escrow.Transfer }
 
-// JournalRow is one record of a router's journal. Unused fields are empty.
-type JournalRow struct {
-	Seq     uint64           `cbor:"1,keyasint"`
-	Kind    JournalKind      `cbor:"2,keyasint"`
-	Key     EntryKey         `cbor:"3,keyasint,omitempty"`
-	Request ident.RequestID  `cbor:"4,keyasint,omitempty"`
-	Org     ident.OrgID      `cbor:"5,keyasint,omitempty"`
-	KeyHash []byte           `cbor:"6,keyasint,omitempty"`
-	Target  ident.TargetID   `cbor:"7,keyasint,omitempty"`
-	Version ident.VersionID  `cbor:"8,keyasint,omitempty"`
-	Outcome ident.Outcome    `cbor:"9,keyasint,omitempty"`
-	Tokens  ident.Tokens     `cbor:"10,keyasint,omitempty"`
-	To      ident.RouterID   `cbor:"11,keyasint,omitempty"`
-	At      int64            `cbor:"12,keyasint,omitempty"` // Unix milliseconds
-	Body    []byte           `cbor:"13,keyasint,omitempty"` // JSON form of a claim, bill or stored answer
-	Model   ident.ModelID    `cbor:"14,keyasint,omitempty"`
-	Service ident.ServiceID  `cbor:"15,keyasint,omitempty"`
-	Budgets []ident.BudgetID `cbor:"16,keyasint,omitempty"`
-}
-
-// JournalAppend adds rows to the copy of a router's journal.
+// TransferAck states the cumulative amount that the receiver of a transfer has merged.
+type TransferAck struct{ escrow.Transfer }
+
+// JournalAppend carries journal entries or a snapshot to the journal peer. Exactly one field is set.
 type JournalAppend struct {
-	Owner ident.RouterID `cbor:"1,keyasint"`
-	// Snapshot replaces the copy. A snapshot may take several messages; Last marks the final one.
-	Snapshot bool         `cbor:"2,keyasint,omitempty"`
-	Last     bool         `cbor:"3,keyasint,omitempty"`
-	Rows     []JournalRow `cbor:"4,keyasint"`
-	// Confirmed is the highest acknowledgement that the owner has received.
-	Confirmed uint64 `cbor:"5,keyasint,omitempty"`
+	Append   *record.Append   `cbor:"1,keyasint,omitempty"`
+	Snapshot *record.Snapshot `cbor:"2,keyasint,omitempty"`
 }
 
-// JournalAck confirms all rows up to Seq.
-type JournalAck struct {
-	Owner ident.RouterID `cbor:"1,keyasint"`
-	Seq   uint64         `cbor:"2,keyasint"`
-	// NeedSnapshot says that the peer has no copy to which the rows could be added.
-	NeedSnapshot bool `cbor:"3,keyasint,omitempty"`
-}
+// JournalAck acknowledges journal entries.
+type JournalAck struct{ record.Ack }
 
-// JournalFind asks for the rows of a request, of an idempotency key or of a router.
+// JournalFind asks for a request by its idempotency key or its id. It is a call; JournalFound answers it.
 type JournalFind struct {
-	Request ident.RequestID `cbor:"1,keyasint,omitempty"`
-	KeyHash []byte          `cbor:"2,keyasint,omitempty"`
-	Owner   ident.RouterID  `cbor:"3,keyasint,omitempty"`
-	// After continues a long answer.
-	After uint64 `cbor:"4,keyasint,omitempty"`
+	Key     record.Hash     `cbor:"1,keyasint,omitempty"`
+	Request ident.RequestID `cbor:"2,keyasint,omitempty"`
 }
 
-// JournalFound answers JournalFind.
+// JournalFound answers JournalFind. Hold is nil when the router knows nothing of the request, and Settlement while
+// the request is open.
 type JournalFound struct {
-	Owner ident.RouterID `cbor:"1,keyasint,omitempty"`
-	Rows  []JournalRow   `cbor:"2,keyasint,omitempty"`
-	// More says that rows follow after the last one.
-	More bool `cbor:"3,keyasint,omitempty"`
-	// Seq is the highest row that the copy holds.
-	Seq uint64 `cbor:"4,keyasint,omitempty"`
-	// Alive says that the answering router is the owner itself.
-	Alive bool `cbor:"5,keyasint,omitempty"`
+	Owner      ident.RouterID     `cbor:"1,keyasint,omitempty"`
+	Hold       *record.Hold       `cbor:"2,keyasint,omitempty"`
+	Settlement *record.Settlement `cbor:"3,keyasint,omitempty"`
+}
+
+// ClaimAsk asks the home router of a non-idempotent call for its decision. It is a call; ClaimAnswer answers it.
+type ClaimAsk struct {
+	Org     ident.OrgID     `cbor:"1,keyasint"`
+	Key     string          `cbor:"2,keyasint"`
+	Body    record.Hash     `cbor:"3,keyasint"`
+	Request ident.RequestID `cbor:"4,keyasint"`
+	// Call is the request itself, so that the home router can run it.
+	Call ServiceCall `cbor:"5,keyasint"`
+}
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Service ident.ServiceID `cbor:"1,keyasint"`
+	Method  string          `cbor:"2,keyasint"`
+	Path    string          `cbor:"3,keyasint"`
+	Query   string          `cbor:"4,keyasint,omitempty"`
+	Headers []Header        `cbor:"5,keyasint,omitempty"`
+	Body    []byte          `cbor:"6,keyasint,omitempty"`
+	KeyID   ident.KeyID     `cbor:"7,keyasint,omitempty"`
+	Class   ident.Class     `cbor:"8,keyasint,omitempty"`
+	// TimeoutMS is the rest of the caller's time, in milliseconds.
+	TimeoutMS int64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Header is one HTTP header.
+type Header struct {
+	Name   string   `cbor:"1,keyasint"`
+	Values []string `cbor:"2,keyasint"`
+}
+
+// ClaimAnswer is the home router's answer: the service's answer when Status is set, otherwise a refusal.
+type ClaimAnswer struct {
+	Request    ident.RequestID `cbor:"1,keyasint,omitempty"`
+	Status     int             `cbor:"2,keyasint,omitempty"`
+	Headers    []Header        `cbor:"3,keyasint,omitempty"`
+	Body       []byte          `cbor:"4,keyasint,omitempty"`
+	Outcome    ident.Outcome   `cbor:"5,keyasint,omitempty"`
+	Code       string          `cbor:"6,keyasint,omitempty"`
+	Message    string          `cbor:"7,keyasint,omitempty"`
+	RetryAfter int64           `cbor:"8,keyasint,omitempty"` // milliseconds
 }
 
 // EvidenceCell holds cumulative counters of one router for one version, route and load band.
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -26,6 +26,8 @@
 	TypeLoad
 	TypeDone
 	TypeFailure
+	TypeClaimAsk
+	TypeClaimAnswer
 	typeEnd
 )
 
@@ -65,6 +67,8 @@
 	TypeVerdict:       {"verdict", priorityHigh, func(b []byte) (Message, error) { var m Verdict; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeLoad:          {"load", priorityLow, func(b []byte) (Message, error) { var m Load; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeDone:          {"done", priorityHigh, func(b []byte) (Message, error) { var m Done; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeClaimAsk:      {"claim_ask", priorityHigh, func(b []byte) (Message, error) { var m ClaimAsk; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeClaimAnswer:   {"claim_answer", priorityHigh, func(b []byte) (Message, error) { var m ClaimAnswer; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -141,6 +145,14 @@
 // Type implements Message.
 func (Failure) Type() Type { return TypeFailure }
 
+// Type implements Message.
+func (ClaimAsk) Type() Type { return TypeClaimAsk }
+
+// Type implements Message.
+func (ClaimAnswer) Type() Type { return TypeClaimAnswer }
+
+func (ClaimAsk) message()      {}
+func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
 func (ProbeAck) message()      {}
 func (ProbeReq) message()      {}
