Test the coverage proof under loss, peer changes and crashes

A wrong proof frees tokens that were spent, so the rule needs more than examples. The property test drives one router, three peers, a lossy network with late duplicates, peer changes, unconfirmed declarations, lost replicas and a lagging VM list.

--- /dev/null
+++ b/core/record/property_test.go
@@ -0,0 +1,305 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumsaddle/core/ident"
+)
+
+type packet struct {
+	to  int // peer, or -1 for the router
+	msg Message
+	ack Ack
+}
+
+// world is one router, three peers, the network between them and the ledger's holder row.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	j        *Journal
+	peers    [3]*Replica
+	instance uint64
+	net      []packet
+	history  []packet // the latest packets ever sent, for late duplicates
+	steady   bool     // the peer stays declared, which makes long histories with it likely
+	cut      bool
+	ledger   Declaration
+	write    *Declaration // declaration that may land at any time
+	waiting  []Entry
+	released []Entry
+	open     []ident.RequestID // released and not settled
+	requests int
+	returned ident.Tokens
+}
+
+var testLimits = Limits{Holds: 8, Budgets: 4, Recent: 4096, AnswerBytes: 4096, PendingBytes: 6 << 10}
+
+func peerID(i int) ident.RouterID { return ident.NewRouterID(fmt.Sprint("p", i), 1) }
+
+func (w *world) forget(i int) {
+	w.instance++
+	w.peers[i] = NewReplica(peerID(i), "r.1", w.instance, testLimits)
+}
+
+// appended queues an entry until it is released.
+func (w *world) appended(e Entry, seq uint64, err error) {
+	if err != nil {
+		if !errors.Is(err, ErrFull) {
+			w.t.Fatal(err)
+		}
+		return
+	}
+	e.Seq = seq
+	w.waiting = append(w.waiting, e)
+}
+
+func (w *world) openHold(*rapid.T) {
+	w.requests++
+	h := Hold{Request: ident.RequestID(fmt.Sprint("q", w.requests)), Budget: "b", Tokens: 100, IdempotencyKey: Hash{byte(w.requests), byte(w.requests >> 8)}}
+	seq, err := w.j.Open(h)
+	w.appended(Entry{Open: &h}, seq, err)
+}
+
+func (w *world) settle(t *rapid.T) {
+	if len(w.open) == 0 {
+		t.Skip("none open")
+	}
+	i := rapid.IntRange(0, len(w.open)-1).Draw(t, "request")
+	s := Settlement{Request: w.open[i], Billed: 40, Outcome: ident.OutcomeRun, Answer: &Answer{Status: 200, Body: make([]byte, 300)}}
+	w.open = slices.Delete(w.open, i, i+1)
+	seq, err := w.j.Settle(s)
+	w.appended(Entry{Settle: &s}, seq, err)
+	if _, err := w.j.Settle(s); !errors.Is(err, ErrNotOpen) {
+		t.Fatalf("second settlement gave %v", err)
+	}
+}
+
+func (w *world) raise(*rapid.T) {
+	w.returned += 10
+	c := Counters{Budget: "b", Returned: w.returned, Out: []Transfer{{"x.1", w.returned}}}
+	seq, err := w.j.Raise(c)
+	w.appended(Entry{Raise: &c}, seq, err)
+}
+
+func (w *world) release(*rapid.T) {
+	var left []Entry
+	for _, e := range w.waiting {
+		if !w.j.Release(e.Seq, w.now).OK {
+			left = append(left, e)
+			continue
+		}
+		w.released = append(w.released, e)
+		if e.Open != nil {
+			w.open = append(w.open, e.Open.Request)
+		}
+	}
+	w.waiting = left
+}
+
+func (w *world) pump(*rapid.T) {
+	for _, o := range w.j.Outbox(w.now) {
+		for i := range w.peers {
+			if peerID(i) == o.To {
+				w.send(packet{to: i, msg: o.Message})
+			}
+		}
+	}
+}
+
+func (w *world) send(p packet) {
+	w.net = append(w.net, p)
+	w.history = append(w.history, p)
+	w.history = w.history[max(0, len(w.history)-12):]
+}
+
+func (w *world) deliver(p packet) {
+	if p.to < 0 {
+		w.j.Ack(p.ack, w.now)
+		return
+	}
+	if a, ok := w.peers[p.to].Apply(p.msg, w.now); ok {
+		w.send(packet{to: -1, ack: a})
+	}
+}
+
+func (w *world) lateDuplicate(t *rapid.T) {
+	if len(w.history) == 0 || w.cut {
+		t.Skip("no packet")
+	}
+	w.deliver(w.history[rapid.IntRange(0, len(w.history)-1).Draw(t, "packet")])
+}
+
+func (w *world) network(t *rapid.T) {
+	if len(w.net) == 0 {
+		t.Skip("no packet")
+	}
+	i := rapid.IntRange(0, len(w.net)-1).Draw(t, "packet")
+	p := w.net[i]
+	what := rapid.SampledFrom([]string{"deliver", "deliver", "duplicate", "drop"}).Draw(t, "what")
+	if what != "duplicate" {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	if what != "drop" && !w.cut {
+		w.deliver(p)
+	}
+}
+
+// exchange is a stretch of good network in which the router also releases what it may.
+func (w *world) exchange(t *rapid.T) {
+	if w.cut {
+		t.Skip("cut")
+	}
+	for range 3 {
+		w.pump(t)
+		for n := len(w.net); n > 0 && len(w.net) > 0; n-- {
+			p := w.net[0]
+			w.net = w.net[1:]
+			w.deliver(p)
+		}
+		w.now = w.now.Add(time.Millisecond)
+	}
+	w.release(t)
+}
+
+func (w *world) declare(t *rapid.T) {
+	if w.write == nil {
+		if d, ok := w.j.BeginDeclare(); ok {
+			w.write = &d
+		}
+		return
+	}
+	w.ledger = *w.write
+	if rapid.Bool().Draw(t, "confirmed") {
+		w.j.Declared(w.ledger)
+		w.write = nil
+	}
+}
+
+func (w *world) choose(t *rapid.T) {
+	peer := ident.RouterID("")
+	if i := rapid.IntRange(-1, 2).Draw(t, "peer"); i >= 0 {
+		peer = peerID(i)
+	}
+	if err := w.j.Choose(peer); (err == nil) != (w.write == nil) {
+		t.Fatalf("choice during a declaration gave %v", err)
+	}
+}
+
+func (w *world) die(t *rapid.T) bool {
+	lag := rapid.SampledFrom([]int{0, 1000, 10000, 14000, 15000}).Draw(t, "VM list lag in ms")
+	w.now = w.now.Add(time.Duration(lag) * time.Millisecond)
+	if w.write != nil && rapid.Bool().Draw(t, "write lands after the crash") {
+		w.ledger = *w.write
+	}
+	proofs := 0
+	for _, r := range w.peers {
+		v := r.Gone(w.ledger, w.now)
+		rec := r.Recover(v, nil, w.now)
+		if p, ok := v.(Proof); ok {
+			proofs++
+			w.checkProof(r, p, rec)
+		}
+	}
+	if proofs > 1 {
+		t.Fatal("two peers give a proof")
+	}
+	return proofs == 1
+}
+
+func (w *world) checkProof(r *Replica, p Proof, rec Recovery) {
+	c := Counters{}
+	if len(p.Counters) > 0 {
+		c = p.Counters[0]
+	}
+	for _, e := range w.released {
+		switch {
+		case e.Open != nil:
+			if _, ok := r.LookupKey(e.Open.IdempotencyKey); !ok {
+				w.t.Fatalf("proof without the released hold %s", e.Open.Request)
+			}
+		case e.Settle != nil:
+			if f, ok := r.Lookup(e.Settle.Request); !ok || f.Settlement == nil {
+				w.t.Fatalf("proof without the released settlement %s", e.Settle.Request)
+			}
+		case e.Raise != nil:
+			if c.Returned < e.Raise.Returned || c.Out[0].Tokens < e.Raise.Out[0].Tokens {
+				w.t.Fatal("proof without released counters")
+			}
+		}
+	}
+	seen := map[ident.RequestID]bool{}
+	var billed, unresolved ident.Tokens
+	for _, b := range rec.Bills {
+		if seen[b.Request] {
+			w.t.Fatalf("two bills of %s", b.Request)
+		}
+		seen[b.Request] = true
+		billed += b.Billed
+	}
+	for _, s := range rec.Settlements {
+		if seen[s.Request] {
+			w.t.Fatalf("%s is settled twice", s.Request)
+		}
+		seen[s.Request] = true
+		unresolved += s.Unresolved
+	}
+	for _, b := range rec.Proof.Budgets {
+		if b.Counters.Settled != billed || b.Unresolved != unresolved {
+			w.t.Fatalf("close proof says %+v for %d billed and %d unresolved", b, billed, unresolved)
+		}
+	}
+}
+
+// TestPropertyProof guards against a proof that misses something released, against two proofs, and against a request
+// that is settled or billed twice, when messages are dropped, duplicated, delayed and reordered, peers are changed or
+// lose their replica, the router is cut off, and the VM list lags.
+func TestPropertyProof(t *testing.T) {
+	proofs := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: time.Unix(1000, 0), j: New("r.1", testLimits)}
+		for i := range w.peers {
+			w.forget(i)
+		}
+		w.steady = rapid.Bool().Draw(t, "steady")
+		if w.steady || rapid.Bool().Draw(t, "declared at the start") {
+			_ = w.j.Choose(peerID(0))
+			w.exchange(t)
+			w.ledger, _ = w.j.BeginDeclare()
+			w.j.Declared(w.ledger)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": w.openHold, "settle": w.settle, "raise": w.raise, "release": w.release, "release again": w.release,
+			"pump": w.pump, "network": w.network, "network again": w.network, "late duplicate": w.lateDuplicate,
+			"exchange": w.exchange, "exchange again": w.exchange, "declare": w.declare, "declare again": w.declare,
+			"choose": func(t *rapid.T) {
+				if !w.steady && rapid.IntRange(0, 3).Draw(t, "change") == 0 {
+					w.choose(t)
+				}
+			},
+			"cut": func(t *rapid.T) { w.cut = !w.cut && rapid.IntRange(0, 2).Draw(t, "cut") == 0 },
+			"forget": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "loss") == 3 {
+					i := 0
+					if !w.steady {
+						i = rapid.IntRange(0, 2).Draw(t, "peer")
+					}
+					w.forget(i)
+				}
+			},
+			"time": func(t *rapid.T) {
+				ms := rapid.SampledFrom([]int{5, 5, 50, 50, 500, 500, 5000, 16000}).Draw(t, "ms")
+				w.now = w.now.Add(time.Duration(ms) * time.Millisecond)
+			},
+		})
+		if w.die(t) {
+			proofs++
+		}
+	})
+	t.Logf("%d proofs", proofs)
+}
