--- a/core/claim/types.go
+++ b/core/claim/types.go
@@ -88,15 +88,15 @@
 // None means that there is nothing to do.
 type None struct{}
 
-func (Run) decision()        {}
-func (Send) decision()       {}
-func (Wait) decision()       {}
-func (Replay) decision()     {}
-func (Conflict) decision()   {}
-func (AskHome) decision()    {}
-func (Create) decision() {}
-func (Refuse) decision()     {}
-func (None) decision()       {}
+func (Run) decision()      {}
+func (Send) decision()     {}
+func (Wait) decision()     {}
+func (Replay) decision()   {}
+func (Conflict) decision() {}
+func (AskHome) decision()  {}
+func (Create) decision()   {}
+func (Refuse) decision()   {}
+func (None) decision()     {}
 
 // Reason says why an attempt is refused.
 type Reason string
