--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -55,7 +55,9 @@
 	recalled    ident.ObjectVersion
 	seq         uint64
 	journalPeer ident.RouterID
-	demand      estimate
+	// confirmedPeer is the journal peer in the newest confirmed row.
+	confirmedPeer ident.RouterID
+	demand        estimate
 }
 
 // NewAccount returns an account without tokens.
@@ -208,6 +210,9 @@
 	if h.Open != a.open || a.Closed() {
 		return
 	}
+	if newest {
+		a.confirmedPeer = h.JournalPeer
+	}
 	if n := h.Granted - a.granted; n > 0 {
 		a.granted = h.Granted
 		a.free.Add(int64(n))
@@ -223,6 +228,14 @@
 	a.journalPeer = r
 }
 
+// JournalConfirmed reports whether the newest confirmed row shows the journal peer. A row that is not open yet opens
+// with it.
+func (a *Account) JournalConfirmed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.open == 0 || a.confirmedPeer == a.journalPeer || a.Closed()
+}
+
 // Report returns the counters and the want for the writer of the shard.
 func (a *Account) Report() Report {
 	a.mu.Lock()
--- a/io/cmds/router.go
+++ b/io/cmds/router.go
@@ -34,11 +34,20 @@
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	log := slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), &slog.HandlerOptions{Level: cfg.Level()}))
-	n, err := node.New(cfg, node.Deps{Clock: clockwork.NewRealClock(), Log: log, Registry: reg})
+	clock := clockwork.NewRealClock()
+	certs, err := loadCerts(cfg, clock)
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q}\n", n.ID(), n.CallerAddr(), n.AdminAddr())
+	n, err := node.New(cfg, node.Deps{Clock: clock, Log: log, Registry: reg, Certs: certs})
+	if err != nil {
+		return err
+	}
+	if certs != nil {
+		go watchCerts(cmd.Context(), cfg, certs, clock, log)
+	}
+	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q,\"peer_addr\":%q}\n",
+		n.ID(), n.CallerAddr(), n.AdminAddr(), n.PeerAddr())
 	return n.Run(cmd.Context())
 }
 
--- a/io/metric/recorder.go
+++ b/io/metric/recorder.go
@@ -13,6 +13,7 @@
 var (
 	latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2, 5, 10, 30, 60, 300}
 	firstBuckets   = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 1.9, 3, 5, 10, 30}
+	journalBuckets = []float64{.0001, .00025, .0005, .001, .0025, .005, .01, .02, .05, .1, 1, 15}
 	betweenBuckets = []float64{.001, .002, .005, .01, .015, .02, .027, .04, .06, .1, .25, 1, 5}
 )
 
@@ -29,6 +30,8 @@
 	peer     *prometheus.CounterVec
 	platform *prometheus.CounterVec
 	gauges   *prometheus.GaugeVec
+	journal  prometheus.Histogram
+	over     prometheus.Counter
 }
 
 // New returns a Recorder whose collectors are registered with reg.
@@ -46,7 +49,11 @@
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "state", Help: "Current values of control state by name."}, []string{"name"}),
 	}
-	reg.MustRegister(r.requests, r.latency, r.first, r.between, r.tokens, r.peer, r.platform, r.gauges)
+	r.journal = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "journal_wait_seconds",
+		Help: "Wait for the journal peer before a request is sent.", Buckets: journalBuckets})
+	r.over = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "over_bound_tokens_total",
+		Help: "Tokens that targets reported above the bound of a request."})
+	reg.MustRegister(r.journal, r.over, r.requests, r.latency, r.first, r.between, r.tokens, r.peer, r.platform, r.gauges)
 	return r
 }
 
@@ -80,6 +87,12 @@
 	r.tokens.WithLabelValues(r.labels(class, org)...).Add(float64(n))
 }
 
+// Journal records the wait for the journal peer.
+func (r *Recorder) Journal(d time.Duration) { r.journal.Observe(d.Seconds()) }
+
+// OverBound counts tokens that a target reported above the bound of its request.
+func (r *Recorder) OverBound(n ident.Tokens) { r.over.Add(float64(n)) }
+
 // PeerBytes counts bytes sent to or received from other routers.
 func (r *Recorder) PeerBytes(direction, kind string, n float64) {
 	r.peer.WithLabelValues(direction, kind).Add(n)
--- a/io/node/accts.go
+++ b/io/node/accts.go
@@ -175,3 +175,13 @@
 	defer a.mu.RUnlock()
 	return a.byEntry[id]
 }
+
+// declare sets the journal peer on all accounts, also on those that open later.
+func (a *accounts) declare(p ident.RouterID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peer = p
+	for _, acct := range a.byEntry {
+		acct.SetJournalPeer(p)
+	}
+}
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumsaddle/core/claim"
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/queue"
@@ -53,6 +54,10 @@
 	detached bool
 	exclude  []ident.TargetID
 	row      *streamRow
+	keyHash  claim.ID
+	// journaled means that the hold is in the journal; joined, that another attempt runs and bills the request.
+	journaled bool
+	joined    bool
 }
 
 // Chat implements caller.Backend.
@@ -70,6 +75,9 @@
 	}
 	defer n.traffic.limiter.Release(r.Caller.Org, streamBytes)
 	c := &chat{n: n, r: r, w: w, start: n.clock.Now()}
+	if r.IdempotencyKey != "" {
+		return n.chatKeyed(ctx, c)
+	}
 	return c.run(ctx)
 }
 
@@ -179,6 +187,9 @@
 
 // abandon cancels the request at the target and keeps the slot until the target has confirmed it.
 func (c *chat) abandon(r target.Result) {
+	if c.joined {
+		return
+	}
 	c.n.traffic.reap(c.client, c.r.ID, c.choice, r)
 }
 
@@ -187,7 +198,7 @@
 	c.row = c.n.traffic.streams.add(s)
 	defer c.n.traffic.streams.remove(c.row)
 	defer func() { _ = c.row.stream().Close() }()
-	if c.r.IdempotencyKey == "" {
+	if c.r.IdempotencyKey == "" || c.joined {
 		// Without a key nobody can ask for the rest, so a caller that goes away ends the stream.
 		stop := context.AfterFunc(ctx, func() { _ = c.row.stream().Close() })
 		defer stop()
@@ -231,7 +242,7 @@
 		}
 		c.chunks++
 		if err := c.take(chunk, !s.Buffered()); err != nil {
-			if c.r.IdempotencyKey == "" {
+			if c.r.IdempotencyKey == "" || c.joined {
 				return err
 			}
 			c.detached = true
@@ -331,7 +342,6 @@
 // leave ends a request whose caller went away or whose time ran out.
 func (c *chat) leave(err error) error {
 	c.abandon(target.ResultNeutral)
-	c.evidenceNeutral()
 	c.n.log.Debug("caller went away", "request_id", c.r.ID, "error", err)
 	return caller.Refuse(caller.CodeIncompleteAnswer, ident.OutcomeRun, "the request ended before its answer was complete")
 }
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// offer hands over an event unless the queue is full. Messages of peers repeat cumulative state, so a dropped one is
+// made up for by a later one.
+func (n *Node) offer(ev event) {
+	select {
+	case n.events <- ev:
+	default:
+		n.metrics.Set("control_events_dropped", float64(n.dropped.Add(1)))
+	}
+}
+
 // ask runs a function on the control goroutine and waits for it.
 func (n *Node) ask(ctx context.Context, run func()) error {
 	done := make(chan struct{})
@@ -73,7 +83,9 @@
 	now := n.clock.Now()
 	switch ev := ev.(type) {
 	case feedEvent:
-		n.changed(n.feeds.handle(ev, now))
+		objs := n.feeds.handle(ev, now)
+		n.changed(objs)
+		n.shareObjects(objs)
 	case peerEvent:
 		n.receive(ev, now)
 	case vmsEvent:
@@ -119,6 +131,7 @@
 	v.finish()
 	n.view.Store(v)
 	n.pools.configure(v, now)
+	n.members.learnRouters(v)
 	n.prefetch(v)
 	n.metrics.Set("configuration_objects", float64(v.size()))
 }
@@ -142,6 +155,8 @@
 	n.feeds.setActive(n.isWatcher())
 	n.feeds.tick(now)
 	n.pools.tick(now)
+	n.members.tick(now)
+	n.journal.tick()
 	if now.Sub(n.slowTick) < time.Second {
 		n.ledger.tick(now, false)
 		return
@@ -154,6 +169,7 @@
 	n.ledger.tick(now, false)
 	n.transfers.tick(now)
 	n.pollVMs(now)
+	n.recovery.tick(now)
 	n.gauges()
 }
 
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -6,6 +6,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
 )
 
@@ -20,7 +21,10 @@
 }
 
 // peerEvent is a one-way message of another router.
-type peerEvent struct{}
+type peerEvent struct {
+	from peer.Sender
+	msg  peer.Message
+}
 
 // vmsEvent is an answer of the VM list.
 type vmsEvent struct {
--- a/io/node/feeds.go
+++ b/io/node/feeds.go
@@ -160,7 +160,10 @@
 }
 
 // slotEntry returns the escrow entry of a target's capacity.
-func slotEntry(t ident.TargetID) escrow.EntryID { return escrow.EntryID("slot/" + string(t)) }
+func slotEntry(t ident.TargetID) escrow.EntryID { return escrow.EntryID(slotPrefix + string(t)) }
+
+// slotPrefix keeps the entries of targets apart from those of budgets of the same name.
+const slotPrefix = "slot/"
 
 // slotTargets returns the targets of the own failure domain whose entries are in a slots shard.
 func (n *Node) slotTargets(k object.Key) []object.Target {
--- /dev/null
+++ b/io/node/inbox.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/peer"
+)
+
+// inbox receives the messages of other routers. The journal answers on the transport's goroutines, because a
+// request waits for it; everything else goes through the control goroutine.
+type inbox struct{ n *Node }
+
+// HandleMessage implements peer.Handler.
+func (b inbox) HandleMessage(from peer.Sender, m peer.Message) {
+	switch m := m.(type) {
+	case peer.JournalAppend:
+		b.n.replicas.apply(from, m)
+	case peer.JournalAck:
+		b.n.journal.acked(m.Ack)
+	default:
+		b.n.offer(peerEvent{from, m})
+	}
+}
+
+// HandleCall implements peer.Handler.
+func (b inbox) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
+	switch m := m.(type) {
+	case peer.Digest:
+		return peer.Done{}, nil
+	case peer.LedgerReport:
+		return b.n.writeFor(ctx, m)
+	case peer.JournalFind:
+		return b.n.find(m), nil
+	case peer.ClaimAsk:
+		return b.n.claims.answer(ctx, m), nil
+	}
+	return nil, peer.Failure{Code: "not_a_call", Message: m.Type().String() + " from " + string(from.ID)}
+}
+
+// writeFor writes the reports of another router to a shard.
+func (n *Node) writeFor(ctx context.Context, m peer.LedgerReport) (peer.Message, error) {
+	if m.Shard.Kind != object.KindLedger && m.Shard.Kind != object.KindSlots {
+		return nil, peer.Failure{Code: "not_a_shard"}
+	}
+	s, v, err := n.writers.submit(ctx, m.Shard, m.Reports)
+	if err != nil {
+		return nil, peer.Failure{Code: "not_written", Message: err.Error()}
+	}
+	return peer.LedgerState{Shard: m.Shard, Version: v, Entries: entriesOf(s, m.Reports)}, nil
+}
+
+// receive applies a message of another router on the control goroutine.
+func (n *Node) receive(ev peerEvent, now time.Time) {
+	switch m := ev.msg.(type) {
+	case peer.Probe:
+		n.members.act(n.members.det.Receive(ev.from.Addr, m.Probe, now))
+	case peer.ProbeAck:
+		n.members.act(n.members.det.Receive(ev.from.Addr, m.Ack, now))
+	case peer.ProbeReq:
+		n.members.act(n.members.det.Receive(ev.from.Addr, m.ProbeReq, now))
+	case peer.Leaving:
+		n.members.act(n.members.det.Learn(m.Member, now))
+	case peer.Digest:
+		if w := n.feeds.store.Diff(m.Digest); !w.Empty() {
+			n.send(ev.from.Addr, peer.Want{Want: w})
+		}
+	case peer.Want:
+		if p := n.feeds.store.Push(m.Want); !p.Empty() {
+			n.send(ev.from.Addr, peer.Push{Push: p})
+		}
+	case peer.Push:
+		n.receivePush(ev, m)
+	default:
+		n.receiveState(ev, now)
+	}
+}
+
+func (n *Node) receivePush(ev peerEvent, m peer.Push) {
+	changed, next := n.feeds.store.Receive(m.Push)
+	n.changed(changed)
+	if !next.Empty() {
+		n.send(ev.from.Addr, peer.Want{Want: next})
+	}
+}
+
+func (n *Node) receiveState(ev peerEvent, now time.Time) {
+	switch m := ev.msg.(type) {
+	case peer.LedgerState:
+		n.ledger.confirmed(entriesEvent{key: m.Shard, version: m.Version, entries: m.Entries}, now)
+	case peer.TransferAsk:
+		n.transfers.answer(ev.from, m)
+	case peer.Transfer:
+		n.transfers.merge(ev.from, m)
+	case peer.TransferAck:
+		if a := n.accounts.find(m.Entry); a != nil && a.Holder() == m.From {
+			a.TransferAcked(m.To, m.Total)
+		}
+	case peer.Load:
+		for _, r := range m.Rows {
+			n.pools.registry.Report(target.Load{Target: r.Target, Running: r.Running, Queued: r.Queued, AsOf: time.UnixMilli(r.AsOf)})
+			if r.State != "" {
+				n.pools.registry.SetState(r.Target, r.State)
+			}
+		}
+	}
+}
+
+// shareObjects hands objects that a watch has brought to the routers of the own failure domain, which have no watch.
+func (n *Node) shareObjects(objs []config.Object) {
+	r := n.members.roster.Load()
+	if len(r.domain) <= watchersPerDomain {
+		return
+	}
+	var others []config.Object
+	for _, o := range objs {
+		if o.Kind != object.KindLedger && o.Kind != object.KindSlots {
+			others = append(others, o)
+		}
+	}
+	if len(others) == 0 || len(others) > shareLimit {
+		return // The digests bring the rest.
+	}
+	for _, id := range r.domain {
+		if id != n.id {
+			n.sendTo(id, peer.Push{Push: config.Push{Objects: others}})
+		}
+	}
+}
+
+// shareLimit bounds the objects that are pushed at once. More are left to the digests, whose answers are bounded.
+const shareLimit = 64
+
+// shareEntries hands the entries of a shard to the routers of the own failure domain that hold a part of them.
+func (n *Node) shareEntries(k object.Key, version ident.ObjectVersion, s escrow.Shard) {
+	r := n.members.roster.Load()
+	if len(r.domain) <= watchersPerDomain {
+		return
+	}
+	for _, id := range r.domain {
+		if id == n.id {
+			continue
+		}
+		var es []escrow.Entry
+		for i := range s.Entries {
+			for j := range s.Entries[i].Holders {
+				if s.Entries[i].Holders[j].ID.Router() == id {
+					es = append(es, s.Entries[i])
+					break
+				}
+			}
+		}
+		if len(es) > 0 {
+			n.sendTo(id, peer.LedgerState{Shard: k, Version: version, Entries: es})
+		}
+	}
+}
+
+// reportTo brings reports to the writer of a shard: the router that the failure domain has chosen, or this one.
+func (n *Node) reportTo(ctx context.Context, k object.Key, reports []escrow.Report) ([]escrow.Entry, ident.ObjectVersion, error) {
+	w := n.writerOf(k)
+	if addr, ok := n.members.roster.Load().addr[w]; ok && w != n.id {
+		m, err := n.transport.Call(ctx, addr, peer.LedgerReport{Shard: k, Reports: reports})
+		if st, ok := m.(peer.LedgerState); ok && err == nil {
+			return st.Entries, st.Version, nil
+		}
+		var f peer.Failure
+		if errors.As(err, &f) {
+			return nil, 0, err // The writer answered that the platform is away; another one would hear the same.
+		}
+	}
+	s, v, err := n.writers.submit(ctx, k, reports)
+	if err != nil {
+		return nil, 0, err
+	}
+	return entriesOf(s, reports), v, nil
+}
--- a/io/node/ledger.go
+++ b/io/node/ledger.go
@@ -41,6 +41,10 @@
 
 // tick sends the reports that are due. With short set, requests wait and only the spacing counts.
 func (l *ledgerClient) tick(now time.Time, short bool) {
+	// A row that opens before the router's record is written could not be closed after the router's death.
+	if l.n.transport != nil && !l.n.members.registered.Load() {
+		return
+	}
 	byShard := make(map[object.Key][]*account)
 	for _, a := range l.n.accounts.all() {
 		byShard[a.shard] = append(byShard[a.shard], a)
@@ -148,12 +152,3 @@
 	}
 	return s.Entry(escrow.BudgetEntry(id))
 }
-
-// reportTo brings reports to the writer of a shard.
-func (n *Node) reportTo(ctx context.Context, k object.Key, reports []escrow.Report) ([]escrow.Entry, ident.ObjectVersion, error) {
-	s, v, err := n.writers.submit(ctx, k, reports)
-	if err != nil {
-		return nil, 0, err
-	}
-	return entriesOf(s, reports), v, nil
-}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -1,29 +1,263 @@
 package node
 
 import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"time"
 
-	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
 )
 
-type members struct{ n *Node }
+const (
+	// watchersPerDomain is the number of routers of a failure domain that watch the platform.
+	watchersPerDomain = 2
+	digestEvery       = time.Second
+	registerEvery     = 5 * time.Second
+)
+
+// members joins the failure detector, the router records and the VM list. It belongs to the control goroutine;
+// traffic goroutines read the roster.
+type members struct {
+	n          *Node
+	det        *member.Detector
+	rng        *rand.Rand
+	roster     atomic.Pointer[roster]
+	vms        map[ident.VMID]store.VMState
+	digestAt   time.Time
+	registerAt time.Time
+	registered atomic.Bool
+	seeded     bool
+}
+
+// roster is an immutable list of the usable routers, this one included.
+type roster struct {
+	addr   map[ident.RouterID]string
+	domain []ident.RouterID // of the own failure domain, sorted
+	all    []ident.RouterID // sorted
+	rows   []member.Member
+}
+
+func newMembers(n *Node, rng *rand.Rand) *members {
+	m := &members{n: n, rng: rng, vms: make(map[ident.VMID]store.VMState)}
+	self := member.Update{ID: n.id, Addr: n.peerAddr(), Domain: n.domain, VM: ident.VMID(n.cfg.VM), Incarnation: 1}
+	m.det = member.New(member.Config{Self: self, Rand: rng}, n.clock.Now())
+	m.publish()
+	return m
+}
+
+// publish makes the roster of the usable members.
+func (m *members) publish() {
+	self := m.det.Self()
+	r := &roster{addr: map[ident.RouterID]string{}, domain: []ident.RouterID{self.ID}, all: []ident.RouterID{self.ID}}
+	for _, row := range m.det.Members() {
+		r.rows = append(r.rows, row)
+		if !row.Usable() {
+			continue
+		}
+		r.addr[row.ID] = row.Addr
+		r.all = append(r.all, row.ID)
+		if row.Domain == m.n.domain {
+			r.domain = append(r.domain, row.ID)
+		}
+	}
+	slices.Sort(r.all)
+	slices.Sort(r.domain)
+	m.roster.Store(r)
+	m.n.pools.registry.SetRouters(r.domain)
+}
+
+// act carries out the detector's actions.
+func (m *members) act(acts []member.Action) {
+	changed := false
+	for _, a := range acts {
+		switch a := a.(type) {
+		case member.Send:
+			m.n.send(a.Addr, asPeerMessage(a.Msg))
+		case member.Changed:
+			changed = true
+			m.n.log.Info("member changed", "member", a.Member.ID, "state", a.Member.State.String(), "leaving", a.Member.Leaving, "dropped", a.Dropped)
+		}
+	}
+	if changed {
+		m.publish()
+	}
+}
+
+func asPeerMessage(msg member.Message) peer.Message {
+	switch msg := msg.(type) {
+	case member.Probe:
+		return peer.Probe{Probe: msg}
+	case member.Ack:
+		return peer.ProbeAck{Ack: msg}
+	case member.ProbeReq:
+		return peer.ProbeReq{ProbeReq: msg}
+	}
+	return nil
+}
+
+// tick probes members, exchanges digests and registers this router.
+func (m *members) tick(now time.Time) {
+	if m.n.transport == nil {
+		return
+	}
+	m.act(m.det.Tick(now))
+	if now.Sub(m.digestAt) >= digestEvery {
+		m.digestAt = now
+		m.sendDigests()
+	}
+	m.register(now)
+	m.seed()
+}
+
+// sendDigests sends the digest of the configuration to one router of the own failure domain and to one of another.
+func (m *members) sendDigests() {
+	r := m.roster.Load()
+	var near, far []ident.RouterID
+	for _, id := range r.all {
+		switch {
+		case id == m.n.id:
+		case slices.Contains(r.domain, id):
+			near = append(near, id)
+		default:
+			far = append(far, id)
+		}
+	}
+	d := peer.Digest{Digest: m.n.feeds.store.Digest()}
+	for _, ids := range [][]ident.RouterID{near, far} {
+		if len(ids) > 0 {
+			m.n.send(r.addr[ids[m.rng.IntN(len(ids))]], d)
+		}
+	}
+}
+
+// register writes the record by which other routers find this one.
+func (m *members) register(now time.Time) {
+	if m.registered.Load() || now.Sub(m.registerAt) < registerEvery {
+		return
+	}
+	m.registerAt = now
+	rec := object.Router{Format: object.Format, ID: m.n.id, VM: ident.VMID(m.n.cfg.VM), Domain: m.n.domain, Peer: m.n.peerAddr(), Admin: m.n.AdminAddr()}
+	raw, err := json.Marshal(rec)
+	if err != nil {
+		return
+	}
+	m.n.spawn(func(ctx context.Context) {
+		_, err := m.n.store.PutResolved(ctx, rec.Key(), raw, store.Any())
+		m.n.platformCall("put_routers", err)
+		if err == nil {
+			m.registered.Store(true)
+		}
+	})
+}
+
+// seed asks the addresses of the settings for their identity, once, so that a router finds its peers while the
+// platform is away.
+func (m *members) seed() {
+	if m.seeded {
+		return
+	}
+	m.seeded = true
+	for _, addr := range m.n.cfg.Peers {
+		m.n.spawn(func(ctx context.Context) { m.ask(ctx, addr) })
+	}
+}
+
+const seedRetry = time.Second
+
+func (m *members) ask(ctx context.Context, addr string) {
+	for ctx.Err() == nil {
+		env, err := m.n.transport.CallFrom(ctx, addr, peer.Digest{})
+		if err == nil {
+			m.n.post(callEvent{func() {
+				m.act(m.det.Learn(member.Update{ID: env.From, Addr: addr}, m.n.clock.Now()))
+			}})
+			return
+		}
+		select {
+		case <-m.n.clock.After(seedRetry):
+		case <-ctx.Done():
+		}
+	}
+}
 
-func newMembers(n *Node) *members { return &members{n} }
+// learnRouters takes over the router records. An older incarnation of a known router is not used.
+func (m *members) learnRouters(v *view) {
+	now := m.n.clock.Now()
+	for _, id := range sortedRouters(v) {
+		r := v.routers[id]
+		if r.ID.Name() == m.n.id.Name() {
+			continue
+		}
+		m.act(m.det.Learn(member.Update{ID: r.ID, Addr: r.Peer, Domain: r.Domain, VM: r.VM, Incarnation: 1}, now))
+	}
+}
 
-func (m *members) learnVMs([]store.VM, time.Time) {}
+func sortedRouters(v *view) []ident.RouterID {
+	ids := make([]ident.RouterID, 0, len(v.routers))
+	for id := range v.routers {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ident.RouterID) int { return cmp.Compare(a, b) })
+	return ids
+}
 
-func (n *Node) isWatcher() bool { return true }
+func (m *members) learnVMs(vms []store.VM, now time.Time) {
+	rows := make([]member.VM, 0, len(vms))
+	for _, vm := range vms {
+		m.vms[vm.Name] = vm.State
+		rows = append(rows, member.VM{ID: vm.Name, Domain: vm.Domain, State: member.VMState(vm.State)})
+	}
+	m.act(m.det.SetVMs(rows, now))
+}
 
-func (n *Node) receive(peerEvent, time.Time) {}
+// isWatcher reports whether this router follows the platform for its failure domain.
+func (n *Node) isWatcher() bool {
+	rank := member.Rank("watch", n.members.roster.Load().domain)
+	i := slices.Index(rank, n.id)
+	return i < 0 || i < watchersPerDomain
+}
 
-func (n *Node) shareEntries(object.Key, ident.ObjectVersion, escrow.Shard) {}
+// writerOf returns the router of the own failure domain that writes a shard.
+func (n *Node) writerOf(k object.Key) ident.RouterID {
+	rank := member.Rank(string(k.Kind)+"/"+k.Name, n.members.roster.Load().domain)
+	if len(rank) == 0 {
+		return n.id
+	}
+	return rank[0]
+}
 
-type transfers struct{}
+// peerAddr returns the address of the peer transport, or an empty string without one.
+func (n *Node) peerAddr() string {
+	if n.transport == nil {
+		return ""
+	}
+	return n.transport.Addr()
+}
 
-func newTransfers(*Node) *transfers { return &transfers{} }
+// send sends a message to a router without waiting.
+func (n *Node) send(addr string, m peer.Message) {
+	if n.transport == nil || addr == "" || m == nil {
+		return
+	}
+	if err := n.transport.Send(addr, m); err != nil && !errors.Is(err, peer.ErrClosed) {
+		n.log.Debug("message could not be sent", "addr", addr, "type", m.Type().String(), "error", err)
+	}
+}
 
-func (t *transfers) ask(time.Time)  {}
-func (t *transfers) tick(time.Time) {}
+// sendTo sends a message to a usable router and reports whether its address is known.
+func (n *Node) sendTo(id ident.RouterID, m peer.Message) bool {
+	addr, ok := n.members.roster.Load().addr[id]
+	if ok {
+		n.send(addr, m)
+	}
+	return ok
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 	"geraniumsaddle/core/target"
 	"geraniumsaddle/io/flags"
 	"geraniumsaddle/io/metric"
+	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
 )
 
@@ -30,6 +31,10 @@
 	Registry *prometheus.Registry
 	// Seed fixes the random choices of the control goroutine.
 	Seed uint64
+	// Certs authenticate this router to its peers. Without them it has no peers.
+	Certs *peer.Certs
+	// Cuts drops packets between routers, in tests only.
+	Cuts *peer.Cuts
 }
 
 // Node is a router process.
@@ -51,6 +56,7 @@
 	stopped  chan struct{}
 	workers  sync.WaitGroup
 	lastTick atomic.Int64
+	dropped  atomic.Int64
 
 	view  atomic.Pointer[view]
 	table atomic.Pointer[target.Table]
@@ -61,15 +67,23 @@
 	pools      *pools
 	members    *members
 	transfers  *transfers
+	recovery   *recovery
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
 	vmsRunning bool
 
-	accounts *accounts
-	writers  *writers
-	gates    *gates
-	traffic  *traffic
+	accounts  *accounts
+	writers   *writers
+	gates     *gates
+	traffic   *traffic
+	journal   *journal
+	replicas  *replicas
+	claims    *claims
+	holds     *holds
+	bills     *bills
+	keyed     keyed
+	transport *peer.Transport
 
 	lastReply atomic.Int64
 
@@ -105,8 +119,18 @@
 	n.feeds = newFeeds(n, rng)
 	n.ledger = newLedgerClient(n)
 	n.pools = newPools(n, rng)
-	n.members = newMembers(n)
+	if err := n.connect(d); err != nil {
+		n.kill()
+		return nil, trace.Wrap(err)
+	}
+	n.members = newMembers(n, rng)
+	n.journal = newJournal(n)
+	n.replicas = newReplicas(n)
+	n.claims = newClaims(n)
+	n.holds = newHolds()
+	n.bills = newBills(n)
 	n.transfers = newTransfers(n)
+	n.recovery = newRecovery(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
@@ -124,6 +148,21 @@
 // AdminAddr returns the address that operators use.
 func (n *Node) AdminAddr() string { return n.adminL.Addr().String() }
 
+// connect opens the transport to the other routers.
+func (n *Node) connect(d Deps) error {
+	if d.Certs == nil {
+		return nil
+	}
+	t, err := peer.New(peer.Config{
+		Self: n.id, Addr: n.cfg.PeerAddr, Certs: d.Certs, Handler: inbox{n}, Clock: n.clock, Log: n.log, Cuts: d.Cuts,
+	})
+	n.transport = t
+	return trace.Wrap(err)
+}
+
+// PeerAddr returns the address that other routers use, or an empty string without peers.
+func (n *Node) PeerAddr() string { return n.peerAddr() }
+
 func (n *Node) listen() error {
 	var err error
 	if n.callerL, err = net.Listen("tcp", n.cfg.CallerAddr); err != nil {
@@ -173,6 +212,9 @@
 	n.kill()
 	_ = n.callers.Close()
 	_ = n.admins.Close()
+	if n.transport != nil {
+		_ = n.transport.Close()
+	}
 	<-n.stopped
 	n.workers.Wait()
 }
--- a/io/node/reap.go
+++ b/io/node/reap.go
@@ -42,6 +42,17 @@
 	})
 }
 
+// hold keeps the slot of a target that did not answer until it can hold the request no longer.
+func (t *traffic) hold(choice target.Choice, r target.Result) {
+	t.n.spawn(func(ctx context.Context) {
+		defer choice.Release(r)
+		select {
+		case <-t.n.clock.After(reapFor):
+		case <-ctx.Done():
+		}
+	})
+}
+
 // cancelled reports whether the target holds the request no longer.
 func cancelled(ctx context.Context, c *engine.Client, id ident.RequestID) bool {
 	if _, err := c.Cancel(ctx, id); err != nil {
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -11,8 +10,6 @@
 	"geraniumsaddle/io/caller"
 )
 
-func timeCount(n int64) time.Duration { return time.Duration(n) }
-
 func (n *Node) callerHandler() http.Handler {
 	return caller.New(n, caller.Limits{BodyBytes: ident.Bytes(n.cfg.BodyBytes), RequestTimeout: n.cfg.RequestTimeout},
 		n.log, observer{n}, n.clock.Now)
@@ -51,18 +48,3 @@
 	_ = n.callers.Shutdown(ctx)
 	n.traffic.running.Wait()
 }
-
-// Call implements caller.Backend.
-func (n *Node) Call(context.Context, caller.ServiceRequest) (caller.ServiceAnswer, error) {
-	return caller.ServiceAnswer{}, caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "no such service")
-}
-
-// Bill implements caller.Backend.
-func (n *Node) Bill(context.Context, ident.OrgID, ident.RequestID) (any, error) {
-	return nil, caller.Refuse(caller.CodeNotFound, ident.OutcomeRun, "no such bill")
-}
-
-// MintOperation implements caller.Backend.
-func (n *Node) MintOperation(context.Context, ident.OrgID) (string, error) {
-	return "", caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "operations are not available")
-}
--- /dev/null
+++ b/io/node/service.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"geraniumsaddle/core/claim"
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/queue"
+	"geraniumsaddle/core/record"
+	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/caller"
+	"geraniumsaddle/io/desk"
+)
+
+// maxForward bounds the body of a claimed call, which may be forwarded to its home router in one peer message.
+const maxForward = 512 << 10
+
+// serviceRoute returns the route of a call.
+func (n *Node) serviceRoute(r caller.ServiceRequest) (object.ServiceRoute, error) {
+	row := n.view.Load().services[r.Service]
+	if row == nil {
+		return object.ServiceRoute{}, caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "the service %q does not exist", r.Service)
+	}
+	route, ok := row.route(r.Method, r.Path)
+	if !ok {
+		return object.ServiceRoute{}, caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "the service has no such route")
+	}
+	return route, nil
+}
+
+// Call implements caller.Backend.
+func (n *Node) Call(ctx context.Context, r caller.ServiceRequest) (caller.ServiceAnswer, error) {
+	done, err := n.traffic.admit(ctx)
+	if err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	defer done()
+	route, err := n.serviceRoute(r)
+	if err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	if route.Idempotent {
+		return n.callIdempotent(ctx, r, route)
+	}
+	if r.IdempotencyKey == "" {
+		return caller.ServiceAnswer{}, caller.Refuse(caller.CodeMissingIdempotent, ident.OutcomeNotRun, "this route needs an Idempotency-Key")
+	}
+	if len(r.Body) > maxForward {
+		return caller.ServiceAnswer{}, caller.Refuse(caller.CodeTooLarge, ident.OutcomeNotRun, "the body of a non-idempotent call is larger than %d bytes", maxForward)
+	}
+	c := &claimed{n: n, r: r, route: route,
+		a: claim.Attempt{Org: r.Caller.Org, Key: r.IdempotencyKey, Body: bodyHash(r), Request: r.ID}}
+	return c.run(ctx)
+}
+
+// bodyHash identifies the content of a call, so that another call under the same key is seen.
+func bodyHash(r caller.ServiceRequest) record.Hash {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(r.Service), []byte(r.Method), []byte(r.Path), []byte(r.Query), r.Body} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		_, _ = h.Write(n[:])
+		_, _ = h.Write(part)
+	}
+	return record.Hash(h.Sum(nil))
+}
+
+// callIdempotent runs a call that may be repeated.
+func (n *Node) callIdempotent(ctx context.Context, r caller.ServiceRequest, route object.ServiceRoute) (caller.ServiceAnswer, error) {
+	n.gates.first()
+	var exclude []ident.TargetID
+	for attempt := 1; ; attempt++ {
+		c := &serviceCall{n: n, r: r, route: route, exclude: exclude}
+		ans, err := c.run(ctx)
+		var again *retryable
+		if err == nil || !errors.As(err, &again) || attempt >= maxAttempts || ctx.Err() != nil || !n.gates.retry(n.clock.Now()) {
+			return ans, err
+		}
+		exclude = append(exclude, c.choice.Target)
+	}
+}
+
+// serviceCall is one attempt to run a call of a plain service.
+type serviceCall struct {
+	n       *Node
+	r       caller.ServiceRequest
+	route   object.ServiceRoute
+	exclude []ident.TargetID
+	// claim is set for a non-idempotent call, which is sent only when the registry allows it.
+	claim  *claim.Ref
+	key    claim.Attempt
+	choice target.Choice
+	res    escrow.Reservation
+	start  time.Time
+}
+
+func (c *serviceCall) run(ctx context.Context) (caller.ServiceAnswer, error) {
+	c.start = c.n.clock.Now()
+	var err error
+	if c.res, err = c.n.reserve(ctx, c.r.Caller, c.route.CostTokens); err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	ans, err := c.send(ctx)
+	c.finish(ans, err)
+	return ans, err
+}
+
+// send chooses a target, journals the hold and sends the call once.
+func (c *serviceCall) send(ctx context.Context) (caller.ServiceAnswer, error) {
+	if err := c.acquire(ctx); err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	if err := c.journal(ctx); err != nil {
+		c.choice.Release(target.ResultNeutral)
+		return caller.ServiceAnswer{}, err
+	}
+	client, err := c.n.pools.desk(c.choice.URL)
+	if err != nil {
+		c.choice.Release(target.ResultFailed)
+		return caller.ServiceAnswer{}, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the target's address is invalid")
+	}
+	if c.claim != nil {
+		if _, ok := c.n.claims.handle(claim.Dispatching{Ref: *c.claim}).(claim.Send); !ok {
+			c.choice.Release(target.ResultNeutral)
+			return caller.ServiceAnswer{}, refuseClaim(claim.Refuse{Outcome: ident.OutcomeUnknown, Reason: claim.ReasonSuperseded})
+		}
+	}
+	h := c.r.Header.Clone()
+	h.Set("X-Request-Id", string(c.r.ID))
+	if c.r.IdempotencyKey != "" {
+		h.Set("Idempotency-Key", c.r.IdempotencyKey)
+	}
+	path := c.r.Path
+	if c.r.Query != "" {
+		path += "?" + c.r.Query
+	}
+	resp, err := client.Call(ctx, c.r.Method, path, h, c.r.Body)
+	if err != nil {
+		return caller.ServiceAnswer{}, c.failed(err)
+	}
+	result := target.ResultOK
+	if resp.Status >= 500 {
+		result = target.ResultFailed
+	}
+	c.choice.Release(result)
+	c.n.observe(c.choice.Version, c.label(), resp.Status >= 500, c.n.clock.Now().Sub(c.start))
+	return caller.ServiceAnswer{ID: c.r.ID, Status: resp.Status, Header: resp.Header, Body: resp.Body, Outcome: ident.OutcomeRun}, nil
+}
+
+// label names the route in the evidence of a release.
+func (c *serviceCall) label() string { return c.route.Method + " " + c.route.Path }
+
+func (c *serviceCall) acquire(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.n.cfg.QueueWait)
+	defer cancel()
+	now := c.n.clock.Now()
+	key := target.Key{Service: c.r.Service, Domain: c.n.domain}
+	var err error
+	c.choice, err = c.n.gates.get(key).acquire(ctx, target.Request{
+		Sticky: string(c.r.Caller.Org) + "/" + c.r.IdempotencyKey, Retryable: c.claim == nil, Exclude: c.exclude, Now: now,
+		Rand: c.n.traffic.random(),
+	}, queue.Item{ID: c.r.ID, Org: c.r.Caller.Org, Cost: c.route.CostTokens, Bytes: ident.Bytes(len(c.r.Body)), Deadline: now.Add(c.n.cfg.QueueWait)})
+	return err
+}
+
+// journal records the hold and the claim at the journal peer before the call is sent.
+func (c *serviceCall) journal(ctx context.Context) error {
+	h := record.Hold{
+		Request: c.r.ID, Org: c.r.Caller.Org, Budget: c.res.Budget, Key: c.r.Caller.Key, Service: c.r.Service,
+		Version: c.choice.Version, Target: c.choice.Target, Tokens: c.route.CostTokens, Claimed: c.claim != nil, At: c.start,
+	}
+	if c.claim != nil {
+		h.IdempotencyKey, h.Body = c.claim.ID, c.key.Body
+	}
+	return c.n.journalHold(ctx, h)
+}
+
+// failed says what a failed call means for the caller.
+func (c *serviceCall) failed(err error) error {
+	c.n.observe(c.choice.Version, c.label(), true, 0)
+	if errors.Is(err, desk.ErrNotSent) {
+		c.choice.Release(target.ResultFailed)
+		return &retryable{caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the target could not be reached").After(time.Second)}
+	}
+	// The target may still be at work on a call without an answer, so its slot is kept for a while.
+	c.n.traffic.hold(c.choice, target.ResultFailed)
+	return &retryable{caller.Refuse(caller.CodeOutcomeUnknown, ident.OutcomeUnknown, "the target did not answer; the call may have run")}
+}
+
+// finish settles the call. One that may have run is billed, because its cost may have arisen.
+func (c *serviceCall) finish(ans caller.ServiceAnswer, err error) {
+	billed := c.route.CostTokens
+	outcome := ident.OutcomeRun
+	if err != nil {
+		outcome = ident.OutcomeUnknown
+		var r *caller.Refusal
+		if errors.As(err, &r) && r.Outcome == ident.OutcomeNotRun {
+			billed, outcome = 0, ident.OutcomeNotRun
+		}
+		if c.claim == nil {
+			billed = 0
+		}
+	}
+	c.res.Settle(billed)
+	s := record.Settlement{Request: c.r.ID, Billed: billed, Outcome: outcome, At: c.n.clock.Now().UTC()}
+	if err == nil && c.claim != nil {
+		s.Answer = &record.Answer{Status: ans.Status, Type: ans.Header.Get("Content-Type"), Body: ans.Body}
+	}
+	c.n.settled(s, c.r.Caller.Class)
+}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/url"
 	"slices"
 	"sort"
 
@@ -43,6 +44,17 @@
 
 func (routeMark) ServeHTTP(http.ResponseWriter, *http.Request) {}
 
+// route returns the route of a call, or false if the service has none for it.
+func (s *serviceRow) route(method, path string) (object.ServiceRoute, bool) {
+	u, err := url.ParseRequestURI(path)
+	if err != nil {
+		return object.ServiceRoute{}, false
+	}
+	h, _ := s.mux.Handler(&http.Request{Method: method, URL: u})
+	mark, ok := h.(routeMark)
+	return mark.route, ok
+}
+
 func newServiceRow(s object.Service) (row *serviceRow, err error) {
 	row = &serviceRow{service: s, mux: http.NewServeMux()}
 	defer func() {
