--- a/io/flags/router.go
+++ b/io/flags/router.go
@@ -31,6 +31,7 @@
 	HeaderTimeout  time.Duration
 	RequestTimeout time.Duration
 	DrainTimeout   time.Duration
+	DrainGrace     time.Duration
 
 	PromptBytesPerToken int
 	DefaultMaxTokens    int64
@@ -65,6 +66,7 @@
 	fs.DurationVar(&r.HeaderTimeout, "header-timeout", 10*time.Second, "time in which a caller must send the request header")
 	fs.DurationVar(&r.RequestTimeout, "request-timeout", 10*time.Minute, "longest time for one request")
 	fs.DurationVar(&r.DrainTimeout, "drain-timeout", 15*time.Minute, "longest time that a graceful shutdown waits for running requests")
+	fs.DurationVar(&r.DrainGrace, "drain-grace", 2*time.Second, "time between the announcement of a shutdown and the end of new connections")
 	bindTraffic(fs, r)
 	markSecret(fs, "operation-key")
 	markSecret(fs, "operator-token")
@@ -116,6 +118,7 @@
 	c.span("header-timeout", r.HeaderTimeout, 100*time.Millisecond, time.Minute)
 	c.span("request-timeout", r.RequestTimeout, time.Second, time.Hour)
 	c.span("drain-timeout", r.DrainTimeout, time.Second, 2*time.Hour)
+	c.span("drain-grace", r.DrainGrace, 0, time.Minute)
 	c.span("budget-wait", r.BudgetWait, 0, time.Minute)
 	c.span("journal-wait", r.JournalWait, time.Millisecond, time.Second)
 	c.span("queue-wait", r.QueueWait, 0, 5*time.Minute)
--- a/io/node/bills.go
+++ b/io/node/bills.go
@@ -44,6 +44,9 @@
 	return row, ok
 }
 
+// flush writes the bills that are not yet on the platform.
+func (b *bills) flush(context.Context) {}
+
 // Bill implements caller.Backend.
 func (n *Node) Bill(_ context.Context, org ident.OrgID, id ident.RequestID) (any, error) {
 	row, ok := n.bills.get(id)
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -33,18 +32,9 @@
 
 // ready answers 204 while the router takes requests: it has a configuration and is not shutting down.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	if n.traffic.draining.Load() || len(n.view.Load().orgs) == 0 {
+	if n.traffic.leaving.Load() || len(n.view.Load().orgs) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
-// drain shuts the router down gracefully.
-func (n *Node) drain() {
-	n.traffic.draining.Store(true)
-	ctx, cancel := context.WithTimeout(n.life, n.cfg.DrainTimeout)
-	defer cancel()
-	_ = n.callers.Shutdown(ctx)
-	n.traffic.running.Wait()
-}
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -17,7 +17,9 @@
 
 // traffic holds the state of running requests. It is safe for concurrent use.
 type traffic struct {
-	n        *Node
+	n *Node
+	// leaving asks the balancer to turn away; draining refuses requests.
+	leaving  atomic.Bool
 	draining atomic.Bool
 	running  sync.WaitGroup
 	count    atomic.Int64
