--- /dev/null
+++ b/core/canary/shares.go
@@ -0,0 +1,129 @@
+package canary
+
+import (
+	"slices"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/target"
+)
+
+// Shares returns the lines and steps of a model or service.
+func (c *Controller) Shares(key target.Key) target.Shares {
+	var ids []ident.VersionID
+	for id, v := range c.versions {
+		if v.Model == key.Model && v.Service == key.Service {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	var out target.Shares
+	for _, id := range ids {
+		c.addLine(&out, id)
+	}
+	for _, r := range c.order {
+		for _, ch := range r.changes {
+			if slices.Contains(ids, ch.version) {
+				c.addStep(&out, ch)
+			}
+		}
+	}
+	return out
+}
+
+// addLine adds the line of a serving version. The line is named for its first version, so that
+// conversations stay in place when a release replaces its version.
+func (c *Controller) addLine(out *target.Shares, id ident.VersionID) {
+	if v := c.versions[id]; !v.Serving || c.Bad(id) || c.fresh(id) {
+		return
+	}
+	first := id
+	for range c.order {
+		if ch := c.done(func(ch *change) bool { return ch.version == first && ch.replaces != "" }); ch != nil {
+			first = ch.replaces
+		}
+	}
+	last := first
+	for range c.order {
+		if ch := c.done(func(ch *change) bool { return ch.replaces == last && ch.replaces != "" }); ch != nil {
+			last = ch.version
+		}
+	}
+	same := func(l target.Line) bool { return l.Name == first }
+	if !slices.ContainsFunc(out.Lines, same) && !c.withdrawn(last) {
+		out.Lines = append(out.Lines, target.Line{Version: last, Name: first, Weight: 1})
+	}
+}
+
+// done returns the first completed change that matches.
+func (c *Controller) done(match func(*change) bool) *change {
+	for _, r := range c.order {
+		for _, ch := range r.changes {
+			if ch.verdict == object.VerdictCompleted && match(ch) {
+				return ch
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Controller) addStep(out *target.Shares, ch *change) {
+	share := ch.share(&c.cfg.Policy)
+	if share == 0 || !c.started(ch) {
+		return
+	}
+	if ch.replaces != "" {
+		if ch.open() {
+			out.Steps = append(out.Steps, target.Step{Version: ch.version, Replaces: ch.replaces, Share: share})
+		}
+		return
+	}
+	line := target.Line{Version: ch.version, Name: ch.version, Weight: 1}
+	own := func(l target.Line) bool { return l.Name == ch.version }
+	if slices.ContainsFunc(out.Lines, own) && len(out.Lines) > 1 {
+		// The version stays a step, because a line of its own would move conversations.
+		out.Lines = slices.DeleteFunc(out.Lines, own)
+	}
+	switch {
+	case len(out.Lines) == 0:
+		out.Lines = append(out.Lines, line)
+	case !slices.ContainsFunc(out.Lines, own):
+		out.Steps = append(out.Steps, target.Step{Version: ch.version, Share: share})
+	}
+}
+
+func (c *Controller) started(ch *change) bool {
+	for _, r := range c.order {
+		if slices.Contains(r.changes, ch) {
+			return !r.pending()
+		}
+	}
+	return false
+}
+
+// withdrawn reports whether a release has withdrawn the version: when it completed, or from its start
+// when it brings no version in its place.
+func (c *Controller) withdrawn(v ident.VersionID) bool {
+	if c.versions[v].Withdrawn {
+		return true
+	}
+	for _, r := range c.order {
+		if !slices.Contains(r.note.Withdrawn, v) {
+			continue
+		}
+		completed := r.life.Is(string(object.VerdictCompleted))
+		if completed || r.running() && !c.succeeded(r, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// succeeded reports whether the release brings a version in place of v, or for the same model or service.
+func (c *Controller) succeeded(r *release, v ident.VersionID) bool {
+	old := c.versions[v]
+	return slices.ContainsFunc(r.changes, func(ch *change) bool {
+		o := c.versions[ch.version]
+		return ch.replaces == v || ch.replaces == "" && o.Model == old.Model && o.Service == old.Service
+	})
+}
--- a/core/object/kinds.go
+++ b/core/object/kinds.go
@@ -192,6 +192,8 @@
 	Verdict Verdict        `json:"verdict"`
 	Reason  string         `json:"reason"`
 	At      time.Time      `json:"at"`
+	// Completed are the versions that were shown good, also where others of the release were taken back.
+	Completed []ident.VersionID `json:"completed,omitempty"`
 }
 
 // Router is the record of a router incarnation.
