--- a/core/canary/change.go
+++ b/core/canary/change.go
@@ -121,7 +121,7 @@
 	}
 	for _, pl := range c.places {
 		t := c.trials[pl]
-		if float64(t.traffic) < p.TrafficPart*float64(traffic) || t.missing(p) <= 0 {
+		if float64(t.traffic) < p.TrafficPart*float64(traffic) || t.missing(p, c.step) <= 0 {
 			continue
 		}
 		return fmt.Sprintf("%d requests at a share of %g%% are not enough on route %s, load band %d",
--- a/core/canary/policy.go
+++ b/core/canary/policy.go
@@ -20,9 +20,9 @@
 	Alarm float64
 	// NeedAll is the natural logarithm of the evidence over all cells for leaving each step: a version
 	// of the mildest bad rate leaves it with probability exp(-NeedAll). NeedCell is that of each cell
-	// with traffic.
+	// with traffic. It grows with the share, because a small cell sees few requests at 1%.
 	NeedAll  []float64
-	NeedCell float64
+	NeedCell []float64
 	// TrafficPart is the part of the version's traffic from which a cell counts as one with traffic.
 	TrafficPart float64
 	// ErrorLimit and the latency limits judge a version that has no reference.
@@ -58,8 +58,8 @@
 		Quantile:    0.9,
 		Alarm:       12,
 		NeedAll:     []float64{4.6, 4.6, 4.6, 4.6, 2.3},
-		NeedCell:    1,
-		TrafficPart: 0.02,
+		NeedCell:    []float64{0.15, 0.4, 1, 1.5, 1},
+		TrafficPart: 0.03,
 		ErrorLimit:  0.01,
 		SlowLimit:   0.05,
 		FirstToken:  4 * time.Second,
@@ -78,7 +78,7 @@
 	p.Slow = Margins{Margin: 0.10, Scale: 1.5, Bad: [alternatives]float64{0.30, 0.45, 0.70}, Cap: 0.15, Thin: 0.05}
 	p.Alarm = 8
 	p.NeedAll = []float64{1, 1, 1, 1, 1}
-	p.NeedCell = 0.5
+	p.NeedCell = []float64{0.15, 0.3, 0.5, 0.5, 0.5}
 	p.TrafficPart = 0.10
 	return p
 }
--- a/core/canary/trial.go
+++ b/core/canary/trial.go
@@ -90,14 +90,14 @@
 }
 
 // missing is the evidence that the cell still lacks, in natural logarithms; zero or less is enough.
-func (t *trial) missing(p *Policy) float64 {
+func (t *trial) missing(p *Policy, step int) float64 {
 	m := t.errors.good
 	for k := range t.slow {
 		if t.slow[k].n > 0 {
 			m = max(m, t.slow[k].good)
 		}
 	}
-	return p.NeedCell + m
+	return p.NeedCell[step] + m
 }
 
 func (t *trial) restart() {
