--- a/io/flags/router.go
+++ b/io/flags/router.go
@@ -42,6 +42,7 @@
 	OrgStreamBytes      int64
 	ProcessStreamBytes  int64
 	SlowReaderAfter     time.Duration
+	ReleasePolicy       string
 	Faults              bool
 }
 
@@ -82,6 +83,7 @@
 	fs.Int64Var(&r.OrgStreamBytes, "org-stream-bytes", 64<<20, "buffers of all streams of an organisation, in bytes")
 	fs.Int64Var(&r.ProcessStreamBytes, "process-stream-bytes", 512<<20, "buffers of all streams of the process, in bytes")
 	fs.DurationVar(&r.SlowReaderAfter, "slow-reader-after", 10*time.Second, "time with a full buffer after which the target's stream is suspended")
+	fs.StringVar(&r.ReleasePolicy, "release-policy", "default", "figures of the canary releases: default, or small for little traffic and short windows")
 	fs.BoolVar(&r.Faults, "enable-fault-switches", false, "serve PUT /faults on the admin address, for tests")
 }
 
@@ -108,6 +110,7 @@
 	c.level("log-level", r.LogLevel)
 	c.that((r.PeerCAFile == "") == (r.PeerCertFile == "") && (r.PeerCertFile == "") == (r.PeerKeyFile == ""),
 		"peer-cert-file", "peer-ca-file, peer-cert-file and peer-key-file go together")
+	c.that(r.ReleasePolicy == "default" || r.ReleasePolicy == "small", "release-policy", "must be default or small")
 	c.between("max-body-bytes", r.BodyBytes, 1<<10, 64<<20)
 	c.between("max-header-bytes", int64(r.HeaderBytes), 1<<10, 1<<20)
 	c.between("prompt-bytes-per-token", int64(r.PromptBytesPerToken), 1, 16)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -130,6 +130,7 @@
 	}
 	v.finish()
 	n.view.Store(v)
+	n.releases.configure(v, now)
 	n.pools.configure(v, now)
 	n.members.learnRouters(v)
 	n.prefetch(v)
@@ -157,6 +158,7 @@
 	n.pools.tick(now)
 	n.members.tick(now)
 	n.journal.tick()
+	n.releases.tick(now)
 	if now.Sub(n.slowTick) < time.Second {
 		n.ledger.tick(now, false)
 		return
--- a/io/node/inbox.go
+++ b/io/node/inbox.go
@@ -102,6 +102,10 @@
 		if a := n.accounts.find(m.Entry); a != nil && a.Holder() == m.From {
 			a.TransferAcked(m.To, m.Total)
 		}
+	case peer.Evidence:
+		n.releases.evidence(m)
+	case peer.Verdict:
+		n.releases.verdicts(m, now)
 	case peer.Load:
 		for _, r := range m.Rows {
 			n.pools.registry.Report(target.Load{Target: r.Target, Running: r.Running, Queued: r.Queued, AsOf: time.UnixMilli(r.AsOf)})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -68,6 +68,7 @@
 	members    *members
 	transfers  *transfers
 	recovery   *recovery
+	releases   *releases
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -131,6 +132,7 @@
 	n.bills = newBills(n)
 	n.transfers = newTransfers(n)
 	n.recovery = newRecovery(n)
+	n.releases = newReleases(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -170,7 +170,7 @@
 func (v *view) finish() {
 	seen := make(map[ident.ModelID]bool)
 	for _, ver := range v.versions {
-		if ver.Serving && !ver.Withdrawn && ver.Model != "" && !seen[ver.Model] {
+		if !ver.Withdrawn && ver.Model != "" && !seen[ver.Model] {
 			seen[ver.Model] = true
 			v.models = append(v.models, ver.Model)
 		}
