--- /dev/null
+++ b/io/demo/fleet.go
@@ -0,0 +1,251 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/pflag"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/fakes/desk"
+	"geraniumsaddle/io/fakes/engine"
+	fakestore "geraniumsaddle/io/fakes/store"
+	"geraniumsaddle/io/flags"
+	"geraniumsaddle/io/node"
+	"geraniumsaddle/io/peer"
+	"geraniumsaddle/io/store"
+)
+
+// Config describes the demonstration.
+type Config struct {
+	Routers       int
+	CallerAddr    string // of the first router; the others take the following ports
+	AdminAddr     string // of the first router; the others take free ports
+	OperatorToken string
+	// TokenInterval is the time between two tokens of an engine.
+	TokenInterval time.Duration
+	Log           *slog.Logger
+	Clock         clockwork.Clock
+}
+
+const (
+	enginesPerDomain = 2
+	routersPerDomain = 2
+	engineCapacity   = 64
+	demoKey          = "demo-key"
+	demoOrg          = "demo"
+	loadKey          = "demo-load-key"
+	loadOrg          = "demo-load"
+	demoBudget       = ident.Tokens(100000)
+	loadBudget       = ident.Tokens(50000000)
+	keyValidity      = 24 * time.Hour
+)
+
+// Router is one router of the fleet.
+type Router struct {
+	Name   string
+	Domain ident.DomainID
+	Node   *node.Node
+	stop   context.CancelFunc
+	done   chan error
+}
+
+// Fleet is the running demonstration.
+type Fleet struct {
+	cfg      Config
+	platform *fakestore.Server
+	engines  map[ident.TargetID]*engine.Server
+	desks    map[ident.TargetID]*desk.Server
+	urls     map[ident.TargetID]string
+	domains  []ident.DomainID
+	store    *store.Client
+	ca       peer.Pair
+	servers  []*http.Server
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	Routers []*Router
+}
+
+// Start starts the stand-ins and the routers.
+func Start(cfg Config) (*Fleet, error) {
+	f := &Fleet{
+		cfg: cfg, engines: make(map[ident.TargetID]*engine.Server), desks: make(map[ident.TargetID]*desk.Server),
+		urls: make(map[ident.TargetID]string),
+	}
+	err := f.start()
+	if err != nil {
+		f.Stop()
+		return nil, trace.Wrap(err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	n := max(1, (f.cfg.Routers+routersPerDomain-1)/routersPerDomain)
+	for i := range n {
+		f.domains = append(f.domains, ident.DomainID(fmt.Sprintf("d%d", i+1)))
+	}
+	f.platform = fakestore.New(fakestore.Config{}, f.cfg.Clock)
+	url, err := f.serve(f.platform)
+	if err != nil {
+		return err
+	}
+	if f.store, err = store.New(store.Config{URL: url}, f.cfg.Clock); err != nil {
+		return err
+	}
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	if err := f.seed(context.Background()); err != nil {
+		return err
+	}
+	if f.ca, err = peer.NewAuthority("demo", f.cfg.Clock.Now(), keyValidity); err != nil {
+		return err
+	}
+	for i := range f.cfg.Routers {
+		if _, err := f.StartRouter(i, url); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve serves a stand-in on a free port and returns its URL.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	f.servers = append(f.servers, srv)
+	f.wg.Go(func() { _ = srv.Serve(l) })
+	return "http://" + l.Addr().String(), nil
+}
+
+func (f *Fleet) startTargets() error {
+	for i, d := range f.domains {
+		for j := range enginesPerDomain {
+			id := ident.TargetID(fmt.Sprintf("engine-%s-%d", d, j+1))
+			s := engine.New(engine.Config{Capacity: engineCapacity, TokenInterval: f.cfg.TokenInterval, Seed: uint64(10*i + j)}, f.cfg.Clock)
+			url, err := f.serve(s)
+			if err != nil {
+				return err
+			}
+			f.engines[id], f.urls[id] = s, url
+		}
+		id := ident.TargetID("orders-" + string(d))
+		s := desk.New(desk.Config{Default: 1000}, f.cfg.Clock)
+		url, err := f.serve(s)
+		if err != nil {
+			return err
+		}
+		f.desks[id], f.urls[id] = s, url
+	}
+	return nil
+}
+
+// StartRouter starts the router of an index, with a new incarnation if it ran before.
+func (f *Fleet) StartRouter(i int, platformURL string) (*Router, error) {
+	r := &Router{Name: fmt.Sprintf("router-%d", i+1), Domain: f.domains[i/routersPerDomain], done: make(chan error, 1)}
+	pair, err := f.ca.Issue(r.Name, f.cfg.Clock.Now(), keyValidity)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	certs, err := peer.NewCerts(f.cfg.Clock, pair, f.ca.Cert)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	cfg, err := f.settings(i, r, platformURL)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.store.PutVM(context.Background(), store.VM{Name: ident.VMID(r.Name), Domain: r.Domain, State: store.VMLive}); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r.Node, err = node.New(cfg, node.Deps{Clock: f.cfg.Clock, Log: f.cfg.Log, Registry: prometheus.NewRegistry(), Certs: certs, Seed: uint64(i)})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var ctx context.Context
+	ctx, r.stop = context.WithCancel(context.Background())
+	go func() { r.done <- r.Node.Run(ctx) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Routers = append(f.Routers, r)
+	return r, nil
+}
+
+// settings returns the settings of a router: the defaults of the command with the demonstration's addresses.
+func (f *Fleet) settings(i int, r *Router, platformURL string) (flags.Router, error) {
+	var cfg flags.Router
+	flags.BindRouter(pflag.NewFlagSet("router", pflag.ContinueOnError), &cfg)
+	addr, err := nthAddr(f.cfg.CallerAddr, i)
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Name, cfg.VM, cfg.Domain = r.Name, r.Name, string(r.Domain)
+	cfg.CallerAddr, cfg.AdminAddr, cfg.PeerAddr = addr, "127.0.0.1:0", "127.0.0.1:0"
+	if i == 0 {
+		cfg.AdminAddr = f.cfg.AdminAddr
+	}
+	cfg.PlatformURL, cfg.OperatorToken, cfg.OperationKey = platformURL, f.cfg.OperatorToken, "demo-operation-key"
+	cfg.ReleasePolicy = "small"
+	cfg.DrainGrace = 200 * time.Millisecond
+	return cfg, nil
+}
+
+// nthAddr adds n to the port of an address; port 0 stays free.
+func nthAddr(addr string, n int) (string, error) {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return "", trace.BadParameter("address %q: %v", addr, err)
+	}
+	if a.Port != 0 {
+		a.Port += n
+	}
+	return a.String(), nil
+}
+
+// Crash stops a router as a failure of its VM does and reports the VM as gone.
+func (f *Fleet) Crash(r *Router) error {
+	r.Node.Kill()
+	r.stop()
+	if err := <-r.done; err != nil {
+		return trace.Wrap(err)
+	}
+	return f.store.PutVM(context.Background(), store.VM{Name: ident.VMID(r.Name), Domain: r.Domain, State: store.VMGone})
+}
+
+// Stop shuts the routers down gracefully and then stops the stand-ins.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	routers := f.Routers
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, r := range routers {
+		wg.Go(func() {
+			r.stop()
+			r.Node.Wait()
+		})
+	}
+	wg.Wait()
+	for _, s := range f.engines {
+		s.Close()
+	}
+	if f.platform != nil {
+		f.platform.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.wg.Wait()
+}
--- a/io/node/inbox.go
+++ b/io/node/inbox.go
@@ -33,7 +33,7 @@
 func (b inbox) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
 	switch m := m.(type) {
 	case peer.Digest:
-		return peer.Done{}, nil
+		return b.n.ownDigest(ctx)
 	case peer.LedgerReport:
 		return b.n.writeFor(ctx, m)
 	case peer.JournalFind:
--- a/io/node/journal.go
+++ b/io/node/journal.go
@@ -307,3 +307,10 @@
 	}
 	return peer.JournalFound{Owner: owner, Hold: &f.Hold, Settlement: f.Settlement}
 }
+
+// declared reports whether the ledger shows a journal peer of this router.
+func (k *journal) declared() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.j.Current().Peer != ""
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -54,6 +54,7 @@
 	kill     context.CancelFunc
 	events   chan event
 	stopped  chan struct{}
+	ended    chan struct{}
 	workers  sync.WaitGroup
 	lastTick atomic.Int64
 	dropped  atomic.Int64
@@ -108,7 +109,7 @@
 		cfg: cfg, id: ident.NewRouterID(cfg.Name, epoch), domain: cfg.DomainID(),
 		clock: d.Clock, log: d.Log.With("router", cfg.Name, "domain", cfg.Domain), store: st,
 		metrics: metric.New(d.Registry), registry: d.Registry,
-		events: make(chan event, eventQueue), stopped: make(chan struct{}),
+		events: make(chan event, eventQueue), stopped: make(chan struct{}), ended: make(chan struct{}),
 	}
 	n.life, n.kill = context.WithCancel(context.Background())
 	rng := rand.New(rand.NewPCG(d.Seed, epoch)) //nolint:gosec // not for secrets
@@ -190,6 +191,7 @@
 
 // Run serves until ctx ends and then shuts down gracefully. Kill ends it at once.
 func (n *Node) Run(ctx context.Context) error {
+	defer close(n.ended)
 	go n.control()
 	errs := make(chan error, 2)
 	go func() { errs <- n.callers.Serve(n.callerL) }()
@@ -209,6 +211,9 @@
 	return trace.Wrap(err)
 }
 
+// Wait returns when Run has ended.
+func (n *Node) Wait() { <-n.ended }
+
 // Kill stops the router at once, as a crash does.
 func (n *Node) Kill() {
 	n.kill()
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/admin"
 	"geraniumsaddle/io/caller"
 )
 
@@ -27,6 +28,7 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", n.ready)
+	mux.Handle("/admin/v1/", admin.New(n.store, n, n.clock, n.log))
 	return mux
 }
 
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -228,6 +228,18 @@
 	return false
 }
 
+// domainsOf returns the failure domains in which an active target has a version.
+func (v *view) domainsOf(id ident.VersionID) []ident.DomainID {
+	var out []ident.DomainID
+	for _, t := range v.targets {
+		if t.State == object.TargetActive && slices.Contains(t.Versions, id) && !slices.Contains(out, t.Domain) {
+			out = append(out, t.Domain)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // size returns the number of objects in the view.
 func (v *view) size() int {
 	return len(v.orgs) + len(v.budgets) + len(v.targets) + len(v.versions) + len(v.services) + len(v.releases) +
