--- /dev/null
+++ b/cmd/geraniumsaddle/http_test.go
@@ -0,0 +1,176 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/store"
+)
+
+// variable are the parts of answers that differ between runs.
+var variable = []struct {
+	re *regexp.Regexp
+	to string
+}{
+	{regexp.MustCompile(`req-[0-9a-f]{32}`), "req-ID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`"created":\d+`), `"created":0`},
+	{regexp.MustCompile(`"version":\d+`), `"version":N`},
+	{regexp.MustCompile(`(r\d)\.\d{13}`), "$1.EPOCH"},
+}
+
+// cmdHTTP sends a request and prints the status, the outcome and the body, with the variable parts replaced:
+//
+//	http [-H 'name: value']... [-until STATUS] [-raw] METHOD URL [BODY or @FILE]
+//
+// With -until it repeats the request until the status or, after a slash, a text in the body is there.
+func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	q := parseHTTP(ts, args)
+	end := time.Now().Add(pollWait)
+	for {
+		status, out, err := q.send()
+		ok := err == nil && (q.until == "" || status == q.until) && strings.Contains(out, q.text)
+		if q.until == "" && q.text == "" {
+			ok = err == nil
+		}
+		if ok != neg {
+			_, _ = io.WriteString(ts.Stdout(), out+"\n")
+			return
+		}
+		if time.Now().After(end) || q.until == "" && q.text == "" {
+			ts.Fatalf("%s %s: status %s, error %v: %s", q.method, q.url, status, err, out)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+type httpRequest struct {
+	method, url, body string
+	header            http.Header
+	until, text       string
+	raw               bool
+}
+
+func parseHTTP(ts *testscript.TestScript, args []string) *httpRequest {
+	q := &httpRequest{header: http.Header{}}
+	for len(args) > 0 && strings.HasPrefix(args[0], "-") {
+		switch args[0] {
+		case "-H":
+			name, value, _ := strings.Cut(args[1], ": ")
+			q.header.Set(name, value)
+			args = args[2:]
+		case "-until":
+			q.until, q.text, _ = strings.Cut(args[1], "/")
+			args = args[2:]
+		case "-raw":
+			q.raw = true
+			args = args[1:]
+		default:
+			ts.Fatalf("unknown flag %s", args[0])
+		}
+	}
+	q.method, q.url = args[0], args[1]
+	if len(args) > 2 {
+		q.body = args[2]
+	}
+	if file, ok := strings.CutPrefix(q.body, "@"); ok {
+		q.body = ts.ReadFile(file)
+	}
+	return q
+}
+
+func (q *httpRequest) send() (status, out string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, q.method, q.url, strings.NewReader(q.body))
+	if err != nil {
+		return "", "", err
+	}
+	req.Header = q.header.Clone()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	status = strconv.Itoa(resp.StatusCode)
+	out = status + " " + resp.Header.Get("Request-Outcome") + "\n" + strings.TrimSpace(string(body))
+	if q.raw {
+		return status, strings.TrimSpace(string(body)), err
+	}
+	for _, v := range variable {
+		out = v.re.ReplaceAllString(out, v.to)
+	}
+	return status, out, err
+}
+
+// cmdFund writes the ledger entry of a budget on the platform: fund PLATFORM_URL BUDGET TOKENS.
+func cmdFund(ts *testscript.TestScript, _ bool, args []string) {
+	st, err := store.New(store.Config{URL: args[0]}, clockwork.NewRealClock())
+	ts.Check(err)
+	n, err := strconv.ParseInt(args[2], 10, 64)
+	ts.Check(err)
+	id := escrow.BudgetEntry(ident.BudgetID(args[1]))
+	shard, version := readShard(ts, st, id)
+	e := escrow.Entry{ID: id}
+	if known := shard.Entry(id); known != nil {
+		e = known.Clone()
+	}
+	_, err = e.Do(escrow.Op{ID: fmt.Sprint("fund-", version), Kind: escrow.OpTopUp, Tokens: ident.Tokens(n)})
+	ts.Check(err)
+	raw, err := shard.With(e).Encode()
+	ts.Check(err)
+	_, err = st.Put(context.Background(), escrow.LedgerKey(id), raw, store.Match(version))
+	ts.Check(err)
+}
+
+func readShard(ts *testscript.TestScript, st *store.Client, id escrow.EntryID) (escrow.Shard, ident.ObjectVersion) {
+	o, err := st.Get(context.Background(), escrow.LedgerKey(id))
+	if err != nil {
+		return escrow.NewShard(), 0
+	}
+	s, err := escrow.Decode(o.Value)
+	ts.Check(err)
+	return s, o.Version
+}
+
+// cmdLedger waits until the billed tokens of a budget are as given and prints its counters, without the parts of the
+// routers: ledger PLATFORM_URL BUDGET BILLED.
+func cmdLedger(ts *testscript.TestScript, _ bool, args []string) {
+	st, err := store.New(store.Config{URL: args[0]}, clockwork.NewRealClock())
+	ts.Check(err)
+	id := escrow.BudgetEntry(ident.BudgetID(args[1]))
+	end := time.Now().Add(pollWait)
+	for {
+		s, _ := readShard(ts, st, id)
+		e := s.Entry(id)
+		if e != nil && fmt.Sprint(e.Settled()) == args[2] {
+			printEntry(ts, e)
+			return
+		}
+		if time.Now().After(end) {
+			b, _ := json.Marshal(e)
+			ts.Fatalf("billed is not %s: %s", args[2], b)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func printEntry(ts *testscript.TestScript, e *escrow.Entry) {
+	if faults := e.Check(); len(faults) > 0 {
+		ts.Fatalf("entry %s: %v", e.ID, faults)
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "paid %d billed %d unresolved %d over %d\n", e.Paid-e.Refunded, e.Settled(), e.UnresolvedTokens(), max(0, e.Settled()-e.Paid+e.Refunded))
+}
--- a/io/node/ledger.go
+++ b/io/node/ledger.go
@@ -110,8 +110,8 @@
 		return
 	}
 	st.running = false
-	if len(ev.entries) > 0 {
-		for _, r := range st.open {
+	for _, r := range st.open {
+		if written(ev.entries, r) {
 			r.Want, r.Need = 0, 0
 			st.last[r.Entry] = r
 		}
@@ -119,6 +119,20 @@
 	st.open = nil
 }
 
+// written reports whether a confirmed entry shows the counters of a report. The writer leaves out settlements that
+// nothing makes urgent until its next flush, so they are reported again.
+func written(es []escrow.Entry, r escrow.Report) bool {
+	for i := range es {
+		if es[i].ID != r.Entry {
+			continue
+		}
+		h := es[i].Holder(r.Holder)
+		return h != nil && h.Settled >= r.Settled && h.Returned >= r.Returned && h.In >= r.In && h.Out >= r.Out &&
+			h.JournalPeer == r.JournalPeer
+	}
+	return false
+}
+
 // sendReports brings reports to the writer of a shard and hands the confirmed entries to the control goroutine.
 func (n *Node) sendReports(ctx context.Context, k object.Key, reports []escrow.Report) {
 	ctx, cancel := context.WithTimeout(ctx, reportWait)
