Continue a bounded push for all kinds and add store benchmarks

A starting router asked a peer for everything and stopped when the first kind was complete, because the second had made no progress yet; it took a later digest for each. Receive now continues every kind while any object was new.

--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,136 @@
+package config_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+const (
+	organisations = 31_000
+	budgets       = 18_000
+)
+
+func fleetObjects() []config.Object {
+	objs := make([]config.Object, 0, organisations+budgets)
+	for i := range organisations {
+		objs = append(objs, organisation(i, ident.ObjectVersion(i+1)))
+	}
+	for i := range budgets {
+		objs = append(objs, config.Object{
+			Kind: object.KindBudget, Name: fmt.Sprintf("budget-%05d", i), Version: ident.ObjectVersion(organisations + i + 1),
+			Value: fmt.Appendf(nil, `{"format":1,"id":"budget-%05d","org":"org-%05d","expires_at":"2030-01-01T00:00:00Z"}`, i, i),
+		})
+	}
+	return objs
+}
+
+// BenchmarkApply reports the time and the memory of one object at the size of two years from now. The
+// memory includes the JSON value.
+func BenchmarkApply(b *testing.B) {
+	var values int
+	for _, o := range fleetObjects() {
+		values += len(o.Value)
+	}
+	var used uint64
+	for b.Loop() {
+		b.StopTimer()
+		before := heap()
+		objs := fleetObjects()
+		b.StartTimer()
+		s := config.New()
+		for _, o := range objs {
+			s.Apply(o)
+		}
+		b.StopTimer()
+		used = heap() - before
+		runtime.KeepAlive(s)
+		b.StartTimer()
+	}
+	n := float64(organisations + budgets)
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/n, "ns/object")
+	b.ReportMetric(float64(used)/n, "B/object")
+	b.ReportMetric(float64(values)/n, "value-B/object")
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func size(b *testing.B, v any) float64 {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(raw))
+}
+
+// BenchmarkDigest reports the time of a digest and the encoded bytes of an exchange: when nothing
+// differs, when the peer has one newer object, and when one older object differs.
+func BenchmarkDigest(b *testing.B) {
+	s, peer := config.New(), config.New()
+	for _, o := range fleetObjects() {
+		s.Apply(o)
+		peer.Apply(o)
+	}
+	var d config.Digest
+	for b.Loop() {
+		d = s.Digest()
+		if !peer.Diff(d).Empty() {
+			b.Fatal("equal stores differ")
+		}
+	}
+	b.ReportMetric(size(b, d), "digest-B")
+
+	newer := organisation(7, 100_000)
+	s.Apply(newer)
+	want := peer.Diff(s.Digest())
+	push := s.Push(want)
+	peer.Receive(push)
+	b.ReportMetric(size(b, want)+size(b, push), "newer-B")
+
+	s.Apply(organisation(9, 100_001))
+	top := organisation(8, 100_002)
+	s.Apply(top)
+	peer.Apply(top)
+	want = peer.Diff(s.Digest())
+	push = s.Push(want)
+	_, next := peer.Receive(push)
+	last := s.Push(next)
+	peer.Receive(last)
+	b.ReportMetric(size(b, want)+size(b, push)+size(b, next)+size(b, last), "older-B")
+	if !peer.Diff(s.Digest()).Empty() {
+		b.Fatal("stores differ after the exchange")
+	}
+}
+
+// BenchmarkStart reports the exchange by which a starting router gets everything from a peer.
+func BenchmarkStart(b *testing.B) {
+	s := config.New()
+	for _, o := range fleetObjects() {
+		s.Apply(o)
+	}
+	rounds, bytes := 0, 0.0
+	for b.Loop() {
+		rounds, bytes = 0, 0
+		fresh := config.New()
+		for want := fresh.Diff(s.Digest()); !want.Empty(); rounds++ {
+			push := s.Push(want)
+			b.StopTimer()
+			bytes += size(b, push)
+			b.StartTimer()
+			_, want = fresh.Receive(push)
+		}
+	}
+	b.ReportMetric(float64(rounds), "rounds")
+	b.ReportMetric(bytes, "pushed-B")
+}
--- a/core/config/digest.go
+++ b/core/config/digest.go
@@ -198,10 +198,6 @@
 // Receive applies a push. It returns the objects and deletion marks that were newer, and what to ask
 // the same peer for next.
 func (s *Store) Receive(p Push) (changed []Object, next Want) {
-	before := make(map[object.Kind]ident.ObjectVersion, len(p.More))
-	for _, kind := range p.More {
-		before[kind] = s.highest(kind)
-	}
 	for _, o := range p.Objects {
 		if s.Apply(o) == Applied {
 			changed = append(changed, o)
@@ -214,11 +210,12 @@
 			next.Kinds = append(next.Kinds, kw)
 		}
 	}
+	if len(changed) == 0 {
+		// Without progress a faulty peer could keep both sides exchanging the same objects.
+		return changed, next
+	}
 	for _, kind := range p.More {
-		// Without this check a faulty peer could keep both sides exchanging the same objects.
-		if h := s.highest(kind); h > before[kind] {
-			next.Kinds = append(next.Kinds, KindWant{Kind: kind, After: h, Newer: true})
-		}
+		next.Kinds = append(next.Kinds, KindWant{Kind: kind, After: s.highest(kind), Newer: true})
 	}
 	return changed, next
 }
