Count a delay of the local loop once and ask seeds for the member table

After a pause each waiting message moved all deadlines by the whole delay again, because the next period still lay in the past. Outstanding probes then never ended and their members stayed dead in this router's view.

Routers also start from seed addresses in the settings, whose identifiers are not known before they answer.

--- a/core/member/detector.go
+++ b/core/member/detector.go
@@ -14,6 +14,9 @@
 	// Self describes this router. Its incarnation starts at the given value.
 	Self Update
 	Rand *rand.Rand
+	// Seeds are addresses of routers from the settings. They are asked for the member table while no
+	// member is alive, and now and then, so that groups that do not know each other join.
+	Seeds []string
 	// Period is the time between two probes in the own failure domain and between two remote ones.
 	Period time.Duration
 	// ProbeTimeout is the wait for a direct answer and, again, for an indirect one.
@@ -93,6 +96,7 @@
 	nextAt   time.Time
 	nextSync time.Time
 	nextDead time.Time
+	nextSeed time.Time
 	heard    time.Time // last message of any member
 	wake     time.Time
 	health   health
@@ -132,7 +136,7 @@
 	cfg.Self.State = StateAlive
 	d := &Detector{
 		cfg: cfg, self: cfg.Self, name: cfg.Self.ID.Name(), members: make(map[string]*entry),
-		nextAt: now, nextSync: now, nextDead: now.Add(cfg.DeadEvery), heard: now, wake: now,
+		nextAt: now, nextSync: now, nextSeed: now, nextDead: now.Add(cfg.DeadEvery), heard: now, wake: now,
 		vms: make(map[ident.VMID]VMState),
 	}
 	return d
@@ -216,7 +220,8 @@
 		e.until = e.until.Add(by)
 	}
 	d.heard = d.heard.Add(by)
-	d.wake = now
+	// Messages that waited arrive before the next Tick and must not count the same delay again.
+	d.wake, d.nextAt = now, now
 	return by >= pauseAfter
 }
 
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -41,6 +41,7 @@
 			sync = false
 		}
 	}
+	acts = d.askSeed(now, acts)
 	if !now.Before(d.nextDead) {
 		d.nextDead = now.Add(d.cfg.DeadEvery)
 		if e := d.nextDeadMember(); e != nil {
@@ -50,6 +51,21 @@
 	return acts
 }
 
+// askSeed asks one seed for the member table. Its router identifier is not known before it answers.
+func (d *Detector) askSeed(now time.Time, acts []Action) []Action {
+	alone := !slices.ContainsFunc(d.names, func(name string) bool { return d.members[name].state() != StateDead })
+	if len(d.cfg.Seeds) == 0 || (!alone && now.Before(d.nextSeed)) {
+		return acts
+	}
+	d.nextSeed = now.Add(d.cfg.SyncEvery)
+	addr := d.cfg.Seeds[d.cfg.Rand.IntN(len(d.cfg.Seeds))]
+	if addr == d.self.Addr {
+		return acts
+	}
+	d.seq++
+	return append(acts, Send{Addr: addr, Msg: Probe{Seq: d.seq, From: d.self, Updates: d.table(), Sync: true}})
+}
+
 func (d *Detector) probing(e *entry) bool {
 	return slices.ContainsFunc(d.probes, func(p *probe) bool { return p.name == e.u.ID.Name() })
 }
--- a/core/member/types.go
+++ b/core/member/types.go
@@ -80,7 +80,7 @@
 // Action is something that the caller must do: Send or Changed.
 type Action interface{ action() }
 
-// Send sends a message to an address, without waiting and without retry.
+// Send sends a message to an address, without waiting and without retry. To is empty for a seed.
 type Send struct {
 	To   ident.RouterID
 	Addr string
