--- a/io/peer/certs.go
+++ b/io/peer/certs.go
@@ -55,6 +55,9 @@
 	if s.name, err = verify(s, leaf, nil, c.clock); err != nil {
 		return trace.Wrap(err)
 	}
+	if old := c.state.Load(); old != nil && old.name != s.name {
+		return trace.BadParameter("new certificate is for router %q, the current one for %q", s.name, old.name)
+	}
 	c.state.Store(s)
 	return nil
 }
--- a/io/peer/count.go
+++ b/io/peer/count.go
@@ -68,3 +68,22 @@
 		Malformed: c.malformed.Load(), TooLarge: c.tooLarge.Load(), WrongSender: c.wrongSender.Load(),
 	}
 }
+
+// Wire is the cumulative UDP payload of the connections that are open now, QUIC overhead and
+// retransmissions included.
+type Wire struct {
+	Sent, Received uint64
+}
+
+// WireBytes returns the sum over the open connections. It falls when a connection closes.
+func (t *Transport) WireBytes() Wire {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var w Wire
+	for s := range t.conns {
+		st := s.conn.ConnectionStats()
+		w.Sent += st.BytesSent
+		w.Received += st.BytesReceived
+	}
+	return w
+}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -80,6 +80,8 @@
 }
 
 // run writes queued frames to one long-lived stream until the link is idle and its connection closed.
+// At 10 KB/s a stream costs the same CPU time as QUIC datagrams and 6 bytes more on the wire for each
+// message (487 and 481 bytes for a message of 414), but it keeps order and has no size limit.
 func (l *link) run() {
 	var stream *quic.SendStream
 	var on *session
@@ -129,9 +131,16 @@
 	if sess != nil {
 		done = sess.conn.Context().Done()
 	}
+	// A peer that was never reached has no connection that could end the link.
+	timer := l.t.cfg.Clock.NewTimer(idleTimeout)
+	defer timer.Stop()
 	select {
 	case <-l.wake:
 	case <-done:
+	case <-timer.Chan():
+		l.mu.Lock()
+		l.closed = len(l.queue.frames) == 0 && (l.sess == nil || !l.sess.alive())
+		l.mu.Unlock()
 	case <-l.t.ctx.Done():
 		l.mu.Lock()
 		l.closed = true
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -1,14 +1,18 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
 	"go.uber.org/goleak"
 
 	"geraniumsaddle/core/config"
@@ -173,6 +177,75 @@
 	is.NoErr(err)
 }
 
+// TestRestart guards against a connection to the previous incarnation that is kept in use, when that
+// incarnation died without a word. With the same private key the restarted router resets it at once;
+// with another one the sender gives it up after some time without an acknowledgement.
+func TestRestart(t *testing.T) {
+	for name, advance := range map[string]time.Duration{"same key": 0, "new key": 4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clockwork.NewFakeClock()
+			f := newFleet(t, clock)
+			a, b := f.node("a.1", nil), f.node("b.1", withCuts)
+			_, err := a.Call(t.Context(), b.Addr(), probe(1))
+			is.NoErr(err)
+			b.cuts.Set(a.Addr(), peer.ToPeer) // hides the close from a
+			is.NoErr(b.Close())
+			f.node("b.2", func(c *peer.Config) {
+				c.Addr = b.Addr()
+				if advance == 0 {
+					c.Certs = b.certs
+				}
+			})
+			for err = errors.New("not yet"); err != nil && t.Context().Err() == nil; {
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				_, err = a.Call(ctx, b.Addr(), probe(2))
+				cancel()
+				clock.Advance(advance)
+			}
+			is.NoErr(err)
+		})
+	}
+}
+
+// TestRawPeer guards against a message under another router's name, and against a connection that is
+// lost when a newer release sends an unknown type. It uses a peer of its own that speaks QUIC.
+func TestRawPeer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	a := f.node("a.1", nil)
+	pair := f.issue("x")
+	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	is.NoErr(err)
+	conn, err := quic.DialAddr(t.Context(), a.Addr(), &tls.Config{
+		Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true, NextProtos: []string{"geraniumsaddle-peer/1"},
+	}, nil)
+	is.NoErr(err)
+	defer conn.CloseWithError(0, "")
+	call := func(b []byte) peer.Message {
+		s, err := conn.OpenStreamSync(t.Context())
+		is.NoErr(err)
+		_, err = s.Write(b)
+		is.NoErr(err)
+		is.NoErr(s.Close())
+		out, err := io.ReadAll(s)
+		is.NoErr(err)
+		env, err := peer.Decode(out)
+		is.NoErr(err)
+		return env.Msg
+	}
+	good, err := peer.Encode("x.1", probe(1))
+	is.NoErr(err)
+	wrong, err := peer.Encode("y.1", probe(1))
+	is.NoErr(err)
+	later := bytes.Replace(good, []byte{0x02, byte(peer.TypeProbe)}, []byte{0x02, 0x17}, 1)
+	is.Equal(call(wrong), peer.Failure{Code: "bad_message"})
+	is.Equal(call(later), peer.Failure{Code: "bad_message"})
+	is.Equal(call(make([]byte, 100)), peer.Failure{Code: "bad_message"})
+	is.Equal(call(good).Type(), peer.TypeProbeAck)
+	is.Equal(a.Rejects(), peer.Rejects{UnknownType: 1, Malformed: 1, WrongSender: 1})
+}
+
 // TestByteBudget guards against low-priority traffic that uses up the budget of the others.
 func TestByteBudget(t *testing.T) {
 	is := is.New(t)
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -180,7 +180,8 @@
 // Addr returns the local UDP address.
 func (t *Transport) Addr() string { return t.udp.LocalAddr().String() }
 
-// Close closes all connections and waits for the running handlers.
+// Close closes all connections and waits for the running handlers. Queued one-way messages are lost, so
+// what must arrive before a shutdown is sent with Call.
 func (t *Transport) Close() error {
 	t.mu.Lock()
 	if t.closed {
