--- a/core/member/types.go
+++ b/core/member/types.go
@@ -112,6 +112,12 @@
 	return m.State == StateAlive && !m.Leaving && !m.Barred
 }
 
+// Reachable reports whether the member is not dead, leaving or barred. Choices that should not move at a
+// mere suspicion, such as writers of shards, use it instead of Usable.
+func (m Member) Reachable() bool {
+	return m.State != StateDead && !m.Leaving && !m.Barred
+}
+
 // VMState is the platform's word on a VM.
 type VMState string
 
