--- a/core/member/types.go
+++ b/core/member/types.go
@@ -80,7 +80,7 @@
 // Action is something that the caller must do: Send or Changed.
 type Action interface{ action() }
 
-// Send sends a message to an address, without waiting and without retry.
+// Send sends a message to an address, without waiting and without retry. To is empty for a seed.
 type Send struct {
 	To   ident.RouterID
 	Addr string
@@ -112,6 +112,12 @@
 	return m.State == StateAlive && !m.Leaving && !m.Barred
 }
 
+// Reachable reports whether the member is not dead, leaving or barred. Choices that should not move at a
+// mere suspicion, such as writers of shards, use it instead of Usable.
+func (m Member) Reachable() bool {
+	return m.State != StateDead && !m.Leaving && !m.Barred
+}
+
 // VMState is the platform's word on a VM.
 type VMState string
 
