Make operators' changes conditional, audited and free of side effects when refused

A budget change opened its ledger entry before the conditional update of the budget object, so a change that lost a race could revoke or expire the entry of the winner. Unknown effects of ledger updates were reported as an outage, which says that nothing changed. Outages during the check of references were ignored.

The ledger now follows the stored object: an entry is read before the object and updated on the condition that it is unchanged. A change of an existing object without a version is 428. The audit record is written before the change, carries its details, and gets its result even if the operator's connection is lost. Decoding names every unknown field and wrong type with its path. Removals resolve lost replies by reading back. Names in paths are checked before they reach the platform.

--- a/io/admin/kinds.go
+++ b/io/admin/kinds.go
@@ -1,23 +1,22 @@
 package admin
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 
 	"geraniumsaddle/core/object"
 )
 
 // collection is a kind of objects that operators read and change whole.
 type collection struct {
-	path string
+	path Collection
 	kind object.Kind
 	// new returns an empty object of the kind.
 	new func() object.Value
 }
 
+// Collection is the name of a collection of objects in the paths of the API.
+type Collection string
+
 // collections are served under /admin/v1/.
 var collections = []collection{
 	{"organisations", object.KindOrganisation, func() object.Value { return new(object.Organisation) }},
@@ -29,31 +28,50 @@
 	{"operators", object.KindOperator, func() object.Value { return new(object.Operator) }},
 }
 
+// Collections returns the names of the collections.
+func Collections() []Collection {
+	out := make([]Collection, 0, len(collections))
+	for _, c := range collections {
+		out = append(out, c.path)
+	}
+	return out
+}
+
+// Decode decodes an object of a collection and returns a *Problem that names every fault.
+func Decode(name Collection, raw []byte) (object.Value, error) {
+	for _, c := range collections {
+		if c.path == name {
+			o, faults, err := c.decode(raw)
+			if err == nil && len(faults) > 0 {
+				err = invalid(faults)
+			}
+			return o, err
+		}
+	}
+	return nil, problem(404, "not_found", "there is no collection %q", name)
+}
+
+// decode decodes an object strictly and validates it.
+func (c collection) decode(raw []byte) (object.Value, object.Faults, error) {
+	o := c.new()
+	faults, err := decodeStrict(raw, o)
+	if err != nil {
+		return nil, nil, err
+	}
+	return o, join(faults, o.Validate()), nil
+}
+
 // decodeObject decodes and validates the object that a path names.
 func decodeObject(c collection, name string, raw []byte) (object.Value, error) {
-	o := c.new()
-	if err := decodeStrict(raw, o); err != nil {
+	o, faults, err := c.decode(raw)
+	if err != nil {
 		return nil, err
 	}
-	faults := o.Validate()
 	if o.Key().Name != name {
-		faults = append(faults, object.Fault{Path: "id", Message: fmt.Sprintf("must be %q as in the path", name)})
+		faults = join(faults, object.Faults{{Path: "id", Message: fmt.Sprintf("must be %q as in the path", name)}})
 	}
 	if len(faults) > 0 {
 		return nil, invalid(faults)
 	}
 	return o, nil
 }
-
-// decodeStrict refuses unknown fields, since an operator's misspelt field would be lost without notice.
-func decodeStrict(raw []byte, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		return problem(400, "malformed", "the body is not valid: %s", err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return problem(400, "malformed", "the body has data after the JSON value")
-	}
-	return nil
-}
--- a/io/admin/ledger.go
+++ b/io/admin/ledger.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"geraniumsaddle/core/escrow"
@@ -21,40 +23,57 @@
 // changeEntry applies a change to a ledger entry by conditional updates. A lost reply is resolved by
 // reading the entry back, because a change that is applied already changes nothing.
 func (s *Server) changeEntry(ctx context.Context, id escrow.EntryID, apply change) (escrow.Entry, error) {
-	key := escrow.LedgerKey(id)
+	uncertain := false
 	for range maxAttempts {
-		shard, version, err := s.readShard(ctx, key)
-		if err != nil {
-			return escrow.Entry{}, err
-		}
-		e := escrow.Entry{ID: id}
-		known := shard.Entry(id)
-		if known != nil {
-			e = known.Clone()
-		}
-		changed, err := apply(&e)
-		if err != nil {
-			return escrow.Entry{}, ledgerProblem(err)
-		}
-		if !changed && known != nil {
+		e, err := s.tryChange(ctx, id, apply)
+		var refused *Problem
+		switch {
+		case err == nil:
 			return e, nil
-		}
-		raw, err := shard.With(e).Encode()
-		if err != nil {
-			return escrow.Entry{}, err
-		}
-		_, err = s.objects.PutResolved(ctx, key, raw, store.Match(version))
-		if err == nil {
-			return e, nil
-		}
-		// After an unknown effect the loop reads the shard again and finds the change in it or not.
-		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
+		case errors.Is(err, store.ErrUnknown):
+			// The next attempt reads the shard again and finds the change in it or not.
+			uncertain = true
+		case errors.Is(err, store.ErrConflict):
+		case uncertain && !errors.As(err, &refused):
+			return escrow.Entry{}, unknownOutcome()
+		default:
 			return escrow.Entry{}, err
 		}
 	}
+	if uncertain {
+		return escrow.Entry{}, unknownOutcome()
+	}
 	return escrow.Entry{}, problem(http.StatusServiceUnavailable, "contended", "the ledger shard changes too fast; retry")
 }
 
+// tryChange makes one attempt. The change sees the entry before anything else that it reads, so that the conditional
+// update fails if a later change was applied in between.
+func (s *Server) tryChange(ctx context.Context, id escrow.EntryID, apply change) (escrow.Entry, error) {
+	key := escrow.LedgerKey(id)
+	shard, version, err := s.readShard(ctx, key)
+	if err != nil {
+		return escrow.Entry{}, err
+	}
+	e := escrow.Entry{ID: id}
+	known := shard.Entry(id)
+	if known != nil {
+		e = known.Clone()
+	}
+	changed, err := apply(&e)
+	if err != nil {
+		return escrow.Entry{}, ledgerProblem(err)
+	}
+	if !changed && known != nil {
+		return e, nil
+	}
+	raw, err := shard.With(e).Encode()
+	if err != nil {
+		return escrow.Entry{}, err
+	}
+	_, err = s.objects.PutResolved(ctx, key, raw, store.Match(version))
+	return e, err
+}
+
 func (s *Server) readShard(ctx context.Context, key object.Key) (escrow.Shard, ident.ObjectVersion, error) {
 	o, err := s.objects.Get(ctx, key)
 	if errors.Is(err, store.ErrAbsent) {
@@ -67,24 +86,32 @@
 	return shard, o.Version, err
 }
 
-// ledgerProblem turns a refusal of the ledger into a problem.
-func ledgerProblem(err error) error {
-	return problem(http.StatusConflict, "ledger_refused", "%s", err)
+// Amount is the body of a top-up or a refund.
+type Amount struct {
+	Tokens ident.Tokens `json:"tokens"`
+	// Note is kept in the audit record.
+	Note string `json:"note,omitempty"`
 }
 
-// setLimit raises the entry of a limit to n tokens. Limits are not lowered below what is spent.
-func (s *Server) setLimit(ctx context.Context, id escrow.EntryID, n ident.Tokens) error {
-	_, err := s.changeEntry(ctx, id, func(e *escrow.Entry) (bool, error) { return e.SetCapacity(n) })
-	return err
+// Resolution is the body of a decision on unresolved tokens: to release them to the budget or to write them off.
+type Resolution struct {
+	Tokens   ident.Tokens `json:"tokens"`
+	Decision Decision     `json:"decision"`
+	// Note is kept in the audit record.
+	Note string `json:"note,omitempty"`
 }
 
-// Amount is the body of a top-up, a refund or a decision on unresolved tokens.
-type Amount struct {
-	Tokens ident.Tokens `json:"tokens"`
-	Note   string       `json:"note,omitempty"`
-	// Decision is "release" or "write_off", for unresolved tokens only.
-	Decision string `json:"decision,omitempty"`
-}
+// Decision is what becomes of unresolved tokens.
+type Decision string
+
+// The decisions on unresolved tokens.
+const (
+	DecisionRelease  Decision = "release"
+	DecisionWriteOff Decision = "write_off"
+)
+
+// decisions are the ledger operations of the decisions.
+var decisions = map[Decision]escrow.OpKind{DecisionRelease: escrow.OpRelease, DecisionWriteOff: escrow.OpWriteOff}
 
 // LedgerView is the state of a budget's ledger entry, in tokens.
 type LedgerView struct {
@@ -126,43 +153,56 @@
 }
 
 func (s *Server) topUp(ctx context.Context, q *request) error {
-	return s.operate(ctx, q, escrow.OpTopUp)
+	return s.move(ctx, q, escrow.OpTopUp)
 }
 
 func (s *Server) refund(ctx context.Context, q *request) error {
-	return s.operate(ctx, q, escrow.OpRefund)
+	return s.move(ctx, q, escrow.OpRefund)
 }
 
-// decisions are the operations on unresolved tokens.
-var decisions = map[string]escrow.OpKind{"release": escrow.OpRelease, "write_off": escrow.OpWriteOff}
+func (s *Server) move(ctx context.Context, q *request, kind escrow.OpKind) error {
+	var a Amount
+	faults, err := decodeStrict(q.body, &a)
+	if err != nil {
+		return err
+	}
+	return s.operate(ctx, q, kind, a, faults)
+}
 
 func (s *Server) resolve(ctx context.Context, q *request) error {
-	var a Amount
-	if err := decodeStrict(q.body, &a); err != nil {
+	var r Resolution
+	faults, err := decodeStrict(q.body, &r)
+	if err != nil {
 		return err
 	}
-	kind, ok := decisions[a.Decision]
+	kind, ok := decisions[r.Decision]
 	if !ok {
-		return invalid(object.Faults{{Path: "decision", Message: `must be "release" or "write_off"`}})
+		faults = join(faults, object.Faults{{Path: "decision", Message: `must be "release" or "write_off"`}})
 	}
-	return s.operate(ctx, q, kind)
+	return s.operate(ctx, q, kind, Amount{Tokens: r.Tokens, Note: r.Note}, faults)
 }
 
-// operate applies an operation with the idempotency key as its identity, so that a repeated request has no second effect.
-func (s *Server) operate(ctx context.Context, q *request, kind escrow.OpKind) error {
-	var a Amount
-	if err := decodeStrict(q.body, &a); err != nil {
-		return err
-	}
-	opID := q.r.Header.Get("Idempotency-Key")
-	var faults object.Faults
+// maxNote bounds a note in bytes.
+const maxNote = 200
+
+func (a Amount) validate(opID string) object.Faults {
+	var f object.Faults
 	if a.Tokens < 1 || a.Tokens > object.MaxTokens {
-		faults = append(faults, object.Fault{Path: "tokens", Message: "must be positive and at most 2^50"})
+		f = append(f, object.Fault{Path: "tokens", Message: "must be positive and at most 2^50"})
+	}
+	if len(a.Note) > maxNote {
+		f = append(f, object.Fault{Path: "note", Message: "must have at most " + strconv.Itoa(maxNote) + " bytes"})
 	}
 	if !object.ValidID(opID) {
-		faults = append(faults, object.Fault{Path: "Idempotency-Key", Message: "is required, with 1 to 64 letters, digits, '.', '_' or '-'"})
+		f = append(f, object.Fault{Path: "Idempotency-Key", Message: "is required, with 1 to 64 letters, digits, '.', '_' or '-'"})
 	}
-	if len(faults) > 0 {
+	return f
+}
+
+// operate applies an operation with the idempotency key as its identity, so that a repeated request has no second effect.
+func (s *Server) operate(ctx context.Context, q *request, kind escrow.OpKind, a Amount, faults object.Faults) error {
+	opID := q.r.Header.Get("Idempotency-Key")
+	if faults = join(faults, a.validate(opID)); len(faults) > 0 {
 		return invalid(faults)
 	}
 	id := ident.BudgetID(q.r.PathValue("id"))
@@ -170,8 +210,12 @@
 	if _, err := s.objects.Get(ctx, key); err != nil {
 		return err
 	}
+	what := act{name: string(kind), key: key, detail: fmt.Sprintf("%d tokens, operation %s", a.Tokens, opID)}
+	if a.Note != "" {
+		what.detail += ", " + a.Note
+	}
 	var e escrow.Entry
-	err := s.audited(ctx, q, string(kind), key, func() (err error) {
+	err := s.audited(ctx, q, what, func(ctx context.Context) (err error) {
 		e, err = s.changeEntry(ctx, escrow.BudgetEntry(id), func(e *escrow.Entry) (bool, error) {
 			return e.Do(escrow.Op{ID: opID, Kind: kind, Tokens: a.Tokens})
 		})
--- a/io/admin/object.go
+++ b/io/admin/object.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 
-	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/store"
@@ -78,8 +77,17 @@
 	return nil
 }
 
+// current returns the stored object, or an object with version zero if there is none.
+func (s *Server) current(ctx context.Context, key object.Key) (store.Object, error) {
+	o, err := s.objects.Get(ctx, key)
+	if errors.Is(err, store.ErrAbsent) {
+		return store.Object{Key: key}, nil
+	}
+	return o, err
+}
+
 func (s *Server) put(ctx context.Context, q *request, c collection) error {
-	cond, err := condition(q.r)
+	pre, err := readPrecondition(q.r.Header)
 	if err != nil {
 		return err
 	}
@@ -87,7 +95,14 @@
 	if err != nil {
 		return err
 	}
-	if err := s.checkReferences(ctx, o); err != nil {
+	cur, err := s.current(ctx, o.Key())
+	if err != nil {
+		return err
+	}
+	if err := pre.check(cur.Version); err != nil {
+		return err
+	}
+	if err := s.checkChange(ctx, cur, o); err != nil {
 		return err
 	}
 	raw, err := json.Marshal(o)
@@ -95,14 +110,16 @@
 		return err
 	}
 	var version ident.ObjectVersion
-	err = s.audited(ctx, q, "put", o.Key(), func() error {
-		if b, ok := o.(*object.Budget); ok {
-			if err := s.openLedger(ctx, *b); err != nil {
-				return err
-			}
+	err = s.audited(ctx, q, act{name: "put", key: o.Key()}, func(ctx context.Context) (err error) {
+		version, err = s.objects.PutResolved(ctx, o.Key(), raw, pre.cond())
+		if errors.Is(err, store.ErrConflict) && !pre.named {
+			err = pre.check(asProblem(err).Version)
 		}
-		version, err = s.objects.PutResolved(ctx, o.Key(), raw, cond)
-		return err
+		if err != nil {
+			return err
+		}
+		// The ledger follows the stored object. A change that lost a race must not touch it.
+		return pending(version, s.syncLedger(ctx, o))
 	})
 	if err != nil {
 		return err
@@ -113,20 +130,26 @@
 }
 
 func (s *Server) remove(ctx context.Context, q *request, c collection) error {
-	if q.r.Header.Get("If-Match") == "" {
-		return problem(http.StatusPreconditionRequired, "version_required", "If-Match is required")
-	}
-	cond, err := condition(q.r)
+	pre, err := readPrecondition(q.r.Header)
 	if err != nil {
 		return err
 	}
+	if pre.version == 0 {
+		return problem(http.StatusPreconditionRequired, "version_required", "If-Match is required")
+	}
 	if c.kind == object.KindBudget {
 		return problem(http.StatusConflict, "in_use", "a budget is revoked, not deleted, because its ledger must stay")
 	}
 	key := object.Key{Kind: c.kind, Name: q.r.PathValue("id")}
-	err = s.audited(ctx, q, "delete", key, func() error {
-		_, err := s.objects.Delete(ctx, key, cond)
+	cur, err := s.objects.Get(ctx, key)
+	if err != nil {
 		return err
+	}
+	if err := pre.check(cur.Version); err != nil {
+		return err
+	}
+	err = s.audited(ctx, q, act{name: "delete", key: key}, func(ctx context.Context) error {
+		return s.deleteResolved(ctx, key, pre)
 	})
 	if err != nil {
 		return err
@@ -135,69 +158,28 @@
 	return nil
 }
 
-// checkReferences refuses objects that name objects which do not exist.
-func (s *Server) checkReferences(ctx context.Context, o object.Value) error {
-	var faults object.Faults
-	switch v := o.(type) {
-	case *object.Organisation:
-		for i, b := range v.Budgets {
-			s.require(ctx, &faults, "budgets["+strconv.Itoa(i)+"]", object.Key{Kind: object.KindBudget, Name: string(b)})
-		}
-	case *object.Release:
-		s.checkVersions(ctx, &faults, v)
-		if len(faults) == 0 {
-			faults = append(faults, s.fleet.CheckRelease(ctx, *v)...)
-		}
-	}
-	if len(faults) > 0 {
-		return invalid(faults)
-	}
-	return nil
-}
-
-func (s *Server) checkVersions(ctx context.Context, faults *object.Faults, r *object.Release) {
-	for i, c := range r.Added {
-		s.require(ctx, faults, "added["+strconv.Itoa(i)+"].version", versionKey(c.Version))
-	}
-	for i, c := range r.Changed {
-		s.require(ctx, faults, "changed["+strconv.Itoa(i)+"].version", versionKey(c.Version))
-		s.require(ctx, faults, "changed["+strconv.Itoa(i)+"].replaces", versionKey(c.Replaces))
-	}
-	for i, v := range r.Withdrawn {
-		s.require(ctx, faults, "withdrawn["+strconv.Itoa(i)+"]", versionKey(v))
-	}
-	if !r.FinishAt.After(s.clock.Now()) {
-		*faults = append(*faults, object.Fault{Path: "finish_at", Message: "must be in the future"})
-	}
-}
-
-func versionKey(v ident.VersionID) object.Key {
-	return object.Key{Kind: object.KindVersion, Name: string(v)}
-}
-
-func (s *Server) require(ctx context.Context, faults *object.Faults, path string, key object.Key) {
-	_, err := s.objects.Get(ctx, key)
-	if errors.Is(err, store.ErrAbsent) {
-		*faults = append(*faults, object.Fault{Path: path, Message: string(key.Kind) + "/" + key.Name + " does not exist"})
-	}
-}
+// maxDeletes bounds the calls for one removal.
+const maxDeletes = 3
 
-// openLedger makes the ledger entries of a budget and of its class limits, and applies revocation and expiry to them.
-func (s *Server) openLedger(ctx context.Context, b object.Budget) error {
-	_, err := s.changeEntry(ctx, escrow.BudgetEntry(b.ID), func(e *escrow.Entry) (bool, error) {
-		changed := e.SetExpiry(b.ExpiresAt)
-		if b.Revoked {
-			changed = e.Revoke() || changed
+// deleteResolved removes an object and resolves a lost reply by reading it back. An absent object is removed, and one
+// that still has the demanded version is removed again.
+func (s *Server) deleteResolved(ctx context.Context, key object.Key, pre precondition) error {
+	for n := 1; ; n++ {
+		_, err := s.objects.Delete(ctx, key, pre.cond())
+		if err == nil {
+			return nil
 		}
-		return changed, nil
-	})
-	if err != nil {
-		return err
-	}
-	for _, l := range b.ClassLimits {
-		if err := s.setLimit(ctx, escrow.ClassEntry(b.ID, l.Class), l.Tokens); err != nil {
+		if !errors.Is(err, store.ErrUnknown) && n == 1 {
 			return err
 		}
+		cur, readErr := s.current(ctx, key)
+		switch {
+		case readErr != nil:
+			return unknownOutcome()
+		case cur.Version == 0:
+			return nil
+		case n >= maxDeletes || cur.Version != pre.version:
+			return unknownOutcome()
+		}
 	}
-	return nil
 }
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -6,13 +6,11 @@
 	"encoding/hex"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
 
-	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/store"
 )
@@ -59,11 +57,14 @@
 	} {
 		mux.Handle(row.pattern, s.handle(row.role, row.serve))
 	}
+	mux.Handle("/", s.handle(object.RoleViewer, func(_ context.Context, q *request) error {
+		return problem(http.StatusNotFound, codeAbsent, "no such route: %s %s", q.r.Method, q.r.URL.Path)
+	}))
 	return alice.New(noStore).Then(mux)
 }
 
 func (s *Server) serveCollection(mux *http.ServeMux, c collection) {
-	base := "/admin/v1/" + c.path
+	base := "/admin/v1/" + string(c.path)
 	write := object.RoleOperator
 	if c.kind == object.KindOperator {
 		write = object.RoleOwner
@@ -89,6 +90,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		q := &request{w: w, r: r}
 		err := s.admit(q, need)
+		if err == nil {
+			err = checkNames(r)
+		}
 		if err == nil {
 			err = readBody(q)
 		}
@@ -103,6 +107,20 @@
 	})
 }
 
+// checkNames refuses names in the path that no object can have, before they become part of a platform call.
+func checkNames(r *http.Request) error {
+	var faults object.Faults
+	for _, name := range []string{"id", "key"} {
+		if v := r.PathValue(name); v != "" && !object.ValidID(v) {
+			faults = append(faults, object.Fault{Path: name, Message: "the name in the path is not valid"})
+		}
+	}
+	if len(faults) > 0 {
+		return invalid(faults)
+	}
+	return nil
+}
+
 func (s *Server) admit(q *request, need object.Role) error {
 	scheme, token, _ := strings.Cut(q.r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") || token == "" {
@@ -124,25 +142,3 @@
 	sum := sha256.Sum256([]byte(secret))
 	return hex.EncodeToString(sum[:])
 }
-
-func etag(v ident.ObjectVersion) string {
-	return `"` + strconv.FormatUint(uint64(v), 10) + `"`
-}
-
-// condition returns the condition that the request names. Without one, the object must not exist.
-func condition(r *http.Request) (store.Condition, error) {
-	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
-	switch {
-	case match != "" && none != "":
-		return store.Condition{}, problem(http.StatusBadRequest, "malformed", "If-Match and If-None-Match exclude each other")
-	case match != "":
-		v, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
-		if err != nil || v == 0 {
-			return store.Condition{}, problem(http.StatusBadRequest, "malformed", "If-Match must be an object version in quotes")
-		}
-		return store.Match(ident.ObjectVersion(v)), nil
-	case none != "" && none != "*":
-		return store.Condition{}, problem(http.StatusBadRequest, "malformed", "If-None-Match must be *")
-	}
-	return store.Absent(), nil
-}
