--- a/io/cmds/root.go
+++ b/io/cmds/root.go
@@ -65,7 +65,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &settingsError{object.Faults{{Path: "command line", Message: err.Error()}}}
 	})
-	root.AddCommand(newRouter(), newSettings(), newPlatform(), newEngine(), newService(), newKeys())
+	root.AddCommand(newRouter(), newSettings(), newPlatform(), newEngine(), newService(), newKeys(), newAdmin())
 	return root
 }
 
--- a/io/cmds/router.go
+++ b/io/cmds/router.go
@@ -67,6 +67,6 @@
 		},
 	}
 	flags.BindRouter(check.Flags(), &cfg)
-	cmd.AddCommand(check)
+	cmd.AddCommand(check, newPage())
 	return cmd
 }
