--- a/io/admin/harness_test.go
+++ b/io/admin/harness_test.go
@@ -1,9 +1,11 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -109,11 +111,13 @@
 	return b
 }
 
-// audits returns the results of the audit records.
+// audits returns the results of the audit records in the order of the results. The clock stands still, so the names of
+// the records do not order them.
 func (b *bench) audits(t *testing.T) []string {
 	t.Helper()
 	page, err := b.owner.Audit(t.Context(), ListOptions{})
 	is.New(t).NoErr(err)
+	slices.SortFunc(page.Items, func(x, y AuditItem) int { return cmp.Compare(x.Version, y.Version) })
 	var out []string
 	for _, i := range page.Items {
 		out = append(out, i.Value.Action+" "+i.Value.Detail)
