--- a/io/cmds/adminobj.go
+++ b/io/cmds/adminobj.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 
@@ -124,7 +125,7 @@
 			if len(out.Items) > 0 {
 				_ = p.page(name, out)
 			}
-			return trace.Wrap(err, "%s %q", name, id.ID)
+			return fmt.Errorf("%s %q: %w", name, id.ID, err)
 		}
 		out.Items = append(out.Items, item)
 	}
--- a/io/cmds/adminops.go
+++ b/io/cmds/adminops.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
 	"regexp"
 	"strconv"
 
-	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"geraniumsaddle/core/ident"
@@ -69,10 +71,11 @@
 		key = hex.EncodeToString(b[:])
 	}
 	err = change(key, ident.BudgetID(args[0]), ident.Tokens(n))
-	if err != nil {
-		return trace.Wrap(err, "to repeat this call safely, use --idempotency-key %s", key)
+	var p *admin.Problem
+	if err == nil || errors.As(err, &p) && p.Status < http.StatusInternalServerError {
+		return err
 	}
-	return nil
+	return fmt.Errorf("%w\nto repeat this call safely, use --idempotency-key %s", err, key)
 }
 
 // moveCall is Client.TopUp or Client.Refund.
--- a/io/cmds/root.go
+++ b/io/cmds/root.go
@@ -35,12 +35,16 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRoot()
+	ctx, stop := signals(context.Background())
+	defer stop()
+	return execute(ctx, newRoot(), args, stdout, stderr)
+}
+
+// execute runs a command line and returns the exit code.
+func execute(ctx context.Context, root *cobra.Command, args []string, stdout, stderr io.Writer) int {
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	ctx, stop := signals(context.Background())
-	defer stop()
 	err := root.ExecuteContext(ctx)
 	var settings *settingsError
 	switch {
--- a/io/flags/bind.go
+++ b/io/flags/bind.go
@@ -31,11 +31,20 @@
 		}
 		if err := fs.Set(f.Name, v); err != nil {
 			faults = append(faults, object.Fault{Path: EnvName(f.Name), Message: invalidValue(f, v)})
+			restore(f)
 		}
 	})
 	return faults
 }
 
+// restore sets a flag to its default. A failed Set of a number or a duration leaves zero, which would be named as a
+// second fault. A failed Set of a list changes nothing.
+func restore(f *pflag.Flag) {
+	if _, list := f.Value.(pflag.SliceValue); !list {
+		_ = f.Value.Set(f.DefValue)
+	}
+}
+
 func invalidValue(f *pflag.Flag, v string) string {
 	if IsSecret(f) {
 		return "has an invalid value"
