--- a/io/cmds/page_test.go
+++ b/io/cmds/page_test.go
@@ -2,12 +2,41 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
+	"regexp"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"geraniumsaddle/io/caller"
 )
 
+var codeRow = regexp.MustCompile("(?m)^\\| ([0-9]{3}) \\| `([a-z_]+)` \\| `[a-z_]+` \\|")
+
+// TestCodesInAPIPage guards against a status of a refusal in docs/api.md that differs from the program's, against a code
+// that the program does not have, and against one that the page leaves out.
+func TestCodesInAPIPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/api.md")
+	is.NoErr(err)
+	named := map[string]bool{}
+	for _, row := range codeRow.FindAllSubmatch(page, -1) {
+		r := caller.Refusal{Code: caller.Code(row[2])}
+		is.Equal(string(row[1]), fmt.Sprint(r.Status())) // status of the code
+		named[string(row[2])] = true
+	}
+	source, err := os.ReadFile("../caller/refuse.go")
+	is.NoErr(err)
+	codes := regexp.MustCompile(`Code\s+= "([a-z_]+)"`).FindAllSubmatch(source, -1)
+	is.True(len(codes) > 0)
+	for _, c := range codes {
+		if !named[string(c[1])] {
+			t.Errorf("docs/api.md does not name the code %s", c[1])
+		}
+	}
+}
+
 // TestSettingsPage guards against a page of settings that differs from the flags of the commands. To renew it:
 // go run ./cmd/geraniumsaddle settings page > docs/settings.md
 func TestSettingsPage(t *testing.T) {
