--- a/io/admin/race_test.go
+++ b/io/admin/race_test.go
@@ -35,8 +35,7 @@
 	return fmt.Sprint(err)
 }
 
-// TestRace guards against two operators who both succeed on one version, and against a loser's change in the ledger:
-// the losers would revoke the budget.
+// TestRace guards against two operators who both succeed on one version, and against a loser's expiry in the ledger.
 func TestRace(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
@@ -225,3 +224,19 @@
 	_, err = b.owner.Get(t.Context(), "budgets", "b1")
 	is.Equal(code(err), "not_found")
 }
+
+// TestUncheckedReference guards against an object that is accepted because its references could not be read.
+func TestUncheckedReference(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.objects.call, b.objects.kind = "get", object.KindBudget
+	b.objects.fn = func() error { return &store.Error{Kind: store.ErrLimited, Call: "get", RetryAfter: 7 * time.Second} }
+	org := json.RawMessage(`{"format":1,"id":"acme","name":"A","class":"chat","budgets":["none"]}`)
+	_, err := b.owner.Put(t.Context(), "organisations", "acme", org, Precondition{})
+	var p *Problem
+	is.True(errors.As(err, &p))
+	is.Equal(p.Code, "platform_limited")
+	is.Equal(p.RetryAfter, 7*time.Second) // the platform's own wait
+	_, err = b.owner.Get(t.Context(), "organisations", "acme")
+	is.Equal(code(err), "not_found")
+}
