--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -119,12 +119,8 @@
 }
 
 func (g *gate) choose(req target.Request) (target.Choice, error) {
-	p := g.n.table.Load().Pool(g.key)
-	if p == nil {
-		return target.Choice{}, target.ErrNoTarget
-	}
 	req.Now = g.n.clock.Now()
-	return p.Choose(req, g.n.accounts)
+	return g.n.table.Load().Pool(g.key).Choose(req, g.n.accounts)
 }
 
 // retryDispatch bounds the time until the dispatcher looks again without a signal.
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -35,7 +35,6 @@
 	digestAt   time.Time
 	registerAt time.Time
 	registered atomic.Bool
-	seeded     bool
 }
 
 // roster is an immutable list of the usable routers, this one included.
@@ -49,7 +48,7 @@
 func newMembers(n *Node, rng *rand.Rand) *members {
 	m := &members{n: n, rng: rng, vms: make(map[ident.VMID]store.VMState)}
 	self := member.Update{ID: n.id, Addr: n.peerAddr(), Domain: n.domain, VM: ident.VMID(n.cfg.VM), Incarnation: 1}
-	m.det = member.New(member.Config{Self: self, Rand: rng}, n.clock.Now())
+	m.det = member.New(member.Config{Self: self, Rand: rng, Seeds: n.cfg.Peers}, n.clock.Now())
 	m.publish()
 	return m
 }
@@ -84,7 +83,11 @@
 			m.n.send(a.Addr, asPeerMessage(a.Msg))
 		case member.Changed:
 			changed = true
-			m.n.log.Info("member changed", "member", a.Member.ID, "state", a.Member.State.String(), "leaving", a.Member.Leaving, "dropped", a.Dropped)
+			m.n.log.Debug("member changed", "member", a.Member.ID, "state", a.Member.State.String(), "leaving", a.Member.Leaving, "dropped", a.Dropped)
+		case member.Superseded:
+			// The allotments of this process may be recovered at any time, so it must not go on.
+			m.n.log.Error("a later incarnation of this router runs; this process stops", "by", a.By.ID)
+			m.n.kill()
 		}
 	}
 	if changed {
@@ -115,7 +118,6 @@
 		m.sendDigests()
 	}
 	m.register(now)
-	m.seed()
 }
 
 // sendDigests sends the digest of the configuration to one router of the own failure domain and to one of another.
@@ -159,36 +161,6 @@
 	})
 }
 
-// seed asks the addresses of the settings for their identity, once, so that a router finds its peers while the
-// platform is away.
-func (m *members) seed() {
-	if m.seeded {
-		return
-	}
-	m.seeded = true
-	for _, addr := range m.n.cfg.Peers {
-		m.n.spawn(func(ctx context.Context) { m.ask(ctx, addr) })
-	}
-}
-
-const seedRetry = time.Second
-
-func (m *members) ask(ctx context.Context, addr string) {
-	for ctx.Err() == nil {
-		env, err := m.n.transport.CallFrom(ctx, addr, peer.Digest{})
-		if err == nil {
-			m.n.post(callEvent{func() {
-				m.act(m.det.Learn(member.Update{ID: env.From, Addr: addr}, m.n.clock.Now()))
-			}})
-			return
-		}
-		select {
-		case <-m.n.clock.After(seedRetry):
-		case <-ctx.Done():
-		}
-	}
-}
-
 // learnRouters takes over the router records. An older incarnation of a known router is not used.
 func (m *members) learnRouters(v *view) {
 	now := m.n.clock.Now()
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -64,18 +64,20 @@
 	}
 }
 
-// dead reports whether a router's VM is gone or a later incarnation of the router has started.
+// dead reports whether a router's VM is gone, or a later incarnation of the router has the same peer address. An address
+// is bound by one process at a time, also while that process is paused, so the earlier process has ended then.
 func (r *recovery) dead(v *view, id ident.RouterID) bool {
-	if r.n.members.vms[v.routers[id].VM] == store.VMGone {
+	rec := v.routers[id]
+	if r.n.members.vms[rec.VM] == store.VMGone {
 		return true
 	}
 	_, epoch, err := id.Split()
-	if err != nil {
+	if err != nil || rec.Peer == "" {
 		return false
 	}
-	for other := range v.routers {
+	for other, next := range v.routers {
 		_, later, err := other.Split()
-		if err == nil && other.Name() == id.Name() && later > epoch {
+		if err == nil && other.Name() == id.Name() && later > epoch && next.Peer == rec.Peer {
 			return true
 		}
 	}
