--- a/io/demo/summary.go
+++ b/io/demo/summary.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-
 )
 
 // settleWait is the longest time in which all settlements reach the ledger: recovery, reports and one flush.
