Test the clients against each fault of the stand-ins

Cause: the fault switches and the classes of errors had no test. The first runs showed that a stand-in does not see a client leave while it holds an unread body, because net/http watches the connection only after the body was read. Change: stand-ins read the body before they wait. A delayed platform write now takes effect even when its client gave up.

--- /dev/null
+++ b/io/desk/desk_test.go
@@ -0,0 +1,107 @@
+package desk_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"geraniumsaddle/io/desk"
+	fake "geraniumsaddle/io/fakes/desk"
+)
+
+// TestCallFaults guards against a wrong class of error and against a second run of a reservation. Each call is sent
+// over a connection that an earlier call left open, where net/http would repeat it.
+func TestCallFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fake.Faults
+		body   string
+		status int
+		err    error
+		runs   int
+	}{
+		{"none", fake.Faults{}, `{"item":"a","quantity":1}`, 201, nil, 1},
+		{"out of stock", fake.Faults{}, `{"item":"a","quantity":9}`, 409, nil, 1},
+		{"invalid body", fake.Faults{}, `{`, 400, nil, 0},
+		{"error before effect", fake.Faults{ErrorRate: 1}, `{"item":"a","quantity":1}`, 500, nil, 0},
+		{"reply lost after effect", fake.Faults{LoseReply: 1}, `{"item":"a","quantity":1}`, 0, desk.ErrUnknown, 1},
+		{"connection lost before effect", fake.Faults{LoseRequest: 1}, `{"item":"a","quantity":1}`, 0, desk.ErrUnknown, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			svc := fake.New(fake.Config{Default: 5}, clockwork.NewRealClock())
+			srv := httptest.NewServer(svc)
+			defer srv.Close()
+			c, err := desk.New(desk.Config{URL: srv.URL})
+			is.NoErr(err)
+			ctx := context.Background()
+			_, err = c.Call(ctx, http.MethodGet, "/stock/a", nil, nil)
+			is.NoErr(err)
+			svc.SetFaults(tc.faults)
+			resp, err := c.Call(ctx, http.MethodPost, "/reservations", http.Header{"Idempotency-Key": {"k"}}, []byte(tc.body))
+			if tc.err != nil {
+				is.True(errors.Is(err, tc.err))
+			} else {
+				is.NoErr(err)
+				is.Equal(resp.Status, tc.status)
+			}
+			is.Equal(svc.Stats().Runs["k"], tc.runs)
+		})
+	}
+}
+
+// TestCallOverCapacity guards against a refusal over capacity being taken for a call that may have run, and against a
+// paused service being taken for one that did not receive the call.
+func TestCallOverCapacity(t *testing.T) {
+	is := is.New(t)
+	svc := fake.New(fake.Config{Capacity: 1, Default: 5}, clockwork.NewRealClock())
+	entered := make(chan struct{}, 2)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		svc.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	c, err := desk.New(desk.Config{URL: srv.URL})
+	is.NoErr(err)
+	svc.SetFaults(fake.Faults{Pause: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	held := make(chan error, 1)
+	go func() {
+		_, err := c.Call(ctx, http.MethodGet, "/stock/a", nil, nil)
+		held <- err
+	}()
+	<-entered
+	for svc.Stats().Held == 0 {
+		select {
+		case err := <-held:
+			t.Fatal(err)
+		default:
+		}
+	}
+	_, err = c.Call(context.Background(), http.MethodGet, "/stock/a", nil, nil)
+	is.True(errors.Is(err, desk.ErrNotSent))
+	cancel()
+	is.True(errors.Is(<-held, desk.ErrUnknown))
+	is.Equal(svc.Stats().Breaches, 1)
+	is.Equal(svc.Stats().Peak, 1)
+}
+
+// TestCallRefusesForeignPath guards against a caller's path that names another host.
+func TestCallRefusesForeignPath(t *testing.T) {
+	c, err := desk.New(desk.Config{URL: "http://127.0.0.1:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{"http://127.0.0.2/x", "//127.0.0.2/x", "x", ""} {
+		_, err := c.Call(context.Background(), http.MethodGet, path, nil, nil)
+		if !errors.Is(err, desk.ErrNotSent) {
+			t.Errorf("path %q: got %v", path, err)
+		}
+	}
+}
--- /dev/null
+++ b/io/engine/reach/reach_test.go
@@ -0,0 +1,164 @@
+package reach_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/io/engine/reach"
+)
+
+// hangUp serves one request on each connection and closes the connection after it has read the next one.
+func hangUp(t *testing.T) (url string, reads *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	reads = new(atomic.Int64)
+	read := func(r *bufio.Reader) bool {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return false
+		}
+		_, err = io.Copy(io.Discard, req.Body)
+		reads.Add(1)
+		return err == nil
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				if !read(r) {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				read(r)
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String(), reads
+}
+
+// TestDoNeverRepeats guards against net/http sending a request again when a kept-alive connection is closed after
+// the request was read. It does so by default for each of these requests.
+func TestDoNeverRepeats(t *testing.T) {
+	cases := []struct {
+		name, method, key string
+		body              []byte
+	}{
+		{"get", http.MethodGet, "", nil},
+		{"post with key", http.MethodPost, "k", []byte("{}")},
+		{"post with key and no body", http.MethodPost, "k", nil},
+		{"delete with key", http.MethodDelete, "k", nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			url, reads := hangUp(t)
+			tr := reach.New(reach.Config{})
+			do := func() error {
+				r, err := http.NewRequestWithContext(context.Background(), tc.method, url, nil)
+				is.NoErr(err)
+				if tc.key != "" {
+					r.Header.Set("Idempotency-Key", tc.key)
+				}
+				resp, err := tr.Do(r, tc.body)
+				if err != nil {
+					return err
+				}
+				_, err = reach.ReadBody(resp, 10)
+				return err
+			}
+			is.NoErr(do())
+			err := do()
+			is.True(errors.Is(err, reach.ErrUnknown)) // the request was read, so it may have run
+			is.Equal(reads.Load(), int64(2))          // one read for each call
+		})
+	}
+}
+
+// TestDoNotSent guards against reporting an unknown effect where the target cannot have received the request.
+func TestDoNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := "http://" + l.Addr().String()
+	_ = l.Close()
+	srv := httptest.NewServer(http.NotFoundHandler())
+	defer srv.Close()
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	cases := []struct {
+		name string
+		ctx  context.Context
+		url  string
+	}{
+		{"refused connection", context.Background(), refused},
+		{"context ended before", cancelled, srv.URL},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := http.NewRequestWithContext(tc.ctx, http.MethodPost, tc.url, nil)
+			is.NoErr(err)
+			_, err = reach.New(reach.Config{}).Do(r, []byte("{}"))
+			is.True(errors.Is(err, reach.ErrNotSent))
+			is.True(!errors.Is(err, reach.ErrUnknown))
+		})
+	}
+}
+
+// TestReadBodyBounds guards against an unbounded, a truncated or a redirected answer passing as complete.
+func TestReadBodyBounds(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve http.HandlerFunc
+		want  error
+	}{
+		{"declared too large", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "11")
+			_, _ = io.WriteString(w, "12345678901")
+		}, reach.ErrTooLarge},
+		{"chunked too large", func(w http.ResponseWriter, _ *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			_, _ = io.WriteString(w, "12345678901")
+		}, reach.ErrTooLarge},
+		{"truncated", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+			_, _ = io.WriteString(w, "12")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, io.ErrUnexpectedEOF},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(tc.serve)
+			defer srv.Close()
+			r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, srv.URL, nil)
+			is.NoErr(err)
+			resp, err := reach.New(reach.Config{}).Do(r, nil)
+			if err == nil {
+				_, err = reach.ReadBody(resp, 10)
+			}
+			is.True(errors.Is(err, tc.want))
+			is.True(errors.Is(err, reach.ErrUnknown))
+		})
+	}
+}
--- a/io/fakes/engine/fault.go
+++ b/io/fakes/engine/fault.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 )
 
@@ -95,6 +98,9 @@
 // pausable holds a call while the engine is paused.
 func (s *Server) pausable(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if !readBody(w, r) {
+			return
+		}
 		for {
 			s.mu.Lock()
 			paused, changed := s.faults.Pause, s.changed
@@ -111,3 +117,14 @@
 		}
 	}
 }
+
+// readBody reads the whole body before the call runs. net/http sees that a client has left only after that.
+func readBody(w http.ResponseWriter, r *http.Request) bool {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		fail(w, http.StatusRequestEntityTooLarge, "too_large", "the body exceeds 4 MB")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	return err == nil
+}
--- a/io/fakes/store/call.go
+++ b/io/fakes/store/call.go
@@ -1,7 +1,10 @@
 package store
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -36,6 +39,9 @@
 // call counts a call, applies its rate and the fault switches, and then runs it.
 func (s *Server) call(name string, limit *bucket, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if !readBody(w, r) {
+			return
+		}
 		s.mu.Lock()
 		s.calls[name]++
 		delay := time.Duration(s.faults.DelayMS) * time.Millisecond
@@ -49,9 +55,10 @@
 			return
 		}
 		if delay > 0 {
+			// A delayed call takes effect even when its client has left, as a write in flight does.
 			select {
 			case <-s.clock.After(delay):
-			case <-r.Context().Done():
+			case <-s.done:
 				return
 			}
 		}
@@ -61,6 +68,17 @@
 	}
 }
 
+// readBody reads the whole body before the call runs. net/http sees that a client has left only after that.
+func readBody(w http.ResponseWriter, r *http.Request) bool {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValue))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		fail(w, http.StatusRequestEntityTooLarge, "too_large", "the value exceeds 1 MB")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(b))
+	return err == nil
+}
+
 // failed answers a call that the outage or the error rate refuses.
 func (s *Server) failed(w http.ResponseWriter) bool {
 	s.mu.Lock()
--- a/io/fakes/store/store.go
+++ b/io/fakes/store/store.go
@@ -78,10 +78,11 @@
 	kinds   map[string]*collection
 	vms     map[string][]vmChange
 	closed  bool
+	done    chan struct{}
 	wake    chan struct{}
 }
 
-// New returns a stand-in. Close ends its watches.
+// New returns a stand-in. Close ends its watches and delayed calls.
 func New(cfg Config, clock clockwork.Clock) *Server {
 	if cfg.History <= 0 {
 		cfg.History = 4096
@@ -96,6 +97,7 @@
 		weights: newBucket(cfg.WeightsPerSecond, now),
 		kinds:   make(map[string]*collection),
 		vms:     make(map[string][]vmChange),
+		done:    make(chan struct{}),
 		wake:    make(chan struct{}),
 	}
 	for _, vm := range cfg.VMs {
@@ -118,11 +120,15 @@
 // ServeHTTP serves one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// Close ends all watches and refuses new ones.
+// Close ends all watches and delayed calls and refuses new watches.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
 	s.closed = true
+	close(s.done)
 	s.notify()
 }
 
