Keep the connection of a stream that has ended

Cause: net/http closes a connection when the answer is closed before its end was read, and the end often arrives after the end mark of the stream. Change: Stream.Next reads the end of the answer after the end mark, for at most 100 ms.

--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -83,6 +83,7 @@
 	case err == nil && done:
 		s.err = io.EOF
 		s.offset++
+		s.drain()
 		return Chunk{}, s.err
 	}
 	if err != nil {
@@ -93,6 +94,21 @@
 	return c, nil
 }
 
+// drainTime bounds the wait for the end of the answer after the end mark.
+const drainTime = 100 * time.Millisecond
+
+// drain reads the end of the answer, without which net/http closes the connection instead of keeping it for other
+// requests. An engine that leaves the answer open or sends more loses the connection.
+func (s *Stream) drain() {
+	t := s.clock.AfterFunc(drainTime, func() { s.cancel(ErrIdle) })
+	defer t.Stop()
+	var b [512]byte
+	if _, err := s.resp.Body.Read(b[:]); err != nil {
+		return
+	}
+	s.cancel(context.Canceled)
+}
+
 // cause prefers the reason for which the stream was cancelled to the read error that follows from it.
 func (s *Stream) cause(err error) error {
 	if s.ctx.Err() != nil {
