Compare both versions over the excursion of an alarm

Change: a condemnation needs a paired comparison over the same ticks; the first step lasts half of the window; latency has its own alarm limit; a fault without old traffic must last for a minute.

--- a/core/canary/change.go
+++ b/core/canary/change.go
@@ -114,14 +114,15 @@
 	}
 	for _, pl := range c.places {
 		fresh += float64(c.trials[pl].fresh)
-		good += c.trials[pl].errors.good
+		good += c.trials[pl].errors.good[0]
 	}
 	if good > -p.NeedAll[c.step] {
 		return fmt.Sprintf("%.0f requests at a share of %g%% are not enough", fresh, 100*p.Steps[c.step]*c.part)
 	}
 	for _, pl := range c.places {
 		t := c.trials[pl]
-		if float64(t.traffic) < p.TrafficPart*float64(traffic) || t.missing(p, c.step) <= 0 {
+		small := float64(t.traffic) < p.TrafficPart*float64(traffic)
+		if !t.doubtful(p) && (small || t.enough(p, c.step)) {
 			continue
 		}
 		return fmt.Sprintf("%d requests at a share of %g%% are not enough on route %s, load band %d",
--- a/core/canary/policy.go
+++ b/core/canary/policy.go
@@ -14,15 +14,15 @@
 	Slow   Margins
 	// Quantile is the part of the old version's requests below the latency threshold.
 	Quantile float64
-	// Alarm is the natural logarithm of the evidence that condemns a cell: a version just at the
-	// margin runs on average at least exp(Alarm) requests in a cell before a false alarm of one
-	// alternative.
-	Alarm float64
 	// NeedAll is the natural logarithm of the evidence over all cells for leaving each step: a version
 	// of the mildest bad rate leaves it with probability exp(-NeedAll). NeedCell is that of each cell
-	// with traffic. It grows with the share, because a small cell sees few requests at 1%.
+	// with traffic.
 	NeedAll  []float64
 	NeedCell []float64
+	// MildFrom is the first step at which each cell must exclude the mildest bad rate; before, the
+	// middle one. Doubt is the evidence for the mildest bad rate that holds a step in any case.
+	MildFrom int
+	Doubt    float64
 	// TrafficPart is the part of the version's traffic from which a cell counts as one with traffic.
 	TrafficPart float64
 	// ErrorLimit and the latency limits judge a version that has no reference.
@@ -46,19 +46,30 @@
 	Cap float64
 	// Thin is added to the margin when the old version serves too little to be compared with.
 	Thin float64
+	// Alarm is the natural logarithm of the evidence that condemns a cell: a version just at the margin
+	// runs on average at least exp(Alarm) requests in a cell before a false alarm of one alternative.
+	// The paired comparison over the same time needs as much.
+	Alarm float64
+	// ThinTime is how long a fault must last in that case, because a disturbance of both versions looks
+	// the same. A rate above Gross condemns at once.
+	ThinTime time.Duration
+	Gross    float64
 }
 
 // DefaultPolicy returns the figures that docs/decisions/canary.md measures.
 func DefaultPolicy() Policy {
 	return Policy{
-		Steps:       []float64{0.01, 0.05, 0.20, 0.50, 1},
-		Dwell:       []float64{0.15, 0.15, 0.15, 0.15, 0.05},
-		Errors:      Margins{Margin: 0.005, Scale: 1.5, Bad: [alternatives]float64{0.02, 0.10, 0.40}, Cap: 0.03, Thin: 0.01},
-		Slow:        Margins{Margin: 0.05, Scale: 1.5, Bad: [alternatives]float64{0.15, 0.35, 0.60}, Cap: 0.15, Thin: 0.05},
+		Steps: []float64{0.01, 0.05, 0.20, 0.50, 1},
+		Dwell: []float64{0.50, 0.08, 0.05, 0.04, 0.03},
+		Errors: Margins{Margin: 0.005, Scale: 1.5, Bad: [alternatives]float64{0.02, 0.10, 0.40}, Cap: 0.03,
+			Thin: 0.01, Alarm: 9, ThinTime: time.Minute, Gross: 0.5},
+		Slow: Margins{Margin: 0.05, Scale: 1.5, Bad: [alternatives]float64{0.15, 0.35, 0.60}, Cap: 0.15,
+			Thin: 0.05, Alarm: 14, ThinTime: time.Minute, Gross: 1},
 		Quantile:    0.9,
-		Alarm:       12,
 		NeedAll:     []float64{4.6, 4.6, 4.6, 4.6, 2.3},
-		NeedCell:    []float64{0.15, 0.4, 1, 1.5, 1},
+		NeedCell:    []float64{1, 1.5, 1, 1.5, 1},
+		MildFrom:    2,
+		Doubt:       1.7,
 		TrafficPart: 0.03,
 		ErrorLimit:  0.01,
 		SlowLimit:   0.05,
@@ -74,9 +85,12 @@
 // faults from a good version, with about a tenth of the requests of DefaultPolicy.
 func SmallPolicy() Policy {
 	p := DefaultPolicy()
-	p.Errors = Margins{Margin: 0.03, Scale: 1.5, Bad: [alternatives]float64{0.20, 0.40, 0.80}, Cap: 0.10, Thin: 0.05}
-	p.Slow = Margins{Margin: 0.10, Scale: 1.5, Bad: [alternatives]float64{0.30, 0.45, 0.70}, Cap: 0.15, Thin: 0.05}
-	p.Alarm = 8
+	p.Errors.Margin, p.Errors.Cap, p.Errors.Thin = 0.03, 0.10, 0.05
+	p.Errors.Bad = [alternatives]float64{0.20, 0.40, 0.80}
+	p.Slow.Margin = 0.10
+	p.Slow.Bad = [alternatives]float64{0.30, 0.45, 0.70}
+	p.Errors.ThinTime, p.Slow.ThinTime = 5*time.Second, 5*time.Second
+	p.Errors.Alarm, p.Slow.Alarm = 8, 8
 	p.NeedAll = []float64{1, 1, 1, 1, 1}
 	p.NeedCell = []float64{0.15, 0.3, 0.5, 0.5, 0.5}
 	p.TrafficPart = 0.10
--- a/core/canary/refer.go
+++ b/core/canary/refer.go
@@ -63,21 +63,21 @@
 
 func (r *reference) known() bool { return r.prior.requests > 0 }
 
-// errors returns the rate of errors.
-func (r *reference) errors() float64 {
+// errors returns the rate of errors, over the horizons and over all time.
+func (r *reference) errors() (rate, prior float64) {
 	// A hundred imagined requests with the rate 0.2% stand in for a short history.
-	prior := (float64(r.prior.errors) + 0.2) / (float64(r.prior.requests) + 100)
-	rate := prior
+	prior = (float64(r.prior.errors) + 0.2) / (float64(r.prior.requests) + 100)
+	rate = prior
 	for i := range r.recent {
 		w := &r.recent[i]
 		rate = max(rate, (w.errors+priorWeight*prior)/(w.requests+priorWeight))
 	}
-	return rate
+	return rate, prior
 }
 
 // slow returns the latency step above which at most 1 - quantile of the requests were, and the rate of
 // requests above it. It reports false without any measurement.
-func (r *reference) slow(k kind, quantile float64) (step int, rate float64, ok bool) {
+func (r *reference) slow(k kind, quantile float64) (step int, rate, prior float64, ok bool) {
 	long := r.recent[len(horizons)-1].latency[k]
 	total, _ := above(&long, 0)
 	var all float64
@@ -85,7 +85,7 @@
 		all += float64(v)
 	}
 	if all == 0 {
-		return 0, 0, false
+		return 0, 0, 0, false
 	}
 	for i, v := range r.prior.latency[k] {
 		long[i] += float64(v) * priorWeight / all
@@ -98,11 +98,11 @@
 			break
 		}
 	}
-	prior := max(rest, 0) / total
+	prior = max(rest, 0) / total
 	rate = prior
 	for i := range r.recent {
 		n, x := above(&r.recent[i].latency[k], step)
 		rate = max(rate, (x+priorWeight*prior)/(n+priorWeight))
 	}
-	return step, rate, true
+	return step, rate, prior, true
 }
