--- a/core/target/bench_test.go
+++ b/core/target/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,9 +17,11 @@
 func (freeSlots) TryReserve(ident.TargetID) bool { return true }
 func (freeSlots) Release(ident.TargetID)         {}
 
-type fullSlots struct{ freeSlots }
+// fullSlots has no slot at any target and finds that out by name, as a ledger of slots does.
+type fullSlots map[ident.TargetID]*atomic.Int64
 
-func (fullSlots) TryReserve(ident.TargetID) bool { return false }
+func (s fullSlots) TryReserve(id ident.TargetID) bool { return s[id].Load() > 0 }
+func (s fullSlots) Release(ident.TargetID)            {}
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -45,6 +48,10 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
+	full := make(fullSlots)
+	for i := range 3000 {
+		full[ident.TargetID(fmt.Sprintf("engine-%04d", i))] = new(atomic.Int64)
+	}
 	loads := []struct {
 		name  string
 		req   target.Request
@@ -52,7 +59,7 @@
 	}{
 		{"load", target.Request{Sticky: "conversation-17"}, freeSlots{}},
 		{"prefix", target.Request{Sticky: "conversation-17", Prefix: 99}, freeSlots{}},
-		{"full", target.Request{Sticky: "conversation-17", Prefix: 99}, fullSlots{}},
+		{"full", target.Request{Sticky: "conversation-17", Prefix: 99}, full},
 	}
 	for _, l := range loads {
 		for _, routers := range []int{1, 9} {
--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -36,8 +36,12 @@
 }
 
 // Choose picks a target for the request and reserves a slot on it. It is safe for concurrent use. The
-// errors are ErrNoTarget and ErrNoCapacity; the choice then names the version only.
+// errors are ErrNoTarget and ErrNoCapacity; the choice then names the version only. A nil pool, which is
+// what a table has when all targets have left, has no target.
 func (p *Pool) Choose(r Request, slots Slots) (Choice, error) {
+	if p == nil {
+		return Choice{}, ErrNoTarget
+	}
 	a := attempt{pool: p, req: r, slots: slots, now: r.Now.Sub(p.base), rand: r.Rand}
 	a.set = a.pick()
 	if a.set == nil || a.set.withdrawn {
