--- a/core/order/sched_test.go
+++ b/core/order/sched_test.go
@@ -11,9 +11,9 @@
 	"geraniumsaddle/core/order"
 )
 
-// TestPlanFitsTheStore guards against a schedule that overruns its window, the weight store's transfers
+// TestPlanFitsTheStoreProperty guards against a schedule that overruns its window, the weight store's transfers
 // or a target, that forgets a load, and against refusing loads that fit even one after the other.
-func TestPlanFitsTheStore(t *testing.T) {
+func TestPlanFitsTheStoreProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 		window := time.Duration(rapid.IntRange(1, 400).Draw(t, "window")) * time.Second
--- a/core/order/sim_test.go
+++ b/core/order/sim_test.go
@@ -238,10 +238,10 @@
 	w.now = w.now.Add(tick)
 }
 
-// TestNewestPlanWins guards against orders of an earlier holder or plan that change a target after the
+// TestNewestPlanWinsProperty guards against orders of an earlier holder or plan that change a target after the
 // newest holder has taken it over: paused holders that wake up, two holders, lost replies, repeated and
 // delayed orders, and targets that ignore the fencing number.
-func TestNewestPlanWins(t *testing.T) {
+func TestNewestPlanWinsProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
 			t:       t,
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// TestNothingLostOrDoubled guards against requests that are lost, dispatched twice, or dispatched past
+// TestNothingLostOrDoubledProperty guards against requests that are lost, dispatched twice, or dispatched past
 // their deadline, and against growth beyond the bounds.
-func TestNothingLostOrDoubled(t *testing.T) {
+func TestNothingLostOrDoubledProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := queue.Config{MaxItems: 6, MaxBytes: 8192, Quantum: 100}
 		m := &model{q: queue.New(cfg), now: start, waiting: make(map[ident.RequestID]queue.Item)}
@@ -140,9 +140,9 @@
 	})
 }
 
-// TestFloodKeepsFairShare guards against an organisation that floods the queue, with new requests or
+// TestFloodKeepsFairShareProperty guards against an organisation that floods the queue, with new requests or
 // with retries of what was refused, and so delays or evicts the requests of others.
-func TestFloodKeepsFairShare(t *testing.T) {
+func TestFloodKeepsFairShareProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const maxCost, quantum, orgs = 5000, 500, 4
 		q := queue.New(queue.Config{MaxItems: 64, Quantum: quantum})
@@ -195,8 +195,8 @@
 	})
 }
 
-// TestRetryBudget guards against retries that exceed their share of the traffic.
-func TestRetryBudget(t *testing.T) {
+// TestRetryBudgetProperty guards against retries that exceed their share of the traffic.
+func TestRetryBudgetProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := queue.RetryConfig{Share: 0.1, PerSecond: 2, Burst: 5}
 		now := start
--- a/core/target/target_test.go
+++ b/core/target/target_test.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// TestChoiceOverEvents guards against work for leaving, gone or excluded targets, the ejection of more
+// TestChoiceOverEventsProperty guards against work for leaving, gone or excluded targets, the ejection of more
 // than half a pool, lost or doubled slots, and a pool that refuses while a usable target has a slot.
-func TestChoiceOverEvents(t *testing.T) {
+func TestChoiceOverEventsProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{
 			r:     target.New(target.Config{Domain: "a", Router: "r.1", Start: start}, rand.New(rand.NewPCG(1, 1))),
@@ -230,9 +230,9 @@
 	is.True(c.Reason != target.ReasonTrial) // healthy again
 }
 
-// TestShareGrowthIsSticky guards against a conversation that changes back to the old version while the
+// TestShareGrowthIsStickyProperty guards against a conversation that changes back to the old version while the
 // share of the new one grows, and against shares that are not met.
-func TestShareGrowthIsSticky(t *testing.T) {
+func TestShareGrowthIsStickyProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := target.New(target.Config{Domain: "a", Router: "r.1", Start: start}, rand.New(rand.NewPCG(1, 1)))
 		for _, v := range []ident.VersionID{"a1", "a2", "b1"} {
