--- a/core/target/choose.go
+++ b/core/target/choose.go
@@ -36,7 +36,8 @@
 }
 
 // Choose picks a target for the request and reserves a slot on it. It is safe for concurrent use. The
-// errors are ErrNoTarget and ErrNoCapacity; the choice then names the version only.
+// errors are ErrNoTarget and ErrNoCapacity; the choice then names the version only. A nil pool, which is
+// what a table has when all targets have left, has no target.
 func (p *Pool) Choose(r Request, slots Slots) (Choice, error) {
 	if p == nil {
 		return Choice{}, ErrNoTarget // The table has no pool for a key without targets.
