--- a/core/canary/seqt.go
+++ b/core/canary/seqt.go
@@ -27,7 +27,7 @@
 type excursion struct {
 	sum      float64
 	new, old sample
-	ceiling  float64 // largest rate that the old version's counts allow
+	ceiling  float64       // largest rate that the old version's counts allow
 	thin     bool          // the old version serves too little
 	wait     bool          // the fault must last longer
 	over     time.Duration // since the sum passed the alarm
--- a/core/canary/world_test.go
+++ b/core/canary/world_test.go
@@ -85,7 +85,6 @@
 	broken string
 	// fixed replaces the controllers by the baseline, when set.
 	fixed *baseline
-	buf   []canary.Cell
 }
 
 func newWorld(p plan, seed uint64) *world {
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -105,7 +105,7 @@
 
 // recoverRouter settles the open requests of a dead router and closes its holders.
 func (n *Node) recoverRouter(ctx context.Context, id ident.RouterID, replica *record.Replica) {
-	c := &closing{n: n, id: id, proved: make(map[escrow.EntryID]record.BudgetClose), reason: reasonNoJournal}
+	c := &closing{n: n, id: id, known: make(map[escrow.EntryID]record.BudgetClose), reason: reasonNoJournal}
 	for {
 		rows, err := c.rows(ctx)
 		if err == nil {
@@ -143,7 +143,7 @@
 	proof    bool
 	declared ident.RouterID
 	reason   string
-	proved   map[escrow.EntryID]record.BudgetClose
+	known    map[escrow.EntryID]record.BudgetClose
 }
 
 // shardRows is a shard with the holders of a dead router in it.
@@ -214,13 +214,9 @@
 			c.n.bills.add(b)
 		}
 	}
-	c.reason = string(rec.Reason)
-	if rec.Proof == nil {
-		return
-	}
-	c.proof = true
-	for _, b := range rec.Proof.Budgets {
-		c.proved[escrow.EntryID(b.Counters.Budget)] = b
+	c.reason, c.proof = string(rec.Reason), rec.Proof != nil
+	for _, b := range rec.Known {
+		c.known[escrow.EntryID(b.Counters.Budget)] = b
 	}
 }
 
@@ -325,7 +321,7 @@
 
 // proofOf returns what is proved of one row.
 func (c *closing) proofOf(e *escrow.Entry, h escrow.Holder) escrow.Proof {
-	b := c.proved[e.ID]
+	b := c.known[e.ID]
 	p := escrow.Proof{
 		Holder: h.ID, Open: h.Open, Settled: b.Counters.Settled, Returned: b.Counters.Returned,
 		In: sum(b.Counters.In), Out: sum(b.Counters.Out), Reason: c.reason,
