--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -42,7 +42,6 @@
 	settled  atomic.Int64
 	returned atomic.Int64
 	refused  atomic.Int64
-	pending  atomic.Int64
 
 	mu          sync.Mutex
 	open        uint64
@@ -56,6 +55,9 @@
 	seq         uint64
 	journalPeer ident.RouterID
 	demand      estimate
+	share       ident.Tokens   // an equal part of what the entry has left
+	waiting     []ident.Tokens // waiting requests, smallest first
+	pending     ident.Tokens   // sum of waiting
 }
 
 // NewAccount returns an account without tokens.
@@ -90,6 +92,9 @@
 // Closed reports whether the platform has closed the holder's row. Such an account is never used again.
 func (a *Account) Closed() bool { return a.state.Load()&stateClosed != 0 }
 
+// sealed reports whether the counters are final.
+func (a *Account) sealed() bool { return a.state.Load()&(stateClosed|stateProved) != 0 }
+
 // Hold reserves n tokens and reports whether they were free.
 func (a *Account) Hold(n ident.Tokens) bool {
 	if n < 0 || a.state.Load() != 0 || !take(&a.free, int64(n)) {
@@ -182,6 +187,7 @@
 		a.version = version
 		a.expiresAt = e.ExpiresAt
 		a.wanted = e.Shrink
+		a.share = e.share()
 		if e.Unallotted() <= 0 {
 			a.wanted += e.Wanted(a.cfg.Holder)
 		}
@@ -205,7 +211,7 @@
 	case h.Open > a.open:
 		a.setState(stateClosed, true)
 	}
-	if h.Open != a.open || a.Closed() {
+	if h.Open != a.open || a.sealed() {
 		return
 	}
 	if n := h.Granted - a.granted; n > 0 {
@@ -240,8 +246,8 @@
 }
 
 // Proof returns the closing statement of a holder that has left and has no running request, and returns
-// its free tokens. It reports false while a request runs or before the row is confirmed. Transfers that
-// arrive after the proof are refused.
+// its free tokens. It reports false while a request runs or before the row is confirmed. Grants and
+// transfers that arrive after the proof are refused.
 func (a *Account) Proof() (Proof, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -251,7 +257,7 @@
 	a.Return(a.Free())
 	p := Proof{
 		Holder: a.cfg.Holder, Open: a.open, Settled: a.Settled(), Returned: ident.Tokens(a.returned.Load()),
-		In: a.in, Out: a.out,
+		In: a.in, Out: a.out, Complete: true,
 	}
 	// A hold that raced with Leave shows as a rest.
 	if a.granted+p.In-p.Returned-p.Settled-p.Out != 0 {
--- a/core/escrow/close.go
+++ b/core/escrow/close.go
@@ -1,6 +1,8 @@
 package escrow
 
 import (
+	"slices"
+
 	"github.com/gravitational/trace"
 
 	"geraniumsaddle/core/ident"
@@ -10,7 +12,7 @@
 const ReasonInTransit = "in_transit"
 
 // Proof is what is known for certain about a holder that will not spend again. The counters are lower
-// bounds except Out, which is complete whenever Unspent is above zero.
+// bounds unless the proof is complete.
 type Proof struct {
 	Holder   HolderID     `json:"holder"`
 	Open     uint64       `json:"open"`
@@ -18,23 +20,33 @@
 	Returned ident.Tokens `json:"returned"`
 	In       ident.Tokens `json:"in"`
 	Out      ident.Tokens `json:"out"`
-	// Unspent is proved never to be billed. The journal peer's coverage rule decides it.
-	Unspent ident.Tokens `json:"unspent"`
-	Reason  string       `json:"reason"`
+	// Complete says that Settled, Out and Held miss nothing, so that all other tokens of the holder are
+	// unspent, with grants that it never saw. The journal peer's coverage rule decides it.
+	Complete bool `json:"complete,omitempty"`
+	// Held is what requests without a known end had reserved.
+	Held   ident.Tokens `json:"held"`
+	Reason string       `json:"reason"`
 }
 
 // Close removes the row of a holder whose VM is gone for good or that shut down. The proved settled
-// amount stays billed, the proved unspent amount becomes unallotted, and the rest is unresolved.
+// amount stays billed. The rest becomes unallotted as far as a complete proof shows it unspent, and is
+// unresolved otherwise.
 // Closing a row that is not open has no effect.
 func (e *Entry) Close(p Proof) (bool, error) {
 	i, ok := e.find(p.Holder)
 	if !ok || e.Holders[i].Open != p.Open {
 		return false, nil
 	}
-	if p.Settled < 0 || p.Returned < 0 || p.In < 0 || p.Out < 0 || p.Unspent < 0 {
+	if p.Settled < 0 || p.Returned < 0 || p.In < 0 || p.Out < 0 || p.Held < 0 {
 		return false, trace.BadParameter("proof for %s has a negative counter", p.Holder)
 	}
 	h := e.Holders[i]
+	if h.Seq == 0 {
+		// The holder never reported under this number, so nothing was granted. The row may be one that
+		// a late copy of the first report opened again, and the proof may already be counted. What the
+		// holder received from others stays in transit.
+		p = Proof{Holder: p.Holder, Open: p.Open}
+	}
 	settled, returned := max(h.Settled, p.Settled), max(h.Returned, p.Returned)
 	in, out := max(h.In, p.In), max(h.Out, p.Out)
 	rest := h.Granted + in - returned - settled - out
@@ -42,16 +54,17 @@
 		// The holder spent tokens whose receipt is not in the proof.
 		in, rest = in-rest, 0
 	}
-	if p.Unspent > rest {
-		return false, trace.BadParameter("proof for %s names %d tokens unspent of %d", p.Holder, p.Unspent, rest)
+	unresolved := rest
+	if p.Complete {
+		unresolved = min(rest, p.Held)
 	}
 	// Copies, because an earlier version of the shard may share the slices.
 	holders := make([]Holder, 0, len(e.Holders)-1)
 	e.Holders = append(append(holders, e.Holders[:i]...), e.Holders[i+1:]...)
 	e.ClosedSettled += settled
 	e.ClosedNetOut += out - in
-	if n := rest - p.Unspent; n > 0 {
-		e.addUnresolved(Unresolved{Holder: p.Holder, Open: p.Open, Tokens: n, Reason: p.Reason})
+	if unresolved > 0 {
+		e.addUnresolved(Unresolved{Holder: p.Holder, Open: p.Open, Tokens: unresolved, Reason: p.Reason})
 	}
 	if len(e.Holders) == 0 {
 		e.reconcile()
@@ -68,9 +81,15 @@
 		e.addUnresolved(Unresolved{Tokens: n, Reason: ReasonInTransit})
 		e.ClosedNetOut = 0
 	case n < 0:
-		took := min(-n, e.UnresolvedTokens())
-		e.takeUnresolved(took)
-		e.ClosedNetOut += took
+		// A receiver got more than the proofs of its senders contain.
+		e.ClosedNetOut += e.takeUnresolved("", -n)
+		for i := 0; i < len(e.Unresolved) && e.ClosedNetOut < 0; i++ {
+			u := &e.Unresolved[i]
+			took := min(-e.ClosedNetOut, u.Tokens)
+			u.Tokens -= took
+			e.ClosedNetOut += took
+		}
+		e.Unresolved = slices.DeleteFunc(e.Unresolved, func(u Unresolved) bool { return u.Tokens == 0 })
 	}
 }
 
--- a/core/escrow/demand.go
+++ b/core/escrow/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -67,7 +68,7 @@
 func (a *Account) load() Demand {
 	return Demand{
 		PerSecond: max(a.demand.fast, a.demand.slow), Held: a.Held(), PeakHeld: ident.Tokens(a.demand.peak),
-		Pending: ident.Tokens(a.pending.Load()),
+		Pending: a.pending, Share: a.share,
 	}
 }
 
@@ -103,25 +104,42 @@
 	return a.Return(a.cfg.Policy.recall(d, a.Free(), wanted))
 }
 
-// addPending registers n tokens of a waiting request, or removes them with a negative n.
-func (a *Account) addPending(n ident.Tokens) {
-	if a == nil {
-		return
-	}
-	a.pending.Add(int64(n))
-	if n > 0 {
-		a.cfg.Short.Notify()
+// addWaiting registers a waiting request of n tokens.
+func (a *Account) addWaiting(n ident.Tokens) {
+	a.mu.Lock()
+	i, _ := slices.BinarySearch(a.waiting, n)
+	a.waiting = slices.Insert(a.waiting, i, n)
+	a.pending += n
+	a.mu.Unlock()
+	a.cfg.Short.Notify()
+}
+
+// removeWaiting ends the wait of a request of n tokens.
+func (a *Account) removeWaiting(n ident.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i, ok := slices.BinarySearch(a.waiting, n); ok {
+		a.waiting = slices.Delete(a.waiting, i, i+1)
+		a.pending -= n
 	}
 }
 
+// Short reports whether waiting requests need more tokens than are free. Such an account is reported
+// at once instead of at the next interval.
+func (a *Account) Short() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pending > a.Free()
+}
+
 // HoldWait reserves n tokens like Hold and otherwise waits for them until the context ends. The error
 // is a *Refusal.
 func (a *Account) HoldWait(ctx context.Context, n ident.Tokens) error {
 	if a.Hold(n) {
 		return nil
 	}
-	a.addPending(n)
-	defer a.addPending(-n)
+	a.addWaiting(n)
+	defer a.removeWaiting(n)
 	for {
 		ch := a.cfg.Freed.Wait()
 		if a.Hold(n) {
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -134,6 +134,12 @@
 	return n
 }
 
+// share returns an equal part for each holder of what is not known to be billed.
+func (e *Entry) share() ident.Tokens {
+	left := e.Paid - e.Refunded - e.WrittenOff - e.Settled() - e.UnresolvedTokens()
+	return max(0, left) / ident.Tokens(max(1, len(e.Holders)))
+}
+
 // Usable reports whether tokens of the entry may be granted and spent at the given time.
 func (e *Entry) Usable(now time.Time) bool {
 	return !e.Revoked && (e.ExpiresAt.IsZero() || now.Before(e.ExpiresAt))
--- a/core/escrow/example_test.go
+++ b/core/escrow/example_test.go
@@ -25,7 +25,7 @@
 	fmt.Println(ok, a.Free(), a.Settled(), shard.Entry(e.ID).Unallotted(), err)
 	// Output:
 	// update 1 free 0
-	// update 2 free 4096
-	// true 3096 1000
-	// true 3796 300 95904 <nil>
+	// update 2 free 50000
+	// true 49000 1000
+	// true 49700 300 50000 <nil>
 }
--- a/core/escrow/ops.go
+++ b/core/escrow/ops.go
@@ -29,6 +29,9 @@
 	ID     string       `json:"id"`
 	Kind   OpKind       `json:"kind"`
 	Tokens ident.Tokens `json:"tokens"`
+	// Holder names the closed holder whose unresolved tokens are released or written off. It is empty
+	// for tokens that were lost in transit.
+	Holder HolderID `json:"holder,omitempty"`
 }
 
 // Do applies an operator change and reports whether the entry changed. A change whose ID is already
@@ -71,10 +74,11 @@
 	case OpRelease, OpWriteOff:
 		// A receiver may report more than a closed sender's proof contained. The difference is
 		// counted both by the receiver and in Unresolved, so it is not available here.
-		if n := e.UnresolvedTokens() - e.overcount(); op.Tokens > n {
-			return trace.LimitExceeded("%d tokens exceed the %d unresolved", op.Tokens, n)
+		free := min(e.unresolved(op.Holder), e.UnresolvedTokens()-e.overcount())
+		if op.Tokens > free {
+			return trace.LimitExceeded("%d tokens exceed the %d unresolved", op.Tokens, free)
 		}
-		e.takeUnresolved(op.Tokens)
+		e.takeUnresolved(op.Holder, op.Tokens)
 		if op.Kind == OpWriteOff {
 			e.WrittenOff += op.Tokens
 		}
@@ -93,17 +97,33 @@
 	return max(0, n)
 }
 
-func (e *Entry) takeUnresolved(n ident.Tokens) {
+// unresolved returns the unresolved tokens of one holder.
+func (e *Entry) unresolved(id HolderID) ident.Tokens {
+	var n ident.Tokens
+	for _, u := range e.Unresolved {
+		if u.Holder == id {
+			n += u.Tokens
+		}
+	}
+	return n
+}
+
+// takeUnresolved removes up to n unresolved tokens of a holder and returns how many.
+func (e *Entry) takeUnresolved(id HolderID, n ident.Tokens) ident.Tokens {
+	var sum ident.Tokens
 	kept := make([]Unresolved, 0, len(e.Unresolved))
 	for _, u := range e.Unresolved {
-		took := min(n, u.Tokens)
-		u.Tokens -= took
-		n -= took
+		if u.Holder == id {
+			took := min(n-sum, u.Tokens)
+			u.Tokens -= took
+			sum += took
+		}
 		if u.Tokens > 0 {
 			kept = append(kept, u)
 		}
 	}
 	e.Unresolved = kept
+	return sum
 }
 
 // Revoke ends the entry for good and reports whether it changed.
--- a/core/escrow/policy.go
+++ b/core/escrow/policy.go
@@ -14,6 +14,8 @@
 	Held, PeakHeld ident.Tokens
 	// Pending is the number of tokens that waiting requests need.
 	Pending ident.Tokens
+	// Share is an equal part for each holder of what the entry has left.
+	Share ident.Tokens
 }
 
 // Policy sizes allotments. It is one of EqualSplit, Cover, Recall and SlotCover.
@@ -51,19 +53,24 @@
 
 func (EqualSplit) transfers() bool { return false }
 
-// Cover gives each holder enough for its own demand during a partition of the given length.
+// Cover gives each holder enough for its own demand during a partition of the given length, and at
+// least a part of its equal share.
 type Cover struct {
 	Partition time.Duration
 	// Min is the least that a holder with demand asks for.
 	Min ident.Tokens
+	// Spread is the part of its equal share that a holder gets whatever its demand. It covers demand
+	// that moves to a domain after the domain is cut off.
+	Spread float64
 }
 
 // DefaultCover is the sizing for token budgets. A region may be cut off for an hour, so a holder keeps
 // an hour of its own demand.
-var DefaultCover = Cover{Partition: time.Hour, Min: 4096}
+var DefaultCover = Cover{Partition: time.Hour, Min: 4096, Spread: 0.5}
 
 func (p Cover) level(d Demand) ident.Tokens {
-	return max(p.Min, ident.Tokens(d.PerSecond*p.Partition.Seconds())) + d.Pending
+	cover := ident.Tokens(d.PerSecond * p.Partition.Seconds())
+	return max(p.Min, cover, ident.Tokens(p.Spread*float64(d.Share))) + d.Pending
 }
 
 func (p Cover) grant(e *Entry, _ int, want ident.Tokens) ident.Tokens {
--- a/core/escrow/transfer.go
+++ b/core/escrow/transfer.go
@@ -16,13 +16,13 @@
 	Total ident.Tokens `json:"total"`
 }
 
-// Ask requests tokens from another holder.
+// Ask requests tokens from another holder for requests that wait.
 type Ask struct {
 	Entry EntryID      `json:"entry"`
 	From  HolderID     `json:"from"`
 	Need  ident.Tokens `json:"need"`
-	// Pending says that requests wait for the tokens. Without it the ask only rebalances.
-	Pending bool `json:"pending"`
+	// Smallest is the size of the smallest waiting request.
+	Smallest ident.Tokens `json:"smallest"`
 }
 
 // pair holds the cumulative counters towards one other holder.
@@ -45,7 +45,7 @@
 // TransferOut moves n free tokens to another holder. The counter rises before the message exists, so
 // that tokens in transit are never spent by the sender. The message is sent until it is acknowledged.
 func (a *Account) TransferOut(to HolderID, n ident.Tokens) (Transfer, bool) {
-	if n <= 0 || to == a.cfg.Holder || a.Closed() || !take(&a.free, int64(n)) {
+	if n <= 0 || to == a.cfg.Holder || a.sealed() || !take(&a.free, int64(n)) {
 		return Transfer{}, false
 	}
 	a.mu.Lock()
@@ -61,7 +61,7 @@
 func (a *Account) TransferIn(from HolderID, total ident.Tokens) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.state.Load()&(stateClosed|stateProved) != 0 || from == a.cfg.Holder || total > object.MaxTokens {
+	if a.sealed() || from == a.cfg.Holder || total > object.MaxTokens {
 		return false
 	}
 	p := a.pair(from)
@@ -102,22 +102,31 @@
 // Ask returns what the account lacks for its waiting requests, or false if it lacks nothing or its
 // policy makes no transfers.
 func (a *Account) Ask() (Ask, bool) {
-	need := ident.Tokens(a.pending.Load()) - a.Free()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	need := a.pending - a.Free()
 	if need <= 0 || !a.Usable() || !a.cfg.Policy.transfers() {
 		return Ask{}, false
 	}
-	return Ask{Entry: a.cfg.Entry, From: a.cfg.Holder, Need: need, Pending: true}, true
+	return Ask{Entry: a.cfg.Entry, From: a.cfg.Holder, Need: need, Smallest: a.waiting[0]}, true
 }
 
-// Answer moves tokens to a holder that asks. An account with waiting requests of its own yields only to
-// a holder that comes first by name: two that wait would otherwise swap the same tokens for ever.
+// Answer moves tokens to a holder that asks. Between two accounts with waiting requests the one with the
+// smallest request comes first, then the one that is first by name. Without such an order they would
+// swap the same tokens, and a request that no collection can serve would keep tokens from others.
 func (a *Account) Answer(ask Ask) (Transfer, bool) {
-	if ask.Entry != a.cfg.Entry || !a.cfg.Policy.transfers() {
+	if ask.Entry != a.cfg.Entry || !a.cfg.Policy.transfers() || a.precedes(ask) {
 		return Transfer{}, false
 	}
-	spare := a.Free()
-	if a.pending.Load() > 0 && (!ask.Pending || ask.From > a.cfg.Holder) {
-		spare -= ident.Tokens(a.pending.Load())
+	return a.TransferOut(ask.From, min(a.Free(), ask.Need))
+}
+
+func (a *Account) precedes(ask Ask) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.waiting) == 0 {
+		return false
 	}
-	return a.TransferOut(ask.From, min(spare, ask.Need))
+	own := a.waiting[0]
+	return own < ask.Smallest || own == ask.Smallest && a.cfg.Holder < ask.From
 }
--- a/core/escrow/wallet.go
+++ b/core/escrow/wallet.go
@@ -110,7 +110,19 @@
 // context ends. The error is a *Refusal.
 func (w *Wallet) HoldWait(ctx context.Context, key ident.KeyID, class ident.Class, n ident.Tokens) (Reservation, error) {
 	var waitsFor *Account
-	defer func() { waitsFor.addPending(-n) }()
+	wait := func(on *Account) {
+		if waitsFor == on {
+			return
+		}
+		if waitsFor != nil {
+			waitsFor.removeWaiting(n)
+		}
+		if on != nil {
+			on.addWaiting(n)
+		}
+		waitsFor = on
+	}
+	defer wait(nil)
 	for {
 		ch := w.Freed.Wait()
 		r, short, ok := w.hold(key, class, n)
@@ -120,11 +132,7 @@
 		if short == nil {
 			return Reservation{}, &Refusal{Need: n}
 		}
-		if short != waitsFor {
-			waitsFor.addPending(-n)
-			waitsFor = short
-			waitsFor.addPending(n)
-		}
+		wait(short)
 		select {
 		case <-ch:
 		case <-ctx.Done():
