--- /dev/null
+++ b/core/bill/rollup.go
@@ -0,0 +1,136 @@
+package bill
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+// Line is the sum of bills that share a budget, a key and a model or service.
+type Line struct {
+	Budget       ident.BudgetID  `json:"budget"`
+	Key          ident.KeyID     `json:"key"`
+	Model        ident.ModelID   `json:"model,omitempty"`
+	Service      ident.ServiceID `json:"service,omitempty"`
+	Requests     int64           `json:"requests"`
+	Unknown      int64           `json:"unknown,omitempty"` // requests with outcome unknown
+	PromptTokens ident.Tokens    `json:"prompt_tokens"`
+	OutputTokens ident.Tokens    `json:"output_tokens"`
+	Billed       ident.Tokens    `json:"billed"`
+	OverBound    ident.Tokens    `json:"over_bound,omitempty"`
+}
+
+func (l *Line) add(o *Line) {
+	l.Requests += o.Requests
+	l.Unknown += o.Unknown
+	l.PromptTokens += o.PromptTokens
+	l.OutputTokens += o.OutputTokens
+	l.Billed += o.Billed
+	l.OverBound += o.OverBound
+}
+
+func (l *Line) compare(o *Line) int {
+	return cmp.Or(cmp.Compare(l.Budget, o.Budget), cmp.Compare(l.Key, o.Key),
+		cmp.Compare(l.Model, o.Model), cmp.Compare(l.Service, o.Service))
+}
+
+func (b *Bill) line() Line {
+	l := Line{
+		Budget: b.Budget, Key: b.Key, Model: b.Model, Service: b.Service, Requests: 1,
+		PromptTokens: b.PromptTokens, OutputTokens: b.OutputTokens, Billed: b.Billed, OverBound: b.OverBound,
+	}
+	if b.Outcome == ident.OutcomeUnknown {
+		l.Unknown = 1
+	}
+	return l
+}
+
+// sumLines sorts the lines and adds up those of the same key.
+func sumLines(lines []Line) []Line {
+	lines = slices.Clone(lines)
+	slices.SortFunc(lines, func(x, y Line) int { return x.compare(&y) })
+	var sum []Line
+	for i := range lines {
+		if n := len(sum); n > 0 && sum[n-1].compare(&lines[i]) == 0 {
+			sum[n-1].add(&lines[i])
+			continue
+		}
+		sum = append(sum, lines[i])
+	}
+	return sum
+}
+
+// Day rolls up the pages of one day for one organisation. The order of the pages has no effect.
+type Day struct {
+	org     ident.OrgID
+	day     time.Time
+	pages   map[string]bool
+	earlier map[ident.RequestID]bool
+	bills   map[ident.RequestID]Bill
+}
+
+// NewDay returns an empty roll-up. Day is any time of that day in UTC.
+func NewDay(org ident.OrgID, day time.Time) *Day {
+	return &Day{
+		org: org, day: day.UTC().Truncate(24 * time.Hour), pages: make(map[string]bool),
+		earlier: make(map[ident.RequestID]bool), bills: make(map[ident.RequestID]Bill),
+	}
+}
+
+// Add takes a page and reports whether it was new. A page of an earlier day only marks its requests, so
+// that a second bill of one of them is not counted. A page of a later day has no effect.
+func (d *Day) Add(p *Page) bool {
+	id, err := ParsePageID(p.Name)
+	if err != nil || d.pages[p.Name] || id.Day.After(d.day) {
+		return false
+	}
+	d.pages[p.Name] = true
+	for _, b := range p.Bills {
+		if b.Org != d.org {
+			continue
+		}
+		if id.Day.Before(d.day) {
+			d.earlier[b.RequestID] = true
+			continue
+		}
+		if old, ok := d.bills[b.RequestID]; !ok || preferred(&b, &old) {
+			d.bills[b.RequestID] = b
+		}
+	}
+	return true
+}
+
+// preferred orders two bills of one request. They are the same unless a router billed a stream that it
+// saw only in part, so the larger one is complete.
+func preferred(b, old *Bill) bool {
+	c := cmp.Or(cmp.Compare(b.Billed, old.Billed), cmp.Compare(b.OutputTokens, old.OutputTokens),
+		cmp.Compare(old.Router, b.Router), old.At.Compare(b.At))
+	return c > 0
+}
+
+// DaySum is the roll-up of one day.
+type DaySum struct {
+	Day   string `json:"day"`   // as in page names
+	Pages int    `json:"pages"` // number of pages of that day
+	Lines []Line `json:"lines"`
+}
+
+// Sum returns the lines of the day, sorted.
+func (d *Day) Sum() DaySum {
+	s := DaySum{Day: d.day.Format(dayLayout)}
+	for name := range d.pages {
+		if id, err := ParsePageID(name); err == nil && id.Day.Equal(d.day) {
+			s.Pages++
+		}
+	}
+	lines := make([]Line, 0, len(d.bills))
+	for id, b := range d.bills {
+		if !d.earlier[id] {
+			lines = append(lines, b.line())
+		}
+	}
+	s.Lines = sumLines(lines)
+	return s
+}
