--- a/io/admin/example_test.go
+++ b/io/admin/example_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"geraniumsaddle/core/bill"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/admin"
 	fake "geraniumsaddle/io/fakes/store"
@@ -23,6 +26,10 @@
 func (fleet) Status(context.Context) admin.Status                        { return admin.Status{} }
 func (fleet) CheckRelease(context.Context, object.Release) object.Faults { return nil }
 
+func (fleet) Statement(_ context.Context, org ident.OrgID, at time.Time) (bill.Statement, error) {
+	return bill.NewMonth(org, at).Statement(), nil
+}
+
 func ExampleClient() {
 	clock := clockwork.NewRealClock()
 	platform := httptest.NewServer(fake.New(fake.Config{}, clock))
--- a/io/admin/harness_test.go
+++ b/io/admin/harness_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/bill"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	fake "geraniumsaddle/io/fakes/store"
@@ -37,6 +38,10 @@
 	return Status{AsOf: testNow, Platform: PlatformStatus{Reachable: true}, Routers: []RouterStatus{{ID: "r1.1", Domain: "a"}}}
 }
 
+func (fakeFleet) Statement(_ context.Context, org ident.OrgID, at time.Time) (bill.Statement, error) {
+	return bill.NewMonth(org, at).Statement(), nil
+}
+
 func (fakeFleet) CheckRelease(_ context.Context, r object.Release) object.Faults {
 	if r.ID == "too-late" {
 		return object.Faults{{Path: "finish_at", Message: "the weights cannot be loaded in time"}}
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -53,6 +53,7 @@
 		{"POST /admin/v1/budgets/{id}/refunds", object.RoleOperator, s.refund},
 		{"POST /admin/v1/budgets/{id}/unresolved", object.RoleOwner, s.resolve},
 		{"GET /admin/v1/status", object.RoleViewer, s.status},
+		{"GET /admin/v1/organisations/{id}/statement", object.RoleViewer, s.statement},
 		{"GET /admin/v1/audit", object.RoleViewer, s.listAudit},
 	} {
 		mux.Handle(row.pattern, s.handle(row.role, row.serve))
--- a/io/cmds/admin_test.go
+++ b/io/cmds/admin_test.go
@@ -15,6 +15,8 @@
 	"github.com/matryer/is"
 	"github.com/rogpeppe/go-internal/txtar"
 
+	"geraniumsaddle/core/bill"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/admin"
 	fake "geraniumsaddle/io/fakes/store"
@@ -47,6 +49,10 @@
 
 func (fleet) CheckRelease(context.Context, object.Release) object.Faults { return nil }
 
+func (fleet) Statement(_ context.Context, org ident.OrgID, at time.Time) (bill.Statement, error) {
+	return bill.NewMonth(org, at).Statement(), nil
+}
+
 // newAdminServer serves the administration API over a stand-in of the platform, and an echo of statements.
 func newAdminServer(t *testing.T) string {
 	t.Helper()
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -172,6 +172,8 @@
 	n.transfers.tick(now)
 	n.pollVMs(now)
 	n.recovery.tick(now)
+	n.bills.tick(now)
+	n.rollUps.tick(now)
 	n.gauges()
 }
 
--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -114,8 +114,7 @@
 	if acct == nil {
 		return func() {}
 	}
-	acct.Expect(1)
-	return func() { acct.Expect(-1) }
+	return acct.Expect(1)
 }
 
 func (g *gate) choose(req target.Request) (target.Choice, error) {
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -211,7 +211,7 @@
 	c.n.replicas.mu.Unlock()
 	for _, b := range rec.Bills {
 		if b.Outcome != ident.OutcomeNotRun {
-			c.n.bills.add(b)
+			c.n.bills.add(b, 0)
 		}
 	}
 	c.reason, c.proof = string(rec.Reason), rec.Proof != nil
@@ -330,9 +330,7 @@
 		p.Settled = 0
 		// Its requests are no longer at the target, for which the recovery has waited. Without a proof the number of
 		// slots that it has sent to others is known only when none of the entry's holders ever took part in a transfer.
-		if c.proof || neverMoved(e) {
-			p.Unspent = unspent(h, p)
-		}
+		p.Complete = c.proof || neverMoved(e)
 		return p
 	}
 	switch {
@@ -342,19 +340,11 @@
 	case h.JournalPeer != c.declared:
 		p.Reason = reasonUndeclared
 	default:
-		p.Unspent = max(0, unspent(h, p)-b.Unresolved)
-		p.Reason = reasonOpen
+		p.Complete, p.Held, p.Reason = true, b.Unresolved, reasonOpen
 	}
 	return p
 }
 
-// unspent returns what a row's holder has neither returned, billed nor sent to others.
-func unspent(h escrow.Holder, p escrow.Proof) ident.Tokens {
-	settled, returned := max(h.Settled, p.Settled), max(h.Returned, p.Returned)
-	in, out := max(h.In, p.In), max(h.Out, p.Out)
-	return max(0, h.Granted+in-returned-settled-out)
-}
-
 func neverMoved(e *escrow.Entry) bool {
 	for _, h := range e.Holders {
 		if h.In != 0 || h.Out != 0 {
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -34,7 +34,7 @@
 		peer.Push{Push: config.Push{Objects: []config.Object{{Kind: object.KindTarget, Name: "t", Version: 4, Value: []byte("{}")}}}},
 		peer.LedgerReport{Shard: key, Reports: []escrow.Report{{Entry: "b", Holder: "a.1", Returned: 5, Seq: 1}}},
 		peer.LedgerState{Shard: key, Version: 9, Entries: []escrow.Entry{{ID: "b", Paid: 5, ExpiresAt: at, Holders: []escrow.Holder{{ID: "a.1", Granted: 3}}}}},
-		peer.TransferAsk{Ask: escrow.Ask{Entry: "b", From: "a.1", Need: 10, Pending: true}},
+		peer.TransferAsk{Ask: escrow.Ask{Entry: "b", From: "a.1", Need: 10, Smallest: 3}},
 		peer.Transfer{Transfer: escrow.Transfer{Entry: "b", From: "a.1", To: "b.2", Total: 7}},
 		peer.TransferAck{Transfer: escrow.Transfer{Entry: "b", From: "a.1", To: "b.2", Total: 7}},
 		peer.JournalAppend{Append: &record.Append{Router: "a.1", Term: 2, Entries: []record.Entry{{Seq: 9, Open: &hold}}}},
