--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -54,6 +54,7 @@
 	recalled    ident.ObjectVersion
 	seq         uint64
 	journalPeer ident.RouterID
+	declared    ident.RouterID
 	demand      estimate
 	share       ident.Tokens   // an equal part of what the entry has left
 	waiting     []ident.Tokens // waiting requests, smallest first
@@ -214,6 +215,9 @@
 	if h.Open != a.open || a.sealed() {
 		return
 	}
+	if newest {
+		a.declared = h.JournalPeer
+	}
 	if n := h.Granted - a.granted; n > 0 {
 		a.granted = h.Granted
 		a.free.Add(int64(n))
@@ -229,6 +233,13 @@
 	a.journalPeer = r
 }
 
+// JournalPeer returns the journal peer that the newest confirmed entry declares, or "".
+func (a *Account) JournalPeer() ident.RouterID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.declared
+}
+
 // Report returns the counters and the want for the writer of the shard.
 func (a *Account) Report() Report {
 	a.mu.Lock()
--- a/core/escrow/policy.go
+++ b/core/escrow/policy.go
@@ -66,7 +66,7 @@
 
 // DefaultCover is the sizing for token budgets. A region may be cut off for an hour, so a holder keeps
 // an hour of its own demand.
-var DefaultCover = Cover{Partition: time.Hour, Min: 4096, Spread: 0.5}
+var DefaultCover = Cover{Partition: time.Hour, Min: 4096, Spread: 0.75}
 
 func (p Cover) level(d Demand) ident.Tokens {
 	cover := ident.Tokens(d.PerSecond * p.Partition.Seconds())
--- a/core/escrow/writer.go
+++ b/core/escrow/writer.go
@@ -77,9 +77,16 @@
 	}
 	changed := false
 	for _, id := range order {
-		if e := next[id]; e.differs(s.Entry(id), b.Flush) {
-			s, changed = s.With(*e), true
+		e := next[id]
+		if !e.differs(s.Entry(id), b.Flush) {
+			continue
+		}
+		if !changed {
+			s.Entries = slices.Clone(s.Entries)
+			changed = true
 		}
+		i, _ := s.find(id)
+		s.Entries[i] = *e
 	}
 	return s, changed
 }
