--- /dev/null
+++ b/core/record/resume_test.go
@@ -0,0 +1,33 @@
+package record_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/record"
+)
+
+// TestResumed guards against a router that was paused for longer than the grace and then releases an entry that its
+// peer, which may have recovered it in between, does not know.
+func TestResumed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := record.New("r1.1", record.DefaultLimits())
+	r := record.NewReplica("r2.1", "r1.1", 7, record.DefaultLimits())
+	is.NoErr(j.Choose("r2.1"))
+	for _, m := range j.Outbox(now) {
+		ack, _ := r.Apply(m.Message, now)
+		j.Ack(ack, now)
+	}
+	d, ok := j.BeginDeclare()
+	is.True(ok)
+	j.Declared(d)
+	now = now.Add(time.Minute) // paused
+	j.Resumed(now)
+	seq, err := j.Open(record.Hold{Request: "q", Budget: "b", Tokens: 1, At: now})
+	is.NoErr(err)
+	is.True(!j.Release(seq, now).OK)                  // the pause does not count
+	is.True(j.Release(seq, now.Add(record.Grace)).OK) // the time after it does
+}
--- a/io/node/accts.go
+++ b/io/node/accts.go
@@ -12,8 +12,6 @@
 type account struct {
 	*escrow.Account
 	shard object.Key
-	// nth counts the accounts that this router has opened on the entry.
-	nth uint64
 }
 
 // accounts holds the router's escrow accounts. Traffic goroutines look them up; the control goroutine
@@ -29,6 +27,8 @@
 
 	mu      sync.RWMutex
 	byEntry map[escrow.EntryID]*account
+	// opened counts the accounts ever opened on an entry. Each is a holder of its own.
+	opened  map[escrow.EntryID]uint64
 	wallets map[ident.OrgID]*walletRow
 	freed   map[ident.OrgID]*escrow.Signal
 	slotOf  map[ident.TargetID]*account
@@ -45,7 +45,7 @@
 	return &accounts{
 		holder: holder, policy: escrow.DefaultRecall, slots: escrow.SlotCover{},
 		short: new(escrow.Signal), freeSlots: new(escrow.Signal),
-		byEntry: make(map[escrow.EntryID]*account),
+		byEntry: make(map[escrow.EntryID]*account), opened: make(map[escrow.EntryID]uint64),
 		wallets: make(map[ident.OrgID]*walletRow),
 		freed:   make(map[ident.OrgID]*escrow.Signal),
 		slotOf:  make(map[ident.TargetID]*account),
@@ -115,11 +115,9 @@
 	if acct != nil && !acct.Closed() {
 		return acct
 	}
-	var nth uint64
-	if acct != nil {
-		nth = acct.nth + 1
-	}
-	acct = &account{shard: shard, nth: nth, Account: escrow.NewAccount(escrow.AccountConfig{
+	nth := a.opened[id]
+	a.opened[id]++
+	acct = &account{shard: shard, Account: escrow.NewAccount(escrow.AccountConfig{
 		Entry: id, Holder: escrow.NewHolderID(a.holder, nth), Policy: p, Freed: freed, Short: a.short})}
 	if a.peer != "" {
 		acct.SetJournalPeer(a.peer)
@@ -176,6 +174,41 @@
 	return a.byEntry[id]
 }
 
+// drop removes an account that takes no more requests. Wallets that use it are built anew.
+func (a *accounts) drop(old *account) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.byEntry[old.Entry()] == old {
+		delete(a.byEntry, old.Entry())
+	}
+	for org, row := range a.wallets {
+		if row.uses(old.Account) {
+			delete(a.wallets, org)
+		}
+	}
+}
+
+// uses reports whether an account is one of the wallet's budgets or limits.
+func (r *walletRow) uses(old *escrow.Account) bool {
+	for i := range r.wallet.Budgets {
+		b := &r.wallet.Budgets[i]
+		if b.Account == old {
+			return true
+		}
+		for _, c := range b.Classes {
+			if c == old {
+				return true
+			}
+		}
+	}
+	for _, k := range r.wallet.Keys {
+		if k == old {
+			return true
+		}
+	}
+	return false
+}
+
 // declare sets the journal peer on all accounts, also on those that open later.
 func (a *accounts) declare(p ident.RouterID) {
 	a.mu.Lock()
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -152,6 +152,10 @@
 
 // tick does the periodic work of the control goroutine.
 func (n *Node) tick(now time.Time) {
+	if last := n.lastTick.Load(); last != 0 && now.UnixNano()-last >= int64(staleAfter) {
+		n.log.Warn("the process was paused", "for_ms", (now.UnixNano()-last)/int64(time.Millisecond))
+		n.journal.resumed(now)
+	}
 	n.lastTick.Store(now.UnixNano())
 	n.feeds.setActive(n.isWatcher())
 	n.feeds.tick(now)
@@ -174,6 +178,7 @@
 	n.recovery.tick(now)
 	n.bills.tick(now)
 	n.rollUps.tick(now)
+	n.idle.tick(now)
 	n.gauges()
 }
 
@@ -193,4 +198,10 @@
 	}
 	n.metrics.Set("free_tokens", free)
 	n.metrics.Set("held_tokens", held)
+	n.metrics.Set("running_requests", float64(n.traffic.count.Load()))
+	n.metrics.Set("bills_pending", float64(n.bills.len()))
+	if n.transport != nil {
+		n.wire.record(n.metrics, n.transport.Counts())
+		n.transport.Recheck()
+	}
 }
--- a/io/node/journal.go
+++ b/io/node/journal.go
@@ -91,6 +91,9 @@
 func (k *journal) wait(ctx context.Context, seq uint64) error {
 	for {
 		sig := k.ack.Wait()
+		if err := k.n.refresh(ctx); err != nil {
+			return ErrUncovered
+		}
 		now := k.n.clock.Now()
 		k.mu.Lock()
 		r := k.j.Release(seq, now)
@@ -111,6 +114,13 @@
 	}
 }
 
+// resumed is called when the process ran again after a pause.
+func (k *journal) resumed(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.j.Resumed(now)
+}
+
 // flush sends what is due.
 func (k *journal) flush() {
 	k.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -71,6 +71,8 @@
 	recovery   *recovery
 	releases   *releases
 	rollUps    *rollUps
+	idle       *idleAccounts
+	wire       wireCounts
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -135,6 +137,7 @@
 	n.transfers = newTransfers(n)
 	n.recovery = newRecovery(n)
 	n.releases = newReleases(n)
+	n.idle = newIdleAccounts(n)
 	n.rollUps = &rollUps{n: n, at: n.clock.Now()}
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
--- a/io/node/rollup.go
+++ b/io/node/rollup.go
@@ -194,4 +194,3 @@
 		after = list.Next
 	}
 }
-
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,18 +46,23 @@
 		done()
 		return nil, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router is shutting down")
 	}
-	if t.n.fresh() {
-		return done, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
-	if err := t.n.ask(ctx, func() { t.n.tick(t.n.clock.Now()) }); err != nil {
+	if err := t.n.refresh(ctx); err != nil {
 		done()
 		return nil, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router's configuration is not current")
 	}
 	return done, nil
 }
 
+// refresh lets the control goroutine run once if the process was paused.
+func (n *Node) refresh(ctx context.Context) error {
+	if n.fresh() {
+		return nil
+	}
+	return n.ask(ctx, func() { n.tick(n.clock.Now()) })
+}
+
 // Authenticate implements caller.Backend.
 func (n *Node) Authenticate(_ context.Context, secret string) (caller.Identity, error) {
 	sum := sha256.Sum256([]byte(secret))
@@ -84,6 +90,10 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.BudgetWait)
 	defer cancel()
 	res, err := w.HoldWait(ctx, who.Key, who.Class, need)
+	if next := n.accounts.wallet(n.view.Load(), who.Org); err != nil && next != w {
+		// An account of the wallet was closed in between, because it was idle or by recovery.
+		res, err = next.HoldWait(ctx, who.Key, who.Class, need)
+	}
 	if err == nil {
 		return res, nil
 	}
@@ -100,7 +110,11 @@
 	if ref.Entry == "" {
 		return caller.Refuse(caller.CodeBudgetExhausted, ident.OutcomeNotRun, "the organisation has no usable budget; %d tokens are needed", need)
 	}
-	r := caller.Refuse(caller.CodeBudgetExhausted, ident.OutcomeNotRun,
+	code := caller.CodeBudgetExhausted
+	if strings.Contains(string(ref.Entry), "/") {
+		code = caller.CodeLimitReached // The entry is the limit of a key or of a class.
+	}
+	r := caller.Refuse(code, ident.OutcomeNotRun,
 		"the request needs %d tokens and %s has %d free at this router", need, ref.Entry, ref.Free)
 	if !n.platformReachable() {
 		r.Message += "; the platform is not reachable, so no more can be allotted now"
