Add loadtest, which measures the traffic path of a router

The figures of the design need separate processes and a load from outside. The command starts platform, engines and a router, and prints JSON lines.

--- /dev/null
+++ b/cmd/loadtest/fleet.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/admin"
+	"geraniumsaddle/io/store"
+)
+
+const (
+	startWait = 10 * time.Second
+	stopWait  = 5 * time.Second
+	budget    = ident.Tokens(1) << 40
+	callerKey = "load-key"
+	// engineCapacity bounds the requests of an engine. It is large, because the router is what is measured.
+	engineCapacity = 8192
+)
+
+// process is a started program.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	// addrs are the addresses that the program printed.
+	addrs map[string]string
+}
+
+func (p *process) pid() int { return p.cmd.Process.Pid }
+
+// fleet is a set of processes: the platform, engines and one router.
+type fleet struct {
+	procs   []*process
+	router  *process
+	engines []*process
+	bulk    []*process
+}
+
+// fleetConfig describes a fleet.
+type fleetConfig struct {
+	Binary   string
+	Engines  int
+	Interval time.Duration // between two tokens of an engine
+	Tokens   int           // of an answer
+	// Bulk is the number of further engines, which serve the model "bulk" and generate an answer at once.
+	Bulk       int
+	BulkTokens int
+	SlowAfter  time.Duration
+	RouterArgs []string
+	Log        *os.File
+}
+
+// startFleet starts the processes and writes the objects. Stop ends them, also after an error.
+func startFleet(ctx context.Context, cfg fleetConfig) (*fleet, error) {
+	f := new(fleet)
+	err := f.start(ctx, cfg)
+	if err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(ctx context.Context, cfg fleetConfig) error {
+	platform, err := f.run(cfg, cfg.Binary, "platform", "--addr", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	for range cfg.Engines {
+		e, err := f.run(cfg, self, "--serve-engine", "--interval", cfg.Interval.String(), "--tokens", strconv.Itoa(cfg.Tokens))
+		if err != nil {
+			return err
+		}
+		f.engines = append(f.engines, e)
+	}
+	for range cfg.Bulk {
+		e, err := f.run(cfg, self, "--serve-engine", "--tokens", strconv.Itoa(cfg.BulkTokens))
+		if err != nil {
+			return err
+		}
+		f.bulk = append(f.bulk, e)
+	}
+	url := "http://" + platform.addrs["addr"]
+	if err := f.seed(ctx, url); err != nil {
+		return err
+	}
+	args := []string{"router", "--name", "r1", "--domain", "d1", "--platform-url", url, "--caller-addr", "127.0.0.1:0",
+		"--admin-addr", "127.0.0.1:0", "--org-stream-bytes", "536870912", "--slow-reader-after", cfg.SlowAfter.String(),
+		"--operation-key", "operation-key-of-the-load"}
+	f.router, err = f.run(cfg, cfg.Binary, append(args, cfg.RouterArgs...)...)
+	return err
+}
+
+// run starts a program and reads the line of JSON with its addresses.
+func (f *fleet) run(cfg fleetConfig, path string, args ...string) (*process, error) {
+	p := &process{cmd: exec.Command(path, args...), done: make(chan struct{})}
+	p.cmd.Stderr = cfg.Log
+	// A program must not outlive this one.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	f.procs = append(f.procs, p)
+	lines := bufio.NewScanner(out)
+	first := make(chan []byte, 1)
+	go func() {
+		if lines.Scan() {
+			first <- []byte(lines.Text())
+		}
+		for lines.Scan() {
+			continue
+		}
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	select {
+	case line := <-first:
+		return p, json.Unmarshal(line, &p.addrs)
+	case <-p.done:
+		return nil, fmt.Errorf("%s %v ended at its start", path, args)
+	case <-time.After(startWait):
+		return nil, fmt.Errorf("%s %v did not start", path, args)
+	}
+}
+
+// stop ends all processes.
+func (f *fleet) stop() {
+	for _, p := range f.procs {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range f.procs {
+		select {
+		case <-p.done:
+		case <-time.After(stopWait):
+		}
+	}
+}
+
+// seed writes an organisation with a large budget, a model and the engines.
+func (f *fleet) seed(ctx context.Context, url string) error {
+	st, err := store.New(store.Config{URL: url}, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	objs := []object.Value{
+		object.Organisation{Format: 1, ID: "load", Name: "Load", Class: "chat", Budgets: []ident.BudgetID{"load"},
+			Keys: []object.APIKey{{ID: "key-1", SHA256: admin.Hash(callerKey)}}},
+		object.Budget{Format: 1, ID: "load", Org: "load"},
+		object.Version{Format: 1, ID: "paced-v1", Model: modelPaced, Serving: true},
+		object.Version{Format: 1, ID: "bulk-v1", Model: modelBulk, Serving: true},
+	}
+	objs = append(objs, targets("paced", f.engines)...)
+	objs = append(objs, targets("bulk", f.bulk)...)
+	for _, o := range objs {
+		raw, err := json.Marshal(o)
+		if err != nil {
+			return err
+		}
+		if _, err := st.PutResolved(ctx, o.Key(), raw, store.Any()); err != nil {
+			return err
+		}
+	}
+	entry := escrow.Entry{ID: escrow.BudgetEntry("load")}
+	if _, err := entry.Do(escrow.Op{ID: "seed", Kind: escrow.OpTopUp, Tokens: budget}); err != nil {
+		return err
+	}
+	raw, err := escrow.NewShard().With(entry).Encode()
+	if err != nil {
+		return err
+	}
+	_, err = st.PutResolved(ctx, escrow.LedgerKey(entry.ID), raw, store.Any())
+	return err
+}
+
+// The models of the two groups of engines.
+const (
+	modelPaced = ident.ModelID("paced")
+	modelBulk  = ident.ModelID("bulk")
+)
+
+// targets returns the objects of a group of engines.
+func targets(group string, engines []*process) []object.Value {
+	var out []object.Value
+	for i, e := range engines {
+		id := fmt.Sprintf("%s-%d", group, i)
+		out = append(out, object.Target{Format: 1, ID: ident.TargetID(id), Domain: "d1", VM: ident.VMID("vm-" + id),
+			Kind: object.TargetEngine, Versions: []ident.VersionID{ident.VersionID(group + "-v1")}, URL: "http://" + e.addrs["addr"],
+			Capacity: engineCapacity, State: object.TargetActive})
+	}
+	return out
+}
