Issue engine orders under the platform lease and check releases against the weight store

The router had no issuer of engine orders, so a listed version was never loaded, and a release was accepted whatever its weights needed.

One watcher of each failure domain holds leases/orders-<domain> and brings its engines to the versions that their targets list. Loads take a slot at the weight store. A target that reports its loaded versions gets requests only for those. The stand-in engine honours replaces. Not yet covered by tests.

--- a/core/target/build.go
+++ b/core/target/build.go
@@ -41,7 +41,7 @@
 	out := make([]place, 0, len(e.obj.Versions))
 	for _, id := range e.obj.Versions {
 		v, ok := r.versions[id]
-		if !ok || v.Withdrawn {
+		if !ok || v.Withdrawn || !e.has(id) {
 			continue
 		}
 		out = append(out, place{key: Key{Model: v.Model, Service: v.Service, Domain: e.obj.Domain}, version: id})
--- a/core/target/registry.go
+++ b/core/target/registry.go
@@ -51,11 +51,14 @@
 	health   health
 	live     *live
 	adapters []string
-	feed     feed
-	asOf     time.Time
-	others   int64
-	stats    []*stat
-	pools    []*poolStat
+	// loaded are the versions that the target reports, if it has reported a list.
+	loaded     []ident.VersionID
+	loadedList bool
+	feed       feed
+	asOf       time.Time
+	others     int64
+	stats      []*stat
+	pools      []*poolStat
 }
 
 func (e *entry) state() object.TargetState { return object.TargetState(e.fsm.Current()) }
@@ -203,6 +206,28 @@
 	r.dirty = true
 }
 
+// SetLoaded records the versions that a target reports as loaded. A listed version that is not among them gets no
+// requests. A nil list means that the target serves every version that is listed for it.
+func (r *Registry) SetLoaded(id ident.TargetID, loaded []ident.VersionID) {
+	e := r.entries[id]
+	if e == nil || e.loadedList == (loaded != nil) && slices.Equal(e.loaded, loaded) {
+		return
+	}
+	e.loaded, e.loadedList = slices.Clone(loaded), loaded != nil
+	r.dirty = true
+}
+
+// Loaded returns the versions that a target has reported as loaded, or nil for a target without a list.
+func (r *Registry) Loaded(id ident.TargetID) []ident.VersionID {
+	if e := r.entries[id]; e != nil && e.loadedList {
+		return append([]ident.VersionID{}, e.loaded...)
+	}
+	return nil
+}
+
+// has reports whether the target can serve a version that is listed for it.
+func (e *entry) has(v ident.VersionID) bool { return !e.loadedList || slices.Contains(e.loaded, v) }
+
 // Report records a load report. It is visible to traffic at once. A report that is older than the
 // last one is ignored.
 func (r *Registry) Report(l Load) {
--- a/core/target/share.go
+++ b/core/target/share.go
@@ -64,7 +64,8 @@
 
 func (p *Pool) entry(point uint64) *set {
 	for _, a := range p.added {
-		if a.takes(point) {
+		// An added version has nothing to fall back to, so it gets no share until a target has it.
+		if a.to.active > 0 && a.takes(point) {
 			return a.to
 		}
 	}
@@ -74,12 +75,18 @@
 	var best *set
 	low := math.Inf(1)
 	for _, l := range p.lines {
+		if l.set.active == 0 {
+			continue
+		}
 		// Weighted rendezvous hashing: the smallest exponential variate of rate weight wins.
 		score := -math.Log(1-unit(mix(point^l.salt))) / l.weight
 		if score < low {
 			best, low = l.set, score
 		}
 	}
+	if best == nil && len(p.lines) > 0 {
+		return p.lines[0].set
+	}
 	return best
 }
 
--- a/io/engine/calls.go
+++ b/io/engine/calls.go
@@ -113,12 +113,15 @@
 	Fence   uint64          `json:"fence"`
 	Kind    OrderKind       `json:"kind"`
 	Version ident.VersionID `json:"version,omitempty"`
-	Role    string          `json:"role,omitempty"`
+	// Replaces is a loaded version that the engine may drop to make room. It drops no other one.
+	Replaces ident.VersionID `json:"replaces,omitempty"`
+	Role     string          `json:"role,omitempty"`
 }
 
 // State is what orders have changed at an engine.
 type State struct {
-	Fence    uint64            `json:"fence"`
+	Fence uint64 `json:"fence"`
+	// Loaded is nil for an engine that accepts any version.
 	Loaded   []ident.VersionID `json:"loaded"`
 	Adapters []ident.VersionID `json:"adapters"`
 	Serving  ident.VersionID   `json:"serving"`
--- a/io/fakes/engine/engine.go
+++ b/io/fakes/engine/engine.go
@@ -37,6 +37,8 @@
 	CacheBlocks int
 	// Versions are the loaded versions. An empty list accepts any version.
 	Versions []string
+	// Room is the number of versions that fit at once; zero sets no limit.
+	Room int
 	// LoadTime is the time that an order to load a version takes.
 	LoadTime time.Duration
 	// ChecksFence refuses orders with an old fencing number.
@@ -104,7 +106,7 @@
 		streams: make(map[string]*request),
 		stats:   Stats{Runs: make(map[string]int)},
 		cache:   newCache(cfg.CacheBlocks),
-		control: newControl(cfg.Versions),
+		control: newControl(cfg.Versions, cfg.Room),
 	}
 	s.load.add(s.started, 0, 0, cfg.LoadLag)
 	s.mux.HandleFunc("POST /v1/chat/completions", s.pausable(s.chat))
--- a/io/fakes/engine/order.go
+++ b/io/fakes/engine/order.go
@@ -14,14 +14,15 @@
 	adapters []string
 	serving  string
 	role     string
+	room     int      // the number of versions that fit, or zero for no limit
 	orders   []string // the applied orders, the newest last
 }
 
 // maxOrders bounds the order ids kept to recognise a repeated order.
 const maxOrders = 1024
 
-func newControl(versions []string) control {
-	c := control{loaded: slices.Clone(versions), role: "mixed"}
+func newControl(versions []string, room int) control {
+	c := control{loaded: slices.Clone(versions), role: "mixed", room: room}
 	if len(versions) > 0 {
 		c.serving = versions[0]
 	}
@@ -29,11 +30,12 @@
 }
 
 type order struct {
-	OrderID string `json:"order_id"`
-	Fence   uint64 `json:"fence"`
-	Kind    string `json:"kind"`
-	Version string `json:"version"`
-	Role    string `json:"role,omitempty"`
+	OrderID  string `json:"order_id"`
+	Fence    uint64 `json:"fence"`
+	Kind     string `json:"kind"`
+	Version  string `json:"version"`
+	Replaces string `json:"replaces,omitempty"`
+	Role     string `json:"role,omitempty"`
 }
 
 type stateReply struct {
@@ -91,7 +93,9 @@
 	}
 	switch o.Kind {
 	case "load":
-		c.loaded = addOnce(c.loaded, o.Version)
+		if !c.load(o) {
+			return http.StatusUnprocessableEntity, "no_room"
+		}
 	case "adapter":
 		c.adapters = addOnce(c.adapters, o.Version)
 	case "version":
@@ -112,6 +116,25 @@
 	return http.StatusOK, ""
 }
 
+// load adds a version and reports whether there is room for it. Only the version that the order replaces may be dropped.
+func (c *control) load(o order) bool {
+	if slices.Contains(c.loaded, o.Version) {
+		return true
+	}
+	if c.room > 0 && len(c.loaded) >= c.room {
+		i := slices.Index(c.loaded, o.Replaces)
+		if o.Replaces == "" || i < 0 {
+			return false
+		}
+		c.loaded = slices.Delete(c.loaded, i, i+1)
+		if c.serving == o.Replaces {
+			c.serving = o.Version
+		}
+	}
+	c.loaded = append(c.loaded, o.Version)
+	return true
+}
+
 func addOnce(list []string, v string) []string {
 	if slices.Contains(list, v) {
 		return list
--- a/io/flags/router.go
+++ b/io/flags/router.go
@@ -43,7 +43,12 @@
 	ProcessStreamBytes  int64
 	SlowReaderAfter     time.Duration
 	ReleasePolicy       string
-	Faults              bool
+
+	WeightBytesPerSecond int64
+	WeightTransfers      int
+	OrderDelay           time.Duration
+
+	Faults bool
 }
 
 // BindRouter adds the flags of a router to fs.
@@ -84,6 +89,9 @@
 	fs.Int64Var(&r.ProcessStreamBytes, "process-stream-bytes", 512<<20, "buffers of all streams of the process, in bytes")
 	fs.DurationVar(&r.SlowReaderAfter, "slow-reader-after", 10*time.Second, "time with a full buffer after which the target's stream is suspended")
 	fs.StringVar(&r.ReleasePolicy, "release-policy", "default", "figures of the canary releases: default, or small for little traffic and short windows")
+	fs.Int64Var(&r.WeightBytesPerSecond, "weight-bytes-per-second", 0, "rate of the weight store, in bytes per second; 0 if it is not known, and loads are not planned")
+	fs.IntVar(&r.WeightTransfers, "weight-transfers", 4, "transfers from the weight store at once")
+	fs.DurationVar(&r.OrderDelay, "order-delay", 30*time.Second, "largest time until an order that was sent to an engine takes effect")
 	fs.BoolVar(&r.Faults, "enable-fault-switches", false, "serve PUT /faults on the admin address, for tests")
 }
 
@@ -118,6 +126,9 @@
 	c.between("stream-window-bytes", int64(r.WindowBytes), 4<<10, 1<<20)
 	c.between("org-stream-bytes", r.OrgStreamBytes, int64(r.WindowBytes), 1<<40)
 	c.between("process-stream-bytes", r.ProcessStreamBytes, r.OrgStreamBytes, 1<<40)
+	c.between("weight-bytes-per-second", r.WeightBytesPerSecond, 0, 1<<50)
+	c.between("weight-transfers", int64(r.WeightTransfers), 1, 1<<16)
+	c.span("order-delay", r.OrderDelay, 0, time.Hour)
 	c.span("header-timeout", r.HeaderTimeout, 100*time.Millisecond, time.Minute)
 	c.span("request-timeout", r.RequestTimeout, time.Second, time.Hour)
 	c.span("drain-timeout", r.DrainTimeout, time.Second, 2*time.Hour)
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -159,6 +159,7 @@
 	n.members.tick(now)
 	n.journal.tick()
 	n.releases.tick(now)
+	n.orders.tick(now)
 	if now.Sub(n.slowTick) < time.Second {
 		n.ledger.tick(now, false)
 		return
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -24,6 +24,7 @@
 	n.log.Info("router is leaving", "running", n.traffic.count.Load())
 	n.traffic.leaving.Store(true)
 	_ = n.ask(n.life, n.announceLeaving)
+	n.orders.giveUp(n.life)
 	ctx, cancel := context.WithTimeout(n.life, n.cfg.DrainTimeout)
 	defer cancel()
 	select {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -70,6 +70,7 @@
 	transfers  *transfers
 	recovery   *recovery
 	releases   *releases
+	orders     *orders
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -134,6 +135,7 @@
 	n.transfers = newTransfers(n)
 	n.recovery = newRecovery(n)
 	n.releases = newReleases(n)
+	n.orders = newOrders(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -137,8 +137,9 @@
 	return d, err
 }
 
-// CheckRelease implements admin.Fleet. A version can be released only where targets have it loaded.
-func (n *Node) CheckRelease(_ context.Context, r object.Release) object.Faults {
+// CheckRelease implements admin.Fleet. A version can be released only where targets are to have it, and only if its weights
+// can be loaded in time.
+func (n *Node) CheckRelease(ctx context.Context, r object.Release) object.Faults {
 	v := n.view.Load()
 	var faults object.Faults
 	for _, c := range slices.Concat(r.Added, r.Changed) {
@@ -149,7 +150,7 @@
 			}
 		}
 	}
-	return faults
+	return append(faults, n.checkLoads(ctx, v, r)...)
 }
 
 // Joined reports whether this router has its configuration, its allotments and, if its failure domain has another
