--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -401,3 +401,27 @@
 	is.Equal(l.Running+l.Queued, 1)
 	is.Equal(l.Capacity, 4)
 }
+
+// TestOrderReplaces guards against a load that drops a version which its order does not name, or exceeds the room.
+func TestOrderReplaces(t *testing.T) {
+	is := is.New(t)
+	_, c, _ := start(t, fake.Config{Versions: []string{"v1", "v2"}, Room: 2})
+	for _, tc := range []struct {
+		load, replaces ident.VersionID
+		ok             bool
+		loaded         []ident.VersionID
+		serving        ident.VersionID
+	}{
+		{"v3", "", false, []ident.VersionID{"v1", "v2"}, "v1"},
+		{"v3", "v9", false, []ident.VersionID{"v1", "v2"}, "v1"},
+		{"v2", "v1", true, []ident.VersionID{"v1", "v2"}, "v1"},
+		{"v3", "v1", true, []ident.VersionID{"v2", "v3"}, "v3"},
+	} {
+		_, err := c.Order(ctx, engine.Order{ID: "order-" + string(tc.load+tc.replaces), Kind: engine.OrderLoad, Version: tc.load, Replaces: tc.replaces})
+		is.Equal(err == nil, tc.ok)
+		st, err := c.State(ctx)
+		is.NoErr(err)
+		is.Equal(st.Loaded, tc.loaded)
+		is.Equal(st.Serving, tc.serving)
+	}
+}
