Forward chat completions to another failure domain over a peer stream

A request for which the failure domain had no target was refused although another failure domain had free slots.

It offers the request to a router of another failure domain, journals the offered target and only then lets it be sent, so before that nothing has run.

--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -127,7 +127,7 @@
 func (c *chat) attempt(ctx context.Context) error {
 	choice, err := c.acquire(ctx)
 	if err != nil {
-		return err
+		return c.spill(ctx, err)
 	}
 	c.choice = choice
 	if err := c.open(ctx); err != nil {
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -48,6 +48,12 @@
 		peer.Failure{Code: "c", Message: "m"},
 		peer.ClaimAsk{Org: "o", Key: "k", Body: record.Hash{2}, Request: "r1", Call: peer.ServiceCall{Service: "s", Method: "POST", Path: "/x", Headers: []peer.Header{{Name: "Accept", Values: []string{"*"}}}, Body: []byte("b"), TimeoutMS: 5}},
 		peer.ClaimAnswer{Request: "r1", Status: 201, Body: []byte("b"), Outcome: "run"},
+		peer.Forward{Request: "r1", Org: "o", Model: "m", Body: []byte("{}"), Prefix: []byte("p"), Priority: 2},
+		peer.ForwardOffer{Target: "t", Version: "v1"},
+		peer.ForwardGo{},
+		peer.ForwardChunk{Offset: 3, Data: []byte("{}"), Content: true},
+		peer.ForwardEnd{Chunks: 4, Usage: []byte("{}"), HasUsage: true, PromptTokens: 5, OutputTokens: 6, Outcome: "run", Code: "c", Message: "m"},
+		peer.StreamAck{Received: 1 << 40},
 	}
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -128,6 +128,56 @@
 	RetryAfter int64           `cbor:"8,keyasint,omitempty"` // milliseconds
 }
 
+// Forward opens a stream by which a router of another failure domain sends a chat completion to one of its targets. The
+// opening router keeps the hold, the journal and the bill; the answering one takes a slot and never forwards again.
+//
+// The answering router sends ForwardOffer or a Failure. The opening router journals the target and sends ForwardGo, before
+// which no target receives the request. ForwardChunk messages and one ForwardEnd follow.
+type Forward struct {
+	Request  ident.RequestID `cbor:"1,keyasint"`
+	Org      ident.OrgID     `cbor:"2,keyasint"`
+	Model    ident.ModelID   `cbor:"3,keyasint"`
+	Body     []byte          `cbor:"4,keyasint"`
+	Prefix   []byte          `cbor:"5,keyasint,omitempty"`
+	Priority int             `cbor:"6,keyasint,omitempty"`
+}
+
+// ForwardOffer names the target of which a slot is reserved.
+type ForwardOffer struct {
+	Target  ident.TargetID  `cbor:"1,keyasint"`
+	Version ident.VersionID `cbor:"2,keyasint"`
+}
+
+// ForwardGo asks for the request to be sent to the offered target.
+type ForwardGo struct{}
+
+// ForwardChunk is one event of the answer.
+type ForwardChunk struct {
+	// Offset counts the chunks of the answer from zero.
+	Offset int64  `cbor:"1,keyasint,omitempty"`
+	Data   []byte `cbor:"2,keyasint"`
+	// Content says that the chunk has text.
+	Content bool `cbor:"3,keyasint,omitempty"`
+}
+
+// ForwardEnd ends an answer: a complete one, or one with an error when Code is set.
+type ForwardEnd struct {
+	// Chunks is the number of chunks of a complete answer.
+	Chunks       int64         `cbor:"1,keyasint,omitempty"`
+	Usage        []byte        `cbor:"2,keyasint,omitempty"` // event with the usage
+	HasUsage     bool          `cbor:"3,keyasint,omitempty"`
+	PromptTokens int64         `cbor:"4,keyasint,omitempty"`
+	OutputTokens int64         `cbor:"5,keyasint,omitempty"`
+	Outcome      ident.Outcome `cbor:"6,keyasint,omitempty"`
+	Code         string        `cbor:"7,keyasint,omitempty"`
+	Message      string        `cbor:"8,keyasint,omitempty"`
+}
+
+// StreamAck tells the sender of a stream how many bytes of its messages were consumed.
+type StreamAck struct {
+	Received int64 `cbor:"1,keyasint"`
+}
+
 // EvidenceCell holds cumulative counters of one router for one version, route and load band.
 type EvidenceCell struct {
 	Router   ident.RouterID  `cbor:"1,keyasint"`
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -238,7 +238,7 @@
 	is.NoErr(err)
 	wrong, err := peer.Encode("y.1", probe(1))
 	is.NoErr(err)
-	later := bytes.Replace(good, []byte{0x02, byte(peer.TypeProbe)}, []byte{0x02, 0x17}, 1)
+	later := bytes.Replace(good, []byte{0x02, byte(peer.TypeProbe)}, []byte{0x02, 0x18, 0xfe}, 1) // type 254
 	is.Equal(call(wrong), peer.Failure{Code: "bad_message"})
 	is.Equal(call(later), peer.Failure{Code: "bad_message"})
 	is.Equal(call(make([]byte, 100)), peer.Failure{Code: "bad_message"})
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -1,13 +1,17 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
 	"io"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
+
+	"geraniumsaddle/core/ident"
 )
 
 func (t *Transport) accept() {
@@ -40,6 +44,9 @@
 	conn *quic.Conn
 	name string
 	addr string
+	// opened and served count the streams of both directions; remote is the last sender.
+	opened, served atomic.Int32
+	remote         atomic.Pointer[ident.RouterID]
 }
 
 func (t *Transport) newSession(c *quic.Conn) (*session, error) {
@@ -103,7 +110,18 @@
 // call reads one request and writes its answer.
 func (in *session) call(s *quic.Stream) {
 	defer func() { _ = s.Close() }()
-	b, err := readAll(s)
+	var first [1]byte
+	if _, err := io.ReadFull(s, first[:]); err != nil {
+		s.CancelRead(0)
+		return
+	}
+	r := io.MultiReader(bytes.NewReader(first[:]), s)
+	if first[0] == 0 {
+		// The length of a frame. The CBOR map of a call begins with another byte.
+		in.stream(s, r)
+		return
+	}
+	b, err := readAll(r)
 	if err != nil {
 		s.CancelRead(0)
 		return
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -28,6 +28,12 @@
 	TypeFailure
 	TypeClaimAsk
 	TypeClaimAnswer
+	TypeForward
+	TypeForwardOffer
+	TypeForwardGo
+	TypeForwardChunk
+	TypeForwardEnd
+	TypeStreamAck
 	typeEnd
 )
 
@@ -69,6 +75,12 @@
 	TypeDone:          {"done", priorityHigh, func(b []byte) (Message, error) { var m Done; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeClaimAsk:      {"claim_ask", priorityHigh, func(b []byte) (Message, error) { var m ClaimAsk; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeClaimAnswer:   {"claim_answer", priorityHigh, func(b []byte) (Message, error) { var m ClaimAnswer; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeForward:       {"forward", priorityHigh, func(b []byte) (Message, error) { var m Forward; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeForwardOffer:  {"forward_offer", priorityHigh, func(b []byte) (Message, error) { var m ForwardOffer; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeForwardGo:     {"forward_go", priorityHigh, func(b []byte) (Message, error) { var m ForwardGo; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeForwardChunk:  {"forward_chunk", priorityHigh, func(b []byte) (Message, error) { var m ForwardChunk; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeForwardEnd:    {"forward_end", priorityHigh, func(b []byte) (Message, error) { var m ForwardEnd; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeStreamAck:     {"stream_ack", priorityHigh, func(b []byte) (Message, error) { var m StreamAck; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -151,6 +163,24 @@
 // Type implements Message.
 func (ClaimAnswer) Type() Type { return TypeClaimAnswer }
 
+// Type implements Message.
+func (Forward) Type() Type { return TypeForward }
+
+// Type implements Message.
+func (ForwardOffer) Type() Type { return TypeForwardOffer }
+
+// Type implements Message.
+func (ForwardGo) Type() Type { return TypeForwardGo }
+
+// Type implements Message.
+func (ForwardChunk) Type() Type { return TypeForwardChunk }
+
+// Type implements Message.
+func (ForwardEnd) Type() Type { return TypeForwardEnd }
+
+// Type implements Message.
+func (StreamAck) Type() Type { return TypeStreamAck }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -174,3 +204,9 @@
 func (Load) message()          {}
 func (Done) message()          {}
 func (Failure) message()       {}
+func (Forward) message()       {}
+func (ForwardOffer) message()  {}
+func (ForwardGo) message()     {}
+func (ForwardChunk) message()  {}
+func (ForwardEnd) message()    {}
+func (StreamAck) message()     {}
