Test forwarding and streams between routers; give streams their share of the connection window

With the flow window alone, 32 streams that nobody reads filled the connection's window and a call on it got no answer. The connection window now has room for the windows of all streams. Transport.Close returned at once on a second call, so that Kill waited for workers while handlers still started some (found by the race detector); it now waits for the handlers.

--- /dev/null
+++ b/io/node/spill_test.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/pflag"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/caller"
+	fakeengine "geraniumsaddle/io/fakes/engine"
+	fakestore "geraniumsaddle/io/fakes/store"
+	"geraniumsaddle/io/flags"
+	"geraniumsaddle/io/peer"
+	"geraniumsaddle/io/store"
+)
+
+// pair is two failure domains with one router each that run in this process. Only domain b has an engine.
+type pair struct {
+	t      testing.TB
+	clock  clockwork.Clock
+	store  *store.Client
+	url    string
+	ca     peer.Pair
+	engine *fakeengine.Server
+	a, b   *Node
+}
+
+func newPair(t testing.TB, cfg fakeengine.Config, args ...string) *pair {
+	p := &pair{t: t, clock: clockwork.NewRealClock()}
+	st := fakestore.New(fakestore.Config{}, p.clock)
+	srv := httptest.NewServer(st)
+	t.Cleanup(srv.Close)
+	t.Cleanup(st.Close)
+	p.url = srv.URL
+	p.engine = fakeengine.New(cfg, p.clock)
+	esrv := httptest.NewServer(p.engine)
+	t.Cleanup(esrv.Close)
+	t.Cleanup(p.engine.Close)
+	var err error
+	p.store, err = store.New(store.Config{URL: srv.URL}, p.clock)
+	p.must(err)
+	p.ca, err = peer.NewAuthority("fleet", p.clock.Now(), time.Hour)
+	p.must(err)
+	p.put(object.Organisation{Format: object.Format, ID: "o", Name: "o", Class: "chat", Budgets: []ident.BudgetID{"bud"}})
+	p.put(object.Budget{Format: object.Format, ID: "bud", Org: "o"})
+	p.put(object.Version{Format: object.Format, ID: "v1", Model: "m", Serving: true})
+	p.put(object.Target{Format: object.Format, ID: "e", Domain: "b", VM: "vm-e", Kind: object.TargetEngine, URL: esrv.URL,
+		Versions: []ident.VersionID{"v1"}, Capacity: 4, State: object.TargetActive})
+	entry := escrow.BudgetEntry("bud")
+	raw, err := escrow.NewShard().With(escrow.Entry{ID: entry, Paid: 100000}).Encode()
+	p.must(err)
+	_, err = p.store.Put(context.Background(), escrow.LedgerKey(entry), raw, store.Absent())
+	p.must(err)
+	p.a, p.b = p.router("ra", "a", args...), p.router("rb", "b", args...)
+	return p
+}
+
+func (p *pair) must(err error) {
+	p.t.Helper()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *pair) put(o interface{ Key() object.Key }) {
+	p.t.Helper()
+	raw, err := json.Marshal(o)
+	p.must(err)
+	_, err = p.store.Put(context.Background(), o.Key(), raw, store.Any())
+	p.must(err)
+}
+
+func (p *pair) router(name, domain string, args ...string) *Node {
+	p.t.Helper()
+	var cfg flags.Router
+	fs := pflag.NewFlagSet("router", pflag.ContinueOnError)
+	flags.BindRouter(fs, &cfg)
+	p.must(fs.Parse(append(args, "--name", name, "--domain", domain, "--caller-addr", "127.0.0.1:0", "--admin-addr", "127.0.0.1:0",
+		"--platform-url", p.url, "--operation-key", "0123456789abcdef")))
+	cert, err := p.ca.Issue(name, p.clock.Now(), time.Hour)
+	p.must(err)
+	certs, err := peer.NewCerts(p.clock, cert, p.ca.Cert)
+	p.must(err)
+	n, err := New(cfg, Deps{Clock: p.clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Registry: prometheus.NewRegistry(),
+		Certs: certs, Cuts: new(peer.Cuts)})
+	p.must(err)
+	go func() { _ = n.Run(context.Background()) }()
+	p.t.Cleanup(n.Kill)
+	return n
+}
+
+// chat sends a request to a router.
+func (p *pair) chat(ctx context.Context, n *Node, id string, w caller.ChatWriter) error {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":200,"messages":[{"role":"user","content":%q}]}`, id)
+	return n.Chat(ctx, caller.ChatRequest{ID: ident.RequestID(id), Caller: caller.Identity{Org: "o"}, Model: "m", Body: []byte(body),
+		PromptBytes: len(id), MaxTokens: 200}, w)
+}
+
+// ready sends requests until one is answered, which takes the configuration, an allotment, slots and the first probes.
+func (p *pair) ready() int {
+	for i := 1; ; i++ {
+		if err := p.chat(context.Background(), p.a, fmt.Sprint("ready-", i), new(collector)); err == nil {
+			return i
+		}
+	}
+}
+
+// collector keeps an answer.
+type collector struct {
+	chunks int
+	ended  bool
+	usage  caller.Usage
+	fail   error
+}
+
+func (c *collector) Begin(ident.RequestID) error { return nil }
+func (c *collector) Chunk([]byte) error          { c.chunks++; return c.fail }
+func (c *collector) Flush() error                { return nil }
+func (c *collector) End(_ []byte, u caller.Usage) error {
+	c.ended, c.usage = true, u
+	return nil
+}
+
+// TestSpill guards against a request that is refused while another failure domain has capacity, and against one that is
+// billed at the wrong router, twice or not at all.
+func TestSpill(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, fakeengine.Config{})
+	p.ready()
+	free := p.a.accounts.find(escrow.BudgetEntry("bud")).Settled()
+	var w collector
+	is.NoErr(p.chat(context.Background(), p.a, "spilled", &w))
+	is.True(w.ended)
+	is.True(w.chunks > 0)
+	is.True(w.usage.CompletionTokens > 0)
+	is.Equal(p.engine.Stats().Runs["spilled"], 1)
+	is.Equal(p.a.accounts.find(escrow.BudgetEntry("bud")).Settled()-free, w.usage.TotalTokens)
+	is.Equal(p.b.accounts.find(escrow.BudgetEntry("bud")).Settled(), ident.Tokens(0))
+	is.Equal(p.b.accounts.slot("e").Held(), ident.Tokens(0))
+	is.Equal(p.b.traffic.count.Load(), int64(0))
+}
+
+// TestSpillOutcomes guards against an outcome not_run for a request that a target may have received, against run or unknown
+// for one that no target can have received, and against a slot that is not returned.
+func TestSpillOutcomes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults  fakeengine.Faults
+		prepare func(p *pair)
+		fail    error
+		outcome ident.Outcome
+		runs    int
+	}{
+		"target fails":   {faults: fakeengine.Faults{ErrorRate: 1}, outcome: ident.OutcomeRun},
+		"router leaves":  {prepare: func(p *pair) { p.b.traffic.leaving.Store(true) }, outcome: ident.OutcomeNotRun},
+		"no slot":        {prepare: func(p *pair) { p.takeSlots() }, outcome: ident.OutcomeNotRun},
+		"caller is gone": {fail: errors.New("gone"), outcome: ident.OutcomeRun, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, fakeengine.Config{})
+			p.ready()
+			p.engine.SetFaults(tc.faults)
+			if tc.prepare != nil {
+				tc.prepare(p)
+			}
+			err := p.chat(context.Background(), p.a, "x", &collector{fail: tc.fail})
+			var ref *caller.Refusal
+			is.True(errors.As(err, &ref))
+			is.Equal(ref.Outcome, tc.outcome)
+			is.Equal(p.engine.Stats().Runs["x"], tc.runs)
+			for tc.prepare == nil && p.b.accounts.slot("e").Held() > 0 {
+				runtime.Gosched() // The slot is returned once the target holds the request no longer.
+			}
+		})
+	}
+}
+
+// takeSlots reserves all slots of the target.
+func (p *pair) takeSlots() {
+	for p.b.accounts.TryReserve("e") {
+		continue
+	}
+}
+
+// TestSpillRouterDies guards against the outcome not_run when the router that sends the request dies without an answer.
+func TestSpillRouterDies(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, fakeengine.Config{})
+	p.ready()
+	p.engine.SetFaults(fakeengine.Faults{Stuck: true})
+	done := make(chan error, 1)
+	go func() { done <- p.chat(context.Background(), p.a, "x", new(collector)) }()
+	for p.engine.Stats().Held == 0 {
+		runtime.Gosched() // The target receives the request.
+	}
+	p.b.Kill()
+	var ref *caller.Refusal
+	is.True(errors.As(<-done, &ref))
+	is.Equal(ref.Outcome, ident.OutcomeUnknown)
+}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -69,6 +69,8 @@
 	flowWindow      = 512 << 10
 	maxStreamWindow = 2 << 20
 	maxConnWindow   = 4 << 20
+	// connWindow leaves the flow window to the calls and messages when all streams wait for their receivers.
+	connWindow = flowWindow + maxStreams*streamWindow
 	// idleTimeout is longer than a router's probe cycle through the members of its failure domain,
 	// because a handshake costs more bytes than a minute of probes.
 	idleTimeout = 3 * time.Minute
@@ -169,7 +171,7 @@
 		HandshakeIdleTimeout:           dialTimeout,
 		MaxIdleTimeout:                 idleTimeout,
 		InitialStreamReceiveWindow:     flowWindow,
-		InitialConnectionReceiveWindow: flowWindow,
+		InitialConnectionReceiveWindow: connWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		MaxConnectionReceiveWindow:     maxConnWindow,
 		MaxIncomingStreams:             int64(t.cfg.MaxCalls),
@@ -186,6 +188,7 @@
 	t.mu.Lock()
 	if t.closed {
 		t.mu.Unlock()
+		t.wg.Wait() // An earlier call may still wait for the handlers.
 		return nil
 	}
 	t.closed = true
