--- a/io/node/node.go
+++ b/io/node/node.go
@@ -73,6 +73,7 @@
 	rollUps    *rollUps
 	idle       *idleAccounts
 	wire       wireCounts
+	orders     *orders
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -139,6 +140,7 @@
 	n.releases = newReleases(n)
 	n.idle = newIdleAccounts(n)
 	n.rollUps = &rollUps{n: n, at: n.clock.Now()}
+	n.orders = newOrders(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
