--- a/core/record/capacity_test.go
+++ b/core/record/capacity_test.go
@@ -53,3 +53,34 @@
 		})
 	}
 }
+
+// BenchmarkAppend reports the encoded bytes that a request sends to the journal peer: its hold and its settlement, in
+// messages with the given number of requests.
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("requests=%d", n), func(b *testing.B) {
+			t0 := time.Unix(1_796_342_400, 0).UTC()
+			hold := Append{Router: "router-001.1796342400000", Term: 1, Instance: 9, Confirm: 100}
+			settle := hold
+			for i := range n {
+				id := ident.RequestID(fmt.Sprintf("req_%032d", i))
+				hold.Entries = append(hold.Entries, Entry{Seq: uint64(1000 + i), Open: &Hold{Request: id, Org: "org-00001", Budget: "budget-00001",
+					Key: "key-1", Model: "chat", Version: "chat-v1", Target: "engine-0001", Tokens: 1000, IdempotencyKey: Hash{1}, Body: Hash{2}, At: t0}})
+				settle.Entries = append(settle.Entries, Entry{Seq: uint64(2000 + i), Settle: &Settlement{Request: id, PromptTokens: 300,
+					OutputTokens: 350, Billed: 650, Outcome: ident.OutcomeRun, At: t0}})
+			}
+			size := 0
+			for b.Loop() {
+				size = 0
+				for _, m := range []*Append{&hold, &settle} {
+					raw, err := cbor.Marshal(m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					size += len(raw)
+				}
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/request")
+		})
+	}
+}
--- a/io/node/capacity_test.go
+++ b/io/node/capacity_test.go
@@ -20,6 +20,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/record"
+	fakeengine "geraniumsaddle/io/fakes/engine"
 	fakestore "geraniumsaddle/io/fakes/store"
 	"geraniumsaddle/io/flags"
 )
@@ -244,10 +245,17 @@
 			if err != nil {
 				b.Fatal(err)
 			}
+			before := heapOf()
+			b.ResetTimer()
 			for i := range b.N {
 				n.shardObserved(config.Object{Kind: object.KindLedger, Name: "07", Version: ident.ObjectVersion(i + 1), Value: raw})
 			}
+			b.StopTimer()
+			b.ReportMetric((heapOf()-before)/float64(c.entries*c.holders), "heap-B/row")
 			b.ReportMetric(float64(len(raw)), "value-B")
+			runtime.KeepAlive(n)
+			runtime.KeepAlive(s)
+			runtime.KeepAlive(raw)
 		})
 	}
 }
@@ -338,3 +346,27 @@
 		})
 	}
 }
+
+// BenchmarkLoadPoll reports the time of one load report of an engine, the stand-in of the engine included. A router
+// polls each engine of its failure domain every 2 s.
+func BenchmarkLoadPoll(b *testing.B) {
+	for _, engines := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			n := newBench(b)
+			var targets []object.Target
+			for i := range engines {
+				e := fakeengine.New(fakeengine.Config{Capacity: 8}, clockwork.NewRealClock())
+				srv := httptest.NewServer(e)
+				b.Cleanup(func() { e.Close(); srv.Close() })
+				targets = append(targets, object.Target{ID: ident.TargetID(fmt.Sprint(i)), Kind: object.TargetEngine, URL: srv.URL})
+			}
+			start := cpuTime()
+			for i := range b.N {
+				if _, err := n.pools.load(context.Background(), targets[i%engines]); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64((cpuTime()-start).Nanoseconds())/float64(b.N), "cpu-ns/poll")
+		})
+	}
+}
