--- a/core/record/property_test.go
+++ b/core/record/property_test.go
@@ -203,8 +203,9 @@
 		rec := r.Recover(v, nil, w.now)
 		if p, ok := v.(Proof); ok {
 			proofs++
-			w.checkProof(r, p, rec)
+			w.checkProof(r, p)
 		}
+		w.checkKnown(rec)
 	}
 	if proofs > 1 {
 		t.Fatal("two peers give a proof")
@@ -212,7 +213,7 @@
 	return proofs == 1
 }
 
-func (w *world) checkProof(r *Replica, p Proof, rec Recovery) {
+func (w *world) checkProof(r *Replica, p Proof) {
 	c := Counters{}
 	if len(p.Counters) > 0 {
 		c = p.Counters[0]
@@ -233,6 +234,11 @@
 			}
 		}
 	}
+}
+
+// checkKnown compares what is closed with what is billed, with and without a proof: tokens that have a bill must not
+// become unresolved, because an operator could release them.
+func (w *world) checkKnown(rec Recovery) {
 	seen := map[ident.RequestID]bool{}
 	var billed, unresolved ident.Tokens
 	for _, b := range rec.Bills {
@@ -249,9 +255,9 @@
 		seen[s.Request] = true
 		unresolved += s.Unresolved
 	}
-	for _, b := range rec.Proof.Budgets {
+	for _, b := range rec.Known {
 		if b.Counters.Settled != billed || b.Unresolved != unresolved {
-			w.t.Fatalf("close proof says %+v for %d billed and %d unresolved", b, billed, unresolved)
+			w.t.Fatalf("the close says %+v for %d billed and %d unresolved", b, billed, unresolved)
 		}
 	}
 }
--- a/core/record/recover.go
+++ b/core/record/recover.go
@@ -74,6 +74,9 @@
 	// Bills covers the open holds with a known result. Bills of requests that the router settled are included, because
 	// the router may have died before it wrote them. Duplicates have the same identity and content.
 	Bills []Bill
+	// Known is what the journal has of each budget, open holds with a known result included. Without a proof it is a
+	// lower bound: the router may have released more. Budgets are sorted.
+	Known []BudgetClose
 	// Proof is nil when the coverage is not provable.
 	Proof  *CloseProof
 	Reason Reason
@@ -97,15 +100,15 @@
 			rec.Bills = append(rec.Bills, NewBill(r.router, h, s))
 		}
 	}
+	for _, c := range r.state.allCounters() {
+		c.Settled += billed[c.Budget]
+		rec.Known = append(rec.Known, BudgetClose{Counters: c, Unresolved: unresolved[c.Budget]})
+	}
 	switch v := v.(type) {
 	case NotProvable:
 		rec.Reason = v.Reason
 	case Proof:
-		rec.Proof = &CloseProof{Router: v.Router, Declaration: v.Declaration}
-		for _, c := range v.Counters {
-			c.Settled += billed[c.Budget]
-			rec.Proof.Budgets = append(rec.Proof.Budgets, BudgetClose{Counters: c, Unresolved: unresolved[c.Budget]})
-		}
+		rec.Proof = &CloseProof{Router: v.Router, Declaration: v.Declaration, Budgets: rec.Known}
 	}
 	return rec
 }
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -105,7 +105,7 @@
 
 // recoverRouter settles the open requests of a dead router and closes its holders.
 func (n *Node) recoverRouter(ctx context.Context, id ident.RouterID, replica *record.Replica) {
-	c := &closing{n: n, id: id, proved: make(map[escrow.EntryID]record.BudgetClose), reason: reasonNoJournal}
+	c := &closing{n: n, id: id, known: make(map[escrow.EntryID]record.BudgetClose), reason: reasonNoJournal}
 	for {
 		rows, err := c.rows(ctx)
 		if err == nil {
@@ -143,7 +143,8 @@
 	proof    bool
 	declared ident.RouterID
 	reason   string
-	proved   map[escrow.EntryID]record.BudgetClose
+	// known is what the journal has of each entry; it is complete when proof is set.
+	known map[escrow.EntryID]record.BudgetClose
 }
 
 // shardRows is a shard with the holders of a dead router in it.
@@ -215,12 +216,14 @@
 		}
 	}
 	c.reason = string(rec.Reason)
-	if rec.Proof == nil {
-		return
-	}
-	c.proof = true
-	for _, b := range rec.Proof.Budgets {
-		c.proved[escrow.EntryID(b.Counters.Budget)] = b
+	c.proof = rec.Proof != nil
+	for _, b := range rec.Known {
+		id := escrow.EntryID(b.Counters.Budget)
+		// The slots of an unproved router are judged by the rows alone. The bills of the journal stand in any case, so
+		// what they settle must not become unresolved and be released a second time.
+		if c.proof || !isSlot(id) {
+			c.known[id] = b
+		}
 	}
 }
 
@@ -325,12 +328,12 @@
 
 // proofOf returns what is proved of one row.
 func (c *closing) proofOf(e *escrow.Entry, h escrow.Holder) escrow.Proof {
-	b := c.proved[e.ID]
+	b := c.known[e.ID]
 	p := escrow.Proof{
 		Holder: h.ID, Open: h.Open, Settled: b.Counters.Settled, Returned: b.Counters.Returned,
 		In: sum(b.Counters.In), Out: sum(b.Counters.Out), Reason: c.reason,
 	}
-	if strings.HasPrefix(string(e.ID), slotPrefix) {
+	if isSlot(e.ID) {
 		p.Settled = 0
 		// Its requests are no longer at the target, for which the recovery has waited. Without a proof the number of
 		// slots that it has sent to others is known only when none of the entry's holders ever took part in a transfer.
@@ -352,6 +355,8 @@
 	return p
 }
 
+func isSlot(id escrow.EntryID) bool { return strings.HasPrefix(string(id), slotPrefix) }
+
 // unspent returns what a row's holder has neither returned, billed nor sent to others.
 func unspent(h escrow.Holder, p escrow.Proof) ident.Tokens {
 	settled, returned := max(h.Settled, p.Settled), max(h.Returned, p.Returned)
