--- a/io/engine/reach/reach.go
+++ b/io/engine/reach/reach.go
@@ -75,6 +75,8 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the headers of an answer; 16 KB.
 	MaxHeaderBytes int64
+	// Dial opens the connections; nil is a dialer with DialTimeout.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // Transport sends requests over pooled connections. It is safe for concurrent use.
@@ -98,10 +100,12 @@
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = 16 << 10
 	}
-	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 15 * time.Second}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 15 * time.Second}).DialContext
+	}
 	return &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
+			c, err := cfg.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,6 +88,7 @@
 	transport *peer.Transport
 
 	lastReply atomic.Int64
+	switches  *switches
 
 	callers *http.Server
 	admins  *http.Server
@@ -100,7 +101,8 @@
 	if err := cfg.Validate().Err(); err != nil {
 		return nil, trace.BadParameter("settings: %v", err)
 	}
-	st, err := store.New(store.Config{URL: cfg.PlatformURL}, d.Clock)
+	sw := newSwitches(cfg.Faults, &d)
+	st, err := store.New(store.Config{URL: cfg.PlatformURL, Transport: sw.transport()}, d.Clock)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -108,7 +110,7 @@
 	n := &Node{
 		cfg: cfg, id: ident.NewRouterID(cfg.Name, epoch), domain: cfg.DomainID(),
 		clock: d.Clock, log: d.Log.With("router", cfg.Name, "domain", cfg.Domain), store: st,
-		metrics: metric.New(d.Registry), registry: d.Registry,
+		metrics: metric.New(d.Registry), registry: d.Registry, switches: sw,
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ended: make(chan struct{}),
 	}
 	n.life, n.kill = context.WithCancel(context.Background())
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -28,6 +28,9 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	mux.HandleFunc("GET /readyz", n.ready)
+	if n.switches != nil {
+		mux.Handle("PUT /faults", n.switches)
+	}
 	mux.Handle("/admin/v1/", admin.New(n.store, n, n.clock, n.log))
 	return mux
 }
