Count requests by version in the engine stand-in

Change: the statistics have a counter of each version, with the requests that a fault switch refused.

--- a/io/fakes/engine/chat.go
+++ b/io/fakes/engine/chat.go
@@ -76,6 +76,7 @@
 		f.FailRoute != "" && f.FailRoute == route,
 		f.FailUnderLoad > 0 && s.held() >= f.FailUnderLoad:
 		s.stats.Failed++
+		s.stats.Versions[r.version]++
 		fail(w, http.StatusInternalServerError, "injected", "a fault switch chose this request")
 	default:
 		prefixes := client.Prefixes(prompt, maxPrefixes)
@@ -83,6 +84,7 @@
 		r.cached = min(r.prompt, hits*client.PrefixBlock/4)
 		r.prefill = s.cfg.PrefillPerBlock * time.Duration(len(prefixes)-hits)
 		s.stats.Runs[r.id]++
+		s.stats.Versions[r.version]++
 		wake := s.attach(r)
 		s.enqueue(r)
 		return wake, true
--- a/io/fakes/engine/engine.go
+++ b/io/fakes/engine/engine.go
@@ -81,6 +81,8 @@
 	Cancelled int `json:"cancelled"`
 	// Runs counts the runs of each request id.
 	Runs map[string]int `json:"runs"`
+	// Versions counts the requests of each version that were accepted or that a fault switch refused.
+	Versions map[string]int `json:"versions"`
 }
 
 // New returns a stand-in. Close cancels its requests.
@@ -102,7 +104,7 @@
 		kick: make(chan struct{}, 1), changed: make(chan struct{}),
 		rand:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		streams: make(map[string]*request),
-		stats:   Stats{Runs: make(map[string]int)},
+		stats:   Stats{Runs: make(map[string]int), Versions: make(map[string]int)},
 		cache:   newCache(cfg.CacheBlocks),
 		control: newControl(cfg.Versions),
 	}
@@ -145,6 +147,7 @@
 	out := s.stats
 	out.Held = s.held()
 	out.Runs = maps.Clone(s.stats.Runs)
+	out.Versions = maps.Clone(s.stats.Versions)
 	return out
 }
 
