Mark a repeated operation in its audit record

Cause: a top-up that was repeated with its idempotency key left two equal audit records, so a reader who summed them counted the tokens twice.

Change: the record of an operation that the entry already has ends with "applied before".

--- a/io/admin/ledger.go
+++ b/io/admin/ledger.go
@@ -214,11 +214,13 @@
 	if a.Note != "" {
 		what.detail += ", " + a.Note
 	}
+	op := escrow.Op{ID: opID, Kind: kind, Tokens: a.Tokens}
+	if s.applied(ctx, escrow.BudgetEntry(id), op) {
+		what.detail += ", applied before"
+	}
 	var e escrow.Entry
 	err := s.audited(ctx, q, what, func(ctx context.Context) (err error) {
-		e, err = s.changeEntry(ctx, escrow.BudgetEntry(id), func(e *escrow.Entry) (bool, error) {
-			return e.Do(escrow.Op{ID: opID, Kind: kind, Tokens: a.Tokens})
-		})
+		e, err = s.changeEntry(ctx, escrow.BudgetEntry(id), func(e *escrow.Entry) (bool, error) { return e.Do(op) })
 		return err
 	})
 	if err != nil {
@@ -227,3 +229,19 @@
 	writeJSON(q.w, http.StatusOK, viewOf(id, &e))
 	return nil
 }
+
+// applied reports whether an operation is known to be in an entry already. The audit record of a repeated request says
+// so, because the tokens of the records are summed by readers.
+func (s *Server) applied(ctx context.Context, id escrow.EntryID, op escrow.Op) bool {
+	shard, _, err := s.readShard(ctx, escrow.LedgerKey(id))
+	if err != nil {
+		return false
+	}
+	known := shard.Entry(id)
+	if known == nil {
+		return false
+	}
+	e := known.Clone()
+	changed, err := e.Do(op)
+	return err == nil && !changed
+}
