--- a/core/record/recover.go
+++ b/core/record/recover.go
@@ -74,8 +74,8 @@
 	// Bills covers the open holds with a known result. Bills of requests that the router settled are included, because
 	// the router may have died before it wrote them. Duplicates have the same identity and content.
 	Bills []Bill
-	// Known has the counters of every budget in the journal. They are lower bounds, also without a proof: what they
-	// say is settled was billed. Budgets are sorted.
+	// Known is what the journal has of each budget, open holds with a known result included. Without a proof it is a
+	// lower bound: the router may have released more. Budgets are sorted.
 	Known []BudgetClose
 	// Proof is nil when the coverage is not provable.
 	Proof  *CloseProof
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -143,7 +143,8 @@
 	proof    bool
 	declared ident.RouterID
 	reason   string
-	known    map[escrow.EntryID]record.BudgetClose
+	// known is what the journal has of each entry; it is complete when proof is set.
+	known map[escrow.EntryID]record.BudgetClose
 }
 
 // shardRows is a shard with the holders of a dead router in it.
@@ -214,9 +215,15 @@
 			c.n.bills.add(b, 0)
 		}
 	}
-	c.reason, c.proof = string(rec.Reason), rec.Proof != nil
+	c.reason = string(rec.Reason)
+	c.proof = rec.Proof != nil
 	for _, b := range rec.Known {
-		c.known[escrow.EntryID(b.Counters.Budget)] = b
+		id := escrow.EntryID(b.Counters.Budget)
+		// The slots of an unproved router are judged by the rows alone. The bills of the journal stand in any case, so
+		// what they settle must not become unresolved and be released a second time.
+		if c.proof || !isSlot(id) {
+			c.known[id] = b
+		}
 	}
 }
 
@@ -326,7 +333,7 @@
 		Holder: h.ID, Open: h.Open, Settled: b.Counters.Settled, Returned: b.Counters.Returned,
 		In: sum(b.Counters.In), Out: sum(b.Counters.Out), Reason: c.reason,
 	}
-	if strings.HasPrefix(string(e.ID), slotPrefix) {
+	if isSlot(e.ID) {
 		p.Settled = 0
 		// Its requests are no longer at the target, for which the recovery has waited. Without a proof the number of
 		// slots that it has sent to others is known only when none of the entry's holders ever took part in a transfer.
@@ -345,6 +352,8 @@
 	return p
 }
 
+func isSlot(id escrow.EntryID) bool { return strings.HasPrefix(string(id), slotPrefix) }
+
 func neverMoved(e *escrow.Entry) bool {
 	for _, h := range e.Holders {
 		if h.In != 0 || h.Out != 0 {
