--- a/core/escrow/bench_test.go
+++ b/core/escrow/bench_test.go
@@ -100,8 +100,7 @@
 	if h.Hold(simHold) {
 		return true
 	}
-	h.Expect(simHold)
-	defer h.Expect(-simHold)
+	defer h.Expect(simHold)()
 	for range simRounds {
 		s.ask(h)
 		s.report(now, false, h)
