Share load reports, cache events, totals and VM states between routers

Every router polled every target, routers without a watch never learned the VM list, no failure domain knew the load of another one, and no cache event was read.

One router of a failure domain polls each target and shares loads, loaded versions and, in small domains, cache events. Watchers push changes of the VM list and the others compare its hash every 5 s. A request's prefix hash is that of the engine's cache blocks.

--- a/core/target/build.go
+++ b/core/target/build.go
@@ -77,6 +77,7 @@
 			}
 		}
 	}
+	r.adoptTotals(t)
 	r.stats, r.pools = stats, t.domains
 	routers := r.routers
 	self := hash("router/" + r.cfg.Router.Name())
--- a/core/target/registry.go
+++ b/core/target/registry.go
@@ -37,6 +37,7 @@
 	routers  []uint64
 	stats    map[place]*stat
 	pools    map[Key]*poolStat
+	totals   map[Key]Total // of other failure domains
 	hints    *hints
 	serial   uint32
 	dirty    bool
@@ -92,6 +93,7 @@
 		routers:  routerHashes([]ident.RouterID{cfg.Router}),
 		stats:    make(map[place]*stat),
 		pools:    make(map[Key]*poolStat),
+		totals:   make(map[Key]Total),
 		hints:    new(hints),
 		dirty:    true,
 	}
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -160,6 +160,8 @@
 	n.journal.tick()
 	n.releases.tick(now)
 	n.orders.tick(now)
+	n.reports.tick(now)
+	n.vmList.tick(now)
 	if now.Sub(n.slowTick) < time.Second {
 		n.ledger.tick(now, false)
 		return
--- a/io/node/event.go
+++ b/io/node/event.go
@@ -6,6 +6,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/engine"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
 )
@@ -46,6 +47,9 @@
 	load    target.Load
 	failed  bool
 	targets ident.TargetID
+	// state and cache are nil for a service and when the engine did not answer.
+	state *engine.State
+	cache *engine.CacheEvents
 }
 
 // callEvent runs a function on the control goroutine.
--- a/io/node/inbox.go
+++ b/io/node/inbox.go
@@ -9,7 +9,6 @@
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
-	"geraniumsaddle/core/target"
 	"geraniumsaddle/io/peer"
 )
 
@@ -38,6 +37,8 @@
 		return b.n.writeFor(ctx, m)
 	case peer.JournalFind:
 		return b.n.find(m), nil
+	case peer.VMs:
+		return b.n.vmList.answer(ctx, m)
 	case peer.ClaimAsk:
 		return b.n.claims.answer(ctx, m), nil
 	}
@@ -107,12 +108,9 @@
 	case peer.Verdict:
 		n.releases.verdicts(m, now)
 	case peer.Load:
-		for _, r := range m.Rows {
-			n.pools.registry.Report(target.Load{Target: r.Target, Running: r.Running, Queued: r.Queued, AsOf: time.UnixMilli(r.AsOf)})
-			if r.State != "" {
-				n.pools.registry.SetState(r.Target, r.State)
-			}
-		}
+		n.reports.receive(m, now)
+	case peer.VMs:
+		n.vmList.receive(m, now)
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -71,6 +71,8 @@
 	recovery   *recovery
 	releases   *releases
 	orders     *orders
+	reports    *reports
+	vmList     *vmList
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -136,6 +138,8 @@
 	n.recovery = newRecovery(n)
 	n.releases = newReleases(n)
 	n.orders = newOrders(n)
+	n.reports = newReports(n)
+	n.vmList = newVMList(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
--- a/io/node/pools.go
+++ b/io/node/pools.go
@@ -88,12 +88,14 @@
 	if now.Sub(p.builtAt) >= buildEvery {
 		p.build(now)
 	}
-	for id, t := range p.known {
-		if t.Domain != p.n.domain || p.polling[id] || now.Sub(p.polled[id]) < loadEvery || !p.mayPoll(id) {
+	every := p.n.reports.every()
+	for _, t := range p.n.reports.assigned() {
+		if p.polling[t.ID] || now.Sub(p.polled[t.ID]) < every || !p.mayPoll(t.ID) {
 			continue
 		}
-		p.polling[id], p.polled[id] = true, now
-		p.n.spawn(func(ctx context.Context) { p.poll(ctx, t) })
+		p.polling[t.ID], p.polled[t.ID] = true, now
+		after := p.n.reports.after[t.ID]
+		p.n.spawn(func(ctx context.Context) { p.poll(ctx, t, after) })
 	}
 }
 
@@ -101,11 +103,12 @@
 	return p.registry.State(id) != object.TargetGone
 }
 
-func (p *pools) poll(ctx context.Context, t object.Target) {
+func (p *pools) poll(ctx context.Context, t object.Target, after uint64) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	l, err := p.load(ctx, t)
-	p.n.post(loadEvent{load: l, failed: err != nil, targets: t.ID})
+	st, cache := p.ask(ctx, t, after)
+	p.n.post(loadEvent{load: l, failed: err != nil, targets: t.ID, state: st, cache: cache})
 }
 
 func (p *pools) load(ctx context.Context, t object.Target) (target.Load, error) {
@@ -126,11 +129,12 @@
 }
 
 // report applies a load report.
-func (p *pools) report(ev loadEvent, _ time.Time) {
+func (p *pools) report(ev loadEvent, now time.Time) {
 	delete(p.polling, ev.targets)
 	if !ev.failed {
 		p.registry.Report(ev.load)
 	}
+	p.n.reports.polled(ev, now)
 }
 
 // engine returns the client of the engine at a URL.
@@ -199,4 +203,5 @@
 	}
 	n.pools.build(now)
 	n.members.learnVMs(ev.vms, now)
+	n.vmList.listed(ev.vms, now)
 }
--- a/io/node/spill.go
+++ b/io/node/spill.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/target"
@@ -194,7 +192,7 @@
 	}
 	defer n.traffic.limiter.Release(f.Org, streamBytes)
 	choice, err := n.table.Load().Pool(target.Key{Model: f.Model, Domain: n.domain}).Choose(target.Request{
-		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: xxhash.Sum64(f.Prefix), Retryable: true, Thorough: true,
+		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Body, f.Prefix), Retryable: true, Thorough: true,
 		Now: n.clock.Now(), Rand: n.traffic.random(),
 	}, n.accounts)
 	if err != nil {
--- /dev/null
+++ b/io/node/vms.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/member"
+	"geraniumsaddle/io/peer"
+	"geraniumsaddle/io/store"
+)
+
+const (
+	// pushFor is the time for which a change of the VM list is sent again, as a message may be lost.
+	pushFor = 3 * time.Second
+	// pullEvery is the interval at which a router without a watch compares its VM list with that of a watcher.
+	pullEvery = 5 * time.Second
+)
+
+// vmList shares the VM list, which only the watchers of a failure domain read, with its other routers. It belongs to the
+// control goroutine.
+type vmList struct {
+	n       *Node
+	rows    map[ident.VMID]store.VM
+	changed map[ident.VMID]time.Time
+	// full means that rows is a whole list.
+	full     bool
+	pulling  bool
+	pulledAt time.Time
+}
+
+func newVMList(n *Node) *vmList {
+	return &vmList{n: n, rows: make(map[ident.VMID]store.VM), changed: make(map[ident.VMID]time.Time)}
+}
+
+// listed takes a list of the platform and sends the recent changes to the failure domain.
+func (l *vmList) listed(vms []store.VM, now time.Time) {
+	old, first := l.rows, !l.full
+	l.rows, l.full = make(map[ident.VMID]store.VM, len(vms)), true
+	for _, vm := range vms {
+		l.rows[vm.Name] = vm
+		if old[vm.Name] != vm && !first {
+			l.changed[vm.Name] = now
+		}
+	}
+	m := peer.VMs{}
+	for name, at := range l.changed {
+		vm, ok := l.rows[name]
+		if !ok || now.Sub(at) > pushFor {
+			delete(l.changed, name)
+			continue
+		}
+		m.Rows = append(m.Rows, peer.VMRow{Name: vm.Name, Domain: vm.Domain, State: string(vm.State)})
+	}
+	if len(m.Rows) == 0 {
+		return
+	}
+	slices.SortFunc(m.Rows, func(a, b peer.VMRow) int { return cmp.Compare(a.Name, b.Name) })
+	for _, id := range l.n.members.roster.Load().domain {
+		if id != l.n.id {
+			l.n.sendTo(id, m)
+		}
+	}
+}
+
+// receive takes entries from a watcher.
+func (l *vmList) receive(m peer.VMs, now time.Time) {
+	if l.n.isWatcher() && l.full {
+		return // This router reads the list itself.
+	}
+	if m.Full {
+		l.rows, l.full = make(map[ident.VMID]store.VM, len(m.Rows)), true
+	}
+	for _, r := range m.Rows {
+		vm := store.VM{Name: r.Name, Domain: r.Domain, State: store.VMState(r.State)}
+		l.rows[r.Name] = vm
+		l.n.members.vms[r.Name] = vm.State
+		if s, ok := targetStates[vm.State]; ok {
+			l.n.pools.registry.SetVM(vm.Name, s)
+		}
+	}
+	l.n.pools.build(now)
+	if l.full {
+		l.n.members.learnVMs(l.sorted(), now)
+	}
+}
+
+func (l *vmList) sorted() []store.VM {
+	out := make([]store.VM, 0, len(l.rows))
+	for _, vm := range l.rows {
+		out = append(out, vm)
+	}
+	slices.SortFunc(out, func(a, b store.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// hash identifies a whole list; it is zero without one.
+func (l *vmList) hash() uint64 {
+	if !l.full {
+		return 0
+	}
+	d := xxhash.New()
+	for _, vm := range l.sorted() {
+		_, _ = d.WriteString(string(vm.Name) + "\n" + string(vm.Domain) + "\n" + string(vm.State) + "\n")
+	}
+	return max(1, d.Sum64())
+}
+
+// tick compares the list with that of a watcher when this router has no watch.
+func (l *vmList) tick(now time.Time) {
+	if l.pulling || now.Sub(l.pulledAt) < pullEvery || l.n.transport == nil || l.n.isWatcher() {
+		return
+	}
+	ros := l.n.members.roster.Load()
+	watchers := member.Rank("watch", ros.domain)
+	addr := ros.addr[watchers[int(l.n.traffic.random()%watchersPerDomain)]]
+	l.pulling, l.pulledAt = true, now
+	ask := peer.VMs{Hash: l.hash()}
+	l.n.spawn(func(ctx context.Context) {
+		m, err := l.n.transport.Call(ctx, addr, ask)
+		l.n.post(callEvent{func() {
+			l.pulling = false
+			if got, ok := m.(peer.VMs); ok && err == nil && got.Full {
+				l.receive(got, l.n.clock.Now())
+			}
+		}})
+	})
+}
+
+// answer returns the whole list unless the asking router has it.
+func (l *vmList) answer(ctx context.Context, m peer.VMs) (peer.Message, error) {
+	out := peer.VMs{}
+	err := l.n.ask(ctx, func() {
+		out.Hash = l.hash()
+		if out.Hash == 0 || out.Hash == m.Hash {
+			return
+		}
+		out.Full = true
+		for _, vm := range l.sorted() {
+			out.Rows = append(out.Rows, peer.VMRow{Name: vm.Name, Domain: vm.Domain, State: string(vm.State)})
+		}
+	})
+	return out, err
+}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumsaddle/core/config"
 	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/record"
@@ -43,7 +44,8 @@
 		peer.JournalFound{Owner: "a.1", Hold: &hold, Settlement: &record.Settlement{Request: "r1", Outcome: "run", At: at, Answer: &record.Answer{Status: 200, Body: []byte("x")}}},
 		peer.Evidence{Domain: "d1", Cells: []peer.EvidenceCell{{Router: "a.1", Version: "v2", Route: "/x", Requests: 9, Latency: []uint64{1}}}},
 		peer.Verdict{Rows: []peer.VerdictRow{{Release: "rel", Version: "v2", Bad: true, Verdict: object.VerdictTakenBack}}},
-		peer.Load{Domain: "d1", Rows: []peer.LoadRow{{Target: "t", Running: 1, Capacity: 8}}},
+		peer.Load{Domain: "d1", Pools: []peer.PoolRow{{Model: "m", Active: 2, Capacity: 8, Busy: 3, AsOf: 4}},
+			Rows: []peer.LoadRow{{Target: "t", Running: 1, Capacity: 8, Lists: true, Loaded: []ident.VersionID{"v"}, Cache: []peer.CacheEvent{{Seq: 1, Prefix: 1 << 63, Evicted: true}}, Reset: true}}},
 		peer.Done{},
 		peer.Failure{Code: "c", Message: "m"},
 		peer.ClaimAsk{Org: "o", Key: "k", Body: record.Hash{2}, Request: "r1", Call: peer.ServiceCall{Service: "s", Method: "POST", Path: "/x", Headers: []peer.Header{{Name: "Accept", Values: []string{"*"}}}, Body: []byte("b"), TimeoutMS: 5}},
@@ -54,6 +56,7 @@
 		peer.ForwardChunk{Offset: 3, Data: []byte("{}"), Content: true},
 		peer.ForwardEnd{Chunks: 4, Usage: []byte("{}"), HasUsage: true, PromptTokens: 5, OutputTokens: 6, Outcome: "run", Code: "c", Message: "m"},
 		peer.StreamAck{Received: 1 << 40},
+		peer.VMs{Hash: 1 << 63, Full: true, Rows: []peer.VMRow{{Name: "vm", Domain: "d1", State: "gone"}}},
 	}
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -226,12 +226,51 @@
 	Capacity int                `cbor:"4,keyasint,omitempty"`
 	AsOf     int64              `cbor:"5,keyasint,omitempty"` // Unix milliseconds
 	State    object.TargetState `cbor:"6,keyasint,omitempty"`
+	// Loaded are the loaded versions when Lists is set. Otherwise the target serves every version that is listed for it.
+	Lists  bool              `cbor:"7,keyasint,omitempty"`
+	Loaded []ident.VersionID `cbor:"8,keyasint,omitempty"`
+	// Cache are the newest cache events; Reset drops what is known from before.
+	Cache []CacheEvent `cbor:"9,keyasint,omitempty"`
+	Reset bool         `cbor:"10,keyasint,omitempty"`
 }
 
-// Load carries load reports of a failure domain's targets.
+// CacheEvent says that a target has cached or evicted a prefix.
+type CacheEvent struct {
+	Seq     uint64 `cbor:"1,keyasint"`
+	Prefix  uint64 `cbor:"2,keyasint"`
+	Evicted bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// PoolRow sums up a model or a service in the sender's failure domain.
+type PoolRow struct {
+	Model    ident.ModelID   `cbor:"1,keyasint,omitempty"`
+	Service  ident.ServiceID `cbor:"2,keyasint,omitempty"`
+	Active   int             `cbor:"3,keyasint,omitempty"`
+	Capacity int64           `cbor:"4,keyasint,omitempty"`
+	Busy     int64           `cbor:"5,keyasint,omitempty"`
+	AsOf     int64           `cbor:"6,keyasint,omitempty"` // Unix milliseconds
+}
+
+// VMRow is an entry of the platform's VM list.
+type VMRow struct {
+	Name   ident.VMID     `cbor:"1,keyasint"`
+	Domain ident.DomainID `cbor:"2,keyasint,omitempty"`
+	State  string         `cbor:"3,keyasint"`
+}
+
+// VMs carries changed entries of the VM list from a router that reads it to those that do not. As a call it asks for the
+// whole list unless it has the hash; the answer has Full set then.
+type VMs struct {
+	Hash uint64  `cbor:"1,keyasint,omitempty"`
+	Full bool    `cbor:"2,keyasint,omitempty"`
+	Rows []VMRow `cbor:"3,keyasint,omitempty"`
+}
+
+// Load carries load reports of a failure domain's targets to its own routers, and totals to those of others.
 type Load struct {
 	Domain ident.DomainID `cbor:"1,keyasint"`
 	Rows   []LoadRow      `cbor:"2,keyasint"`
+	Pools  []PoolRow      `cbor:"3,keyasint,omitempty"`
 }
 
 // Done answers a call that needs no other reply.
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -34,6 +34,7 @@
 	TypeForwardChunk
 	TypeForwardEnd
 	TypeStreamAck
+	TypeVMs
 	typeEnd
 )
 
@@ -81,6 +82,7 @@
 	TypeForwardChunk:  {"forward_chunk", priorityHigh, func(b []byte) (Message, error) { var m ForwardChunk; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeForwardEnd:    {"forward_end", priorityHigh, func(b []byte) (Message, error) { var m ForwardEnd; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeStreamAck:     {"stream_ack", priorityHigh, func(b []byte) (Message, error) { var m StreamAck; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeVMs:           {"vms", priorityHigh, func(b []byte) (Message, error) { var m VMs; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -181,6 +183,9 @@
 // Type implements Message.
 func (StreamAck) Type() Type { return TypeStreamAck }
 
+// Type implements Message.
+func (VMs) Type() Type { return TypeVMs }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -210,3 +215,4 @@
 func (ForwardChunk) message()  {}
 func (ForwardEnd) message()    {}
 func (StreamAck) message()     {}
+func (VMs) message()           {}
