--- a/io/node/node.go
+++ b/io/node/node.go
@@ -74,6 +74,8 @@
 	idle       *idleAccounts
 	wire       wireCounts
 	orders     *orders
+	reports    *reports
+	vmList     *vmList
 	dirty      bool
 	slowTick   time.Time
 	vmsAt      time.Time
@@ -143,6 +145,8 @@
 	n.idle = newIdleAccounts(n)
 	n.rollUps = &rollUps{n: n, at: n.clock.Now()}
 	n.orders = newOrders(n)
+	n.reports = newReports(n)
+	n.vmList = newVMList(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
 	if err := n.listen(); err != nil {
 		n.kill()
