Keep decoded objects, report only what changed, close shards in one update

Change: decoded objects are kept by version; evidence is sent for running releases only and when it has changed; accounts report each second, new ones and waiting ones more often; the holders of a shard are closed by one update.

--- a/io/node/capacity_test.go
+++ b/io/node/capacity_test.go
@@ -308,10 +308,12 @@
 }
 
 func (n *bench) closeOnce() (left int) {
+	byShard := make(map[object.Key][]*account)
 	for _, a := range n.accounts.all() {
-		if !n.closeHolder(context.Background(), a) {
-			left++
-		}
+		byShard[a.shard] = append(byShard[a.shard], a)
+	}
+	for k, accts := range byShard {
+		left += len(n.closeShard(context.Background(), k, accts))
 	}
 	return left
 }
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -122,13 +122,18 @@
 	v := newView()
 	for _, kind := range configKinds {
 		for _, o := range n.feeds.store.All(kind) {
-			if err := v.add(o.Key(), o.Value); err != nil {
+			row, err := n.decoder.decode(o)
+			if err != nil {
 				n.log.Error("object cannot be used; the last usable form stays in force", "kind", o.Kind, "name", o.Name, "version", o.Version)
-				v.keep(o.Key(), n.view.Load())
 			}
+			v.add(row)
 		}
 	}
+	n.decoder.forget(n.feeds.store)
 	v.finish()
+	if len(v.budgets) > len(n.view.Load().budgets) || len(v.targets) > len(n.view.Load().targets) {
+		n.ledger.openUntil = now.Add(openFor)
+	}
 	n.view.Store(v)
 	n.releases.configure(v, now)
 	n.pools.configure(v, now)
@@ -166,8 +171,14 @@
 	n.orders.tick(now)
 	n.reports.tick(now)
 	n.vmList.tick(now)
+	if n.traffic.waiting.Load() > 0 {
+		n.ledger.tick(now, true)
+		n.transfers.ask(now)
+	}
 	if now.Sub(n.slowTick) < time.Second {
-		n.ledger.tick(now, false)
+		if now.Before(n.ledger.openUntil) {
+			n.ledger.tick(now, false)
+		}
 		return
 	}
 	n.slowTick = now
--- /dev/null
+++ b/io/node/decode.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"encoding/json"
+
+	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+)
+
+// kindTable makes an empty object of each configuration kind.
+var kindTable = map[object.Kind]func() object.Value{
+	object.KindOrganisation: func() object.Value { return new(object.Organisation) },
+	object.KindBudget:       func() object.Value { return new(object.Budget) },
+	object.KindTarget:       func() object.Value { return new(object.Target) },
+	object.KindVersion:      func() object.Value { return new(object.Version) },
+	object.KindService:      func() object.Value { return new(object.Service) },
+	object.KindRelease:      func() object.Value { return new(object.Release) },
+	object.KindOutcome:      func() object.Value { return new(object.Outcome) },
+	object.KindOperator:     func() object.Value { return new(object.Operator) },
+	object.KindRouter:       func() object.Value { return new(object.Router) },
+}
+
+// decoded is the last usable form of an object. The value is nil if no version of it could be used.
+type decoded struct {
+	version ident.ObjectVersion
+	value   object.Value
+	service *serviceRow // of a plain service
+}
+
+// decoder keeps the decoded form of each object, because decoding 31,000 organisations takes 100 times as long as
+// copying them. It belongs to the control goroutine.
+type decoder struct {
+	rows map[object.Key]decoded
+}
+
+func newDecoder() *decoder { return &decoder{rows: make(map[object.Key]decoded)} }
+
+// decode returns the usable form of an object. If the newest version cannot be used, it returns ErrBadObject once and
+// the last good form from then on.
+func (d *decoder) decode(o config.Object) (decoded, error) {
+	row := d.rows[o.Key()]
+	if row.version == o.Version {
+		return row, nil
+	}
+	next, err := decodeObject(o)
+	if err != nil {
+		next.value, next.service = row.value, row.service
+	}
+	d.rows[o.Key()] = next
+	return next, err
+}
+
+func decodeObject(o config.Object) (decoded, error) {
+	out := decoded{version: o.Version}
+	v := kindTable[o.Kind]()
+	if json.Unmarshal(o.Value, v) != nil || v.Validate().Err() != nil {
+		return out, ErrBadObject
+	}
+	if s, ok := v.(*object.Service); ok {
+		row, err := newServiceRow(*s)
+		if err != nil {
+			return out, err
+		}
+		out.service = row
+	}
+	out.value = v
+	return out, nil
+}
+
+// forget drops the objects that the store no longer has, when they are more than the present ones.
+func (d *decoder) forget(store *config.Store) {
+	live := 0
+	for _, s := range store.Status() {
+		live += s.Objects
+	}
+	if len(d.rows) <= 2*live+len(kindTable) {
+		return
+	}
+	for k := range d.rows {
+		if _, ok := store.Get(k); !ok {
+			delete(d.rows, k)
+		}
+	}
+}
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"geraniumsaddle/core/escrow"
@@ -69,11 +68,18 @@
 }
 
 // closeHolders closes the rows of all accounts that have ended their requests and transfers, and returns the number of
-// those that are left.
+// those that are left. The accounts of a shard are closed by one update.
 func (n *Node) closeHolders(ctx context.Context) int {
 	open := n.accounts.all()
 	for {
-		open = slices.DeleteFunc(open, func(a *account) bool { return n.closeHolder(ctx, a) })
+		byShard := make(map[object.Key][]*account)
+		for _, a := range open {
+			byShard[a.shard] = append(byShard[a.shard], a)
+		}
+		open = open[:0]
+		for k, accts := range byShard {
+			open = append(open, n.closeShard(ctx, k, accts)...)
+		}
 		if len(open) == 0 {
 			return 0
 		}
@@ -85,31 +91,55 @@
 	}
 }
 
-// closeHolder closes the row of one account and reports whether nothing of it is left.
-func (n *Node) closeHolder(ctx context.Context, a *account) bool {
-	if a.Report().Open == 0 || a.Closed() {
-		return true
+// closeShard closes the rows of accounts in one shard and returns the accounts of which something is left.
+func (n *Node) closeShard(ctx context.Context, k object.Key, accts []*account) (left []*account) {
+	var proofs []accountProof
+	for _, a := range accts {
+		if a.Report().Open == 0 || a.Closed() {
+			continue
+		}
+		if len(a.Unacked()) > 0 {
+			left = append(left, a)
+			continue
+		}
+		p, ok := a.Proof()
+		if !ok {
+			left = append(left, a)
+			continue
+		}
+		proofs = append(proofs, accountProof{a, p})
 	}
-	if len(a.Unacked()) > 0 {
-		return false
+	if len(proofs) == 0 {
+		return left
 	}
-	p, ok := a.Proof()
-	if !ok {
-		return false
+	r := n.writers.update(ctx, k, func(s escrow.Shard) (escrow.Shard, bool) { return closeRows(s, proofs) })
+	if r.err != nil {
+		for _, p := range proofs {
+			left = append(left, p.account)
+		}
 	}
-	r := n.writers.update(ctx, a.shard, func(s escrow.Shard) (escrow.Shard, bool) {
-		known := s.Entry(a.Entry())
+	return left
+}
+
+// accountProof is the closing statement of an account.
+type accountProof struct {
+	account *account
+	proof   escrow.Proof
+}
+
+func closeRows(s escrow.Shard, proofs []accountProof) (escrow.Shard, bool) {
+	changed := false
+	for _, p := range proofs {
+		known := s.Entry(p.account.Entry())
 		if known == nil {
-			return s, false
+			continue
 		}
 		e := known.Clone()
-		changed, err := e.Close(p)
-		if err != nil || !changed {
-			return s, false
+		if ok, err := e.Close(p.proof); ok && err == nil {
+			s, changed = s.With(e), true
 		}
-		return s.With(e), true
-	})
-	return r.err == nil
+	}
+	return s, changed
 }
 
 // giveToPeer sends free tokens to a router of the own failure domain when the platform does not take them back.
--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -85,6 +85,8 @@
 }
 
 func (g *gate) wait(ctx context.Context, w *waiter, id ident.RequestID) (target.Choice, error) {
+	g.n.traffic.waiting.Add(1)
+	defer g.n.traffic.waiting.Add(-1)
 	undo := g.expect(w.req)
 	defer undo()
 	select {
--- a/io/node/idle.go
+++ b/io/node/idle.go
@@ -66,7 +66,7 @@
 	i.n.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, handoverWait)
 		defer cancel()
-		for !i.n.closeHolder(ctx, a) {
+		for len(i.n.closeShard(ctx, a.shard, []*account{a})) > 0 {
 			select {
 			case <-i.n.clock.After(handoverPoll):
 			case <-ctx.Done():
--- a/io/node/ledger.go
+++ b/io/node/ledger.go
@@ -17,6 +17,7 @@
 	// shortSpacing bounds the reports of a shard on which requests wait.
 	shortSpacing = 10 * time.Millisecond
 	reportWait   = 3 * time.Second
+	openFor      = 5 * time.Second
 )
 
 // shardState is the control goroutine's record of the reports for one shard.
@@ -33,6 +34,9 @@
 type ledgerClient struct {
 	n      *Node
 	shards map[object.Key]*shardState
+	// openUntil is the end of the time in which new accounts report more often, so that a router that starts has its
+	// first allotments soon.
+	openUntil time.Time
 }
 
 func newLedgerClient(n *Node) *ledgerClient {
@@ -47,6 +51,9 @@
 	}
 	byShard := make(map[object.Key][]*account)
 	for _, a := range l.n.accounts.all() {
+		if short && !a.Short() {
+			continue
+		}
 		byShard[a.shard] = append(byShard[a.shard], a)
 	}
 	keys := make([]object.Key, 0, len(byShard))
@@ -66,7 +73,7 @@
 
 func (l *ledgerClient) report(k object.Key, st *shardState, accts []*account, now time.Time, short bool) {
 	spacing := reportEvery
-	if short {
+	if short || now.Before(l.openUntil) {
 		spacing = shortSpacing
 	}
 	if st.running || now.Sub(st.sentAt) < spacing {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -64,6 +64,7 @@
 
 	// The following belong to the control goroutine unless they say otherwise.
 	feeds      *feeds
+	decoder    *decoder
 	ledger     *ledgerClient
 	pools      *pools
 	members    *members
@@ -122,6 +123,7 @@
 	n.life, n.kill = context.WithCancel(context.Background())
 	rng := rand.New(rand.NewPCG(d.Seed, epoch)) //nolint:gosec // not for secrets
 	n.view.Store(newView())
+	n.decoder = newDecoder()
 	n.accounts = newAccounts(n.id)
 	n.writers = newWriters(n)
 	n.gates = newGates(n)
--- a/io/node/release.go
+++ b/io/node/release.go
@@ -23,8 +23,17 @@
 	recordEvery = 2 * time.Second
 	// evidenceCells bounds the cells of one message.
 	evidenceCells = 512
+	// resendRounds is the number of rounds after which unchanged evidence is sent again.
+	resendRounds = 10
 )
 
+// cellKey names an own cell of evidence.
+type cellKey struct {
+	version ident.VersionID
+	route   string
+	band    uint8
+}
+
 // releases runs the canary releases of the failure domain. It belongs to the control goroutine, apart from the
 // recorder.
 type releases struct {
@@ -38,6 +47,9 @@
 	spreadAt time.Time
 	wroteAt  time.Time
 	writing  bool
+	// sent holds the requests of each own cell when it was last sent.
+	sent   map[cellKey]uint64
+	rounds int
 }
 
 func newReleases(n *Node) *releases {
@@ -48,6 +60,7 @@
 	return &releases{
 		n: n, ctl: canary.New(canary.Config{Domain: n.domain, Policy: policy}), rec: canary.NewRecorder(n.id, 0),
 		known: make(map[ident.ReleaseID]bool), versions: make(map[ident.VersionID]bool), bad: make(map[ident.VersionID]bool),
+		sent: make(map[cellKey]uint64),
 	}
 }
 
@@ -143,13 +156,7 @@
 func (r *releases) spread(now time.Time) {
 	r.spreadAt = now
 	ros := r.n.members.roster.Load()
-	ev := peer.Evidence{Domain: r.n.domain}
-	for _, c := range r.rec.Export() {
-		if len(ev.Cells) == evidenceCells {
-			break
-		}
-		ev.Cells = append(ev.Cells, peer.EvidenceCell(c))
-	}
+	batches := r.changedEvidence()
 	var rows []peer.VerdictRow
 	for _, v := range r.ctl.Spread() {
 		rows = append(rows, peer.VerdictRow(v))
@@ -158,8 +165,10 @@
 		if id == r.n.id {
 			continue
 		}
-		if slices.Contains(ros.domain, id) && len(ev.Cells) > 0 {
-			r.n.sendTo(id, ev)
+		if slices.Contains(ros.domain, id) {
+			for _, ev := range batches {
+				r.n.sendTo(id, ev)
+			}
 		}
 		if len(rows) > 0 {
 			r.n.sendTo(id, peer.Verdict{Rows: rows})
@@ -167,6 +176,60 @@
 	}
 }
 
+// changedEvidence returns the own cells of versions in running releases that have changed since they were last sent, in
+// batches of bounded size. Every few rounds all of them are sent, for routers that missed a message or started late.
+func (r *releases) changedEvidence() []peer.Evidence {
+	r.rounds++
+	running := r.runningVersions()
+	var out []peer.Evidence
+	for _, c := range r.rec.Export() {
+		key := cellKey{c.Version, c.Route, c.Band}
+		if !running[c.Version] || r.sent[key] == c.Requests && r.rounds%resendRounds != 0 {
+			continue
+		}
+		r.sent[key] = c.Requests
+		if len(out) == 0 || len(out[len(out)-1].Cells) == evidenceCells {
+			out = append(out, peer.Evidence{Domain: r.n.domain})
+		}
+		last := &out[len(out)-1]
+		last.Cells = append(last.Cells, peer.EvidenceCell(c))
+	}
+	return out
+}
+
+// runningVersions returns the versions whose evidence a release still needs, with those that they replace.
+func (r *releases) runningVersions() map[ident.VersionID]bool {
+	ended := make(map[ident.ReleaseID]bool)
+	for _, v := range r.ctl.Spread() {
+		if v.Domain == r.n.domain && v.Verdict != object.VerdictRunning && v.Verdict != "" {
+			ended[v.Release] = true
+		}
+	}
+	out := make(map[ident.VersionID]bool)
+	for id, rel := range r.n.view.Load().releases {
+		if ended[id] {
+			continue
+		}
+		for _, c := range rel.Changed {
+			out[c.Version], out[c.Replaces] = true, true
+		}
+		for _, c := range rel.Added {
+			r.addSiblings(out, c.Version)
+		}
+	}
+	return out
+}
+
+// addSiblings adds the versions of the same model or service, with which an added version is compared.
+func (r *releases) addSiblings(out map[ident.VersionID]bool, id ident.VersionID) {
+	vs := r.n.view.Load().versions
+	for other, v := range vs {
+		if v.Model == vs[id].Model && v.Service == vs[id].Service {
+			out[other] = true
+		}
+	}
+}
+
 // evidence takes the counters of another router of the failure domain.
 func (r *releases) evidence(m peer.Evidence) {
 	if m.Domain != r.n.domain {
--- a/io/node/reports_test.go
+++ b/io/node/reports_test.go
@@ -59,7 +59,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBench(t)
+			b := newFixture(t)
 			b.engine("e", "a", fakeengine.Config{}, "v1")
 			n := b.router("r", "a")
 			c, err := n.pools.engine(b.view.targets["e"].URL)
@@ -87,7 +87,7 @@
 // against hints that outlive a gap in the cache events.
 func TestReports(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	engines := make(map[ident.TargetID]*fakeengine.Server)
 	for i := range 6 {
 		id := fmt.Sprint("e", i)
@@ -141,7 +141,7 @@
 // members that are dropped because a part of the list was taken for the whole, and against lists that never agree.
 func TestVMList(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine("e0", "a", fakeengine.Config{}, "v1")
 	b.engine("e1", "a", fakeengine.Config{}, "v1")
 	watcher, other := b.router("r1", "a"), b.router("r2", "a")
@@ -176,7 +176,7 @@
 // TestTotals guards against a failure domain that is taken to have room though it has reported none.
 func TestTotals(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	for _, d := range []string{"a", "b", "c"} {
 		b.engine("e-"+d, d, fakeengine.Config{}, "v1")
 	}
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -24,8 +24,10 @@
 	draining atomic.Bool
 	running  sync.WaitGroup
 	count    atomic.Int64
-	limiter  *stream.Limiter
-	streams  streamSet
+	// waiting is the number of requests that wait for tokens or slots.
+	waiting atomic.Int64
+	limiter *stream.Limiter
+	streams streamSet
 }
 
 func newTraffic(n *Node) *traffic {
@@ -87,6 +89,8 @@
 	if res, ok := w.Hold(who.Key, who.Class, need); ok {
 		return res, nil
 	}
+	n.traffic.waiting.Add(1)
+	defer n.traffic.waiting.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.BudgetWait)
 	defer cancel()
 	res, err := w.HoldWait(ctx, who.Key, who.Class, need)
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"slices"
@@ -84,77 +83,28 @@
 	}
 }
 
-// add decodes one object into the view. It returns ErrBadObject for an object that this program cannot use.
-func (v *view) add(k object.Key, raw []byte) error {
-	switch k.Kind {
-	case object.KindOrganisation:
-		var o object.Organisation
-		if err := decode(raw, &o); err != nil {
-			return err
-		}
-		v.addOrg(o)
-	case object.KindBudget:
-		var b object.Budget
-		if err := decode(raw, &b); err != nil {
-			return err
-		}
-		v.budgets[b.ID] = b
-	case object.KindTarget:
-		var t object.Target
-		if err := decode(raw, &t); err != nil {
-			return err
-		}
-		v.targets[t.ID] = t
-	case object.KindVersion:
-		var ver object.Version
-		if err := decode(raw, &ver); err != nil {
-			return err
-		}
-		v.versions[ver.ID] = ver
-	case object.KindService:
-		var s object.Service
-		if err := decode(raw, &s); err != nil {
-			return err
-		}
-		row, err := newServiceRow(s)
-		if err != nil {
-			return err
-		}
-		v.services[s.ID] = row
-	default:
-		return v.addOther(k, raw)
-	}
-	return nil
-}
-
-func (v *view) addOther(k object.Key, raw []byte) error {
-	switch k.Kind {
-	case object.KindRelease:
-		var r object.Release
-		if err := decode(raw, &r); err != nil {
-			return err
-		}
-		v.releases[r.ID] = r
-	case object.KindOutcome:
-		var o object.Outcome
-		if err := decode(raw, &o); err != nil {
-			return err
-		}
-		v.outcomes[o.Release] = o
-	case object.KindOperator:
-		var o object.Operator
-		if err := decode(raw, &o); err != nil {
-			return err
-		}
-		v.operators[o.SHA256] = o
-	case object.KindRouter:
-		var r object.Router
-		if err := decode(raw, &r); err != nil {
-			return err
-		}
-		v.routers[r.ID] = r
+// add puts the usable form of an object into the view.
+func (v *view) add(d decoded) {
+	switch o := d.value.(type) {
+	case *object.Organisation:
+		v.addOrg(*o)
+	case *object.Budget:
+		v.budgets[o.ID] = *o
+	case *object.Target:
+		v.targets[o.ID] = *o
+	case *object.Version:
+		v.versions[o.ID] = *o
+	case *object.Service:
+		v.services[o.ID] = d.service
+	case *object.Release:
+		v.releases[o.ID] = *o
+	case *object.Outcome:
+		v.outcomes[o.Release] = *o
+	case *object.Operator:
+		v.operators[o.SHA256] = *o
+	case *object.Router:
+		v.routers[o.ID] = *o
 	}
-	return nil
 }
 
 func (v *view) addOrg(o object.Organisation) {
@@ -178,40 +128,6 @@
 	sort.Slice(v.models, func(i, j int) bool { return v.models[i] < v.models[j] })
 }
 
-// keep copies the form of an object from an older view.
-func (v *view) keep(k object.Key, old *view) {
-	switch k.Kind {
-	case object.KindOrganisation:
-		if o, ok := old.orgs[ident.OrgID(k.Name)]; ok {
-			v.addOrg(o)
-		}
-	case object.KindBudget:
-		if o, ok := old.budgets[ident.BudgetID(k.Name)]; ok {
-			v.budgets[o.ID] = o
-		}
-	case object.KindTarget:
-		if o, ok := old.targets[ident.TargetID(k.Name)]; ok {
-			v.targets[o.ID] = o
-		}
-	case object.KindVersion:
-		if o, ok := old.versions[ident.VersionID(k.Name)]; ok {
-			v.versions[o.ID] = o
-		}
-	case object.KindService:
-		if o, ok := old.services[ident.ServiceID(k.Name)]; ok {
-			v.services[o.service.ID] = o
-		}
-	case object.KindRelease:
-		if o, ok := old.releases[ident.ReleaseID(k.Name)]; ok {
-			v.releases[o.ID] = o
-		}
-	case object.KindOutcome:
-		if o, ok := old.outcomes[ident.ReleaseID(k.Name)]; ok {
-			v.outcomes[o.Release] = o
-		}
-	}
-}
-
 // hasModel reports whether the model has a version in service.
 func (v *view) hasModel(m ident.ModelID) bool { return slices.Contains(v.models, m) }
 
@@ -245,13 +161,3 @@
 	return len(v.orgs) + len(v.budgets) + len(v.targets) + len(v.versions) + len(v.services) + len(v.releases) +
 		len(v.outcomes) + len(v.operators) + len(v.routers)
 }
-
-func decode(raw []byte, o object.Value) error {
-	if err := json.Unmarshal(raw, o); err != nil {
-		return ErrBadObject
-	}
-	if o.Validate().Err() != nil {
-		return ErrBadObject
-	}
-	return nil
-}
