Bound kernel buffers and blocked writes of slow readers

Cause: the kernel let the socket buffers of a stream grow, so that most slow readers were never suspended, and a caller that never read held its tokens and its slot without end. A suspended stream kept its decoder and its connection's buffers.

Change: connections to targets have a receive buffer of 32 KB. Writes end at the request's deadline. A suspended stream is dropped with its buffers and read again from its offset. caller.BoundSendBuffer bounds the other side; the server has to set it as its ConnContext.

--- a/cmd/loadtest/fleet.go
+++ b/cmd/loadtest/fleet.go
@@ -102,7 +102,39 @@
 	args := []string{"router", "--name", "r1", "--domain", "d1", "--platform-url", url, "--caller-addr", "127.0.0.1:0",
 		"--admin-addr", "127.0.0.1:0", "--org-stream-bytes", "536870912", "--slow-reader-after", cfg.SlowAfter.String(),
 		"--operation-key", "operation-key-of-the-load"}
-	f.router, err = f.run(cfg, cfg.Binary, append(args, cfg.RouterArgs...)...)
+	if f.router, err = f.run(cfg, cfg.Binary, append(args, cfg.RouterArgs...)...); err != nil {
+		return err
+	}
+	return f.ready(ctx)
+}
+
+// ready waits until the router answers for the models that the engines serve.
+func (f *fleet) ready(ctx context.Context) error {
+	models := []ident.ModelID{modelPaced}
+	if len(f.bulk) > 0 {
+		models = append(models, modelBulk)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for _, m := range models {
+		for f.probe(m) != nil {
+			if err := wait(ctx, 50*time.Millisecond); err != nil {
+				return fmt.Errorf("router does not answer for model %s", m)
+			}
+		}
+	}
+	return nil
+}
+
+// probe asks the router for one token.
+func (f *fleet) probe(m ident.ModelID) error {
+	c, err := dial(f.router.addrs["caller_addr"], false, "probe")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	c.model = m
+	_, err = c.stream(1, nil)
 	return err
 }
 
--- a/cmd/loadtest/runs.go
+++ b/cmd/loadtest/runs.go
@@ -101,7 +101,7 @@
 
 // throughput reaches for the most requests and tokens that one router passes on.
 func (r *runner) throughput(ctx context.Context, workers, tokens int, interval time.Duration) (any, error) {
-	f, err := r.fleet(ctx, fleetConfig{Engines: 4, Interval: interval, Tokens: tokens})
+	f, err := r.fleet(ctx, fleetConfig{Engines: 8, Interval: interval, Tokens: tokens})
 	if err != nil {
 		return nil, err
 	}
--- a/io/caller/chatw.go
+++ b/io/caller/chatw.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
+	"net"
 	"net/http"
+	"time"
 
 	"geraniumsaddle/core/ident"
 )
@@ -13,15 +16,47 @@
 	sseDone   = []byte("data: [DONE]\n\n")
 )
 
+// sendBuffer is the size of a connection's send buffer in the kernel, which accounts for twice as much. By itself the
+// kernel lets the buffer of a slow reader grow to megabytes.
+const sendBuffer = 16 << 10
+
+// BoundSendBuffer bounds the kernel's memory for a caller that reads slowly. It is a ConnContext of an http.Server.
+func BoundSendBuffer(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*net.TCPConn); ok {
+		// A connection that has ended already fails at its first read.
+		_ = t.SetWriteBuffer(sendBuffer)
+	}
+	return ctx
+}
+
+// Bounded is a ChatWriter whose writes end at a deadline. The end of the request's context does not end a write, so
+// a caller that never reads would hold its tokens and its slot for ever.
+type Bounded interface {
+	ChatWriter
+	// Bound sets the deadline of all writes.
+	Bound(deadline time.Time)
+}
+
 // sseWriter writes a chat completion as server-sent events.
 type sseWriter struct {
 	w            http.ResponseWriter
 	rc           *http.ResponseController
 	includeUsage bool
 	begun        bool
+	bounded      bool
 	buf          []byte
 }
 
+// Bound implements Bounded.
+func (s *sseWriter) Bound(deadline time.Time) { s.bounded = s.rc.SetWriteDeadline(deadline) == nil }
+
+// unbound ends the deadline, because the connection may serve another request.
+func (s *sseWriter) unbound() {
+	if s.bounded {
+		_ = s.rc.SetWriteDeadline(time.Time{})
+	}
+}
+
 // flushBytes is the amount of buffered data at which Chunk writes without waiting for Flush.
 const flushBytes = 4 << 10
 
@@ -63,6 +98,7 @@
 }
 
 func (s *sseWriter) End(usageEvent []byte, _ Usage) error {
+	defer s.unbound()
 	if s.includeUsage && usageEvent != nil {
 		if err := s.Chunk(usageEvent); err != nil {
 			return err
@@ -74,6 +110,7 @@
 
 // fail ends a begun stream with an explicit error event and without the final marker.
 func (s *sseWriter) fail(r *Refusal) {
+	defer s.unbound()
 	if err := s.Chunk(r.body()); err != nil {
 		return
 	}
--- a/io/engine/reach/reach.go
+++ b/io/engine/reach/reach.go
@@ -75,6 +75,9 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the headers of an answer; 16 KB.
 	MaxHeaderBytes int64
+	// ReceiveBuffer is the size of a connection's receive buffer in the kernel in bytes; 32 KB. Without it the kernel
+	// lets the buffer grow to megabytes while a slow caller blocks the reading.
+	ReceiveBuffer int
 }
 
 // Transport sends requests over pooled connections. It is safe for concurrent use.
@@ -98,6 +101,9 @@
 	if cfg.MaxHeaderBytes <= 0 {
 		cfg.MaxHeaderBytes = 16 << 10
 	}
+	if cfg.ReceiveBuffer <= 0 {
+		cfg.ReceiveBuffer = 32 << 10
+	}
 	d := &net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 15 * time.Second}
 	return &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -105,6 +111,11 @@
 			if err != nil {
 				return nil, err
 			}
+			if t, ok := c.(*net.TCPConn); ok {
+				if err := t.SetReadBuffer(cfg.ReceiveBuffer); err != nil {
+					return nil, errors.Join(err, c.Close())
+				}
+			}
 			return &conn{Conn: c}, nil
 		},
 		MaxIdleConnsPerHost:    cfg.MaxIdlePerHost,
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -24,6 +24,8 @@
 	maxResumes = 4
 	resumeWait = 100 * time.Millisecond
 	chatRoute  = "chat/completions"
+	// endWait is the time after the request's deadline in which the error that ends its stream is written.
+	endWait = 2 * time.Second
 	// streamBytes is the memory that a stream of a caller keeps: the buffers of both connections and of the decoder.
 	streamBytes ident.Bytes = 24 << 10
 	// promptOverhead is added to the estimate of a prompt, in tokens.
@@ -74,6 +76,9 @@
 		return caller.Refuse(caller.CodeOverloaded, ident.OutcomeNotRun, "%s", err).After(time.Second)
 	}
 	defer n.traffic.limiter.Release(r.Caller.Org, streamBytes)
+	if b, ok := w.(caller.Bounded); ok && !r.Deadline.IsZero() {
+		b.Bound(r.Deadline.Add(endWait))
+	}
 	c := &chat{n: n, r: r, w: w, start: n.clock.Now()}
 	if r.IdempotencyKey != "" {
 		return n.chatKeyed(ctx, c)
@@ -197,16 +202,15 @@
 func (c *chat) copy(ctx context.Context, s *engine.Stream) error {
 	c.row = c.n.traffic.streams.add(s)
 	defer c.n.traffic.streams.remove(c.row)
-	defer func() { _ = c.row.stream().Close() }()
-	if c.r.IdempotencyKey == "" || c.joined {
-		// Without a key nobody can ask for the rest, so a caller that goes away ends the stream.
-		stop := context.AfterFunc(ctx, func() { _ = c.row.stream().Close() })
+	defer c.row.close()
+	if !c.survives() {
+		stop := context.AfterFunc(ctx, c.row.close)
 		defer stop()
 	}
 	failures := 0
 	for {
 		before := c.chunks
-		err := c.pump(c.row.stream())
+		err := c.pump()
 		switch {
 		case err == nil:
 			return c.complete()
@@ -225,14 +229,23 @@
 	}
 }
 
+// survives reports whether the request runs on when its caller goes away. Without a key nobody can ask for the rest.
+func (c *chat) survives() bool { return c.r.IdempotencyKey != "" && !c.joined }
+
 // callerGone marks a failure to write to the caller.
 type callerGone struct{ err error }
 
 func (e *callerGone) Error() string { return "caller went away: " + e.err.Error() }
 
-// pump copies chunks until the stream ends. Its error is that of the target or a *callerGone.
-func (c *chat) pump(s *engine.Stream) error {
+// pump copies chunks until the stream ends. Its error is that of the target, errSuspended or a *callerGone. It holds
+// no reference to the stream while it writes, so that the buffers of a suspended stream are freed. The chunks that
+// were read ahead into them are read again after the resumption.
+func (c *chat) pump() error {
 	for {
+		s := c.row.stream()
+		if s == nil {
+			return errSuspended
+		}
 		chunk, err := s.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -242,7 +255,7 @@
 		}
 		c.chunks++
 		if err := c.take(chunk, !s.Buffered()); err != nil {
-			if c.r.IdempotencyKey == "" || c.joined {
+			if !c.survives() {
 				return err
 			}
 			c.detached = true
@@ -291,6 +304,10 @@
 		s, err := c.client.Resume(context.WithoutCancel(ctx), c.r.ID, c.chunks)
 		if err == nil {
 			c.row.replace(s)
+			if ctx.Err() != nil && !c.survives() {
+				// The end of the context closed the stream before this one.
+				c.row.close()
+			}
 			return true
 		}
 		var e *engine.Error
--- a/io/node/reap.go
+++ b/io/node/reap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -62,16 +63,21 @@
 	return err == nil && st.State != engine.RequestRunning
 }
 
+// errSuspended means that the stream of a slow reader was closed. It is resumed when the caller reads again.
+var errSuspended = errors.New("stream is suspended")
+
 // streamSet holds the streams that are copied to callers, so that those of slow readers can be suspended.
 type streamSet struct {
 	mu   sync.Mutex
 	rows map[*streamRow]struct{}
+	// suspensions counts the streams that were suspended.
+	suspensions atomic.Int64
 }
 
 // streamRow is one stream.
 type streamRow struct {
-	cur     atomic.Pointer[engine.Stream]
-	blocked atomic.Int64 // time at which a write to the caller began, or zero
+	cur     atomic.Pointer[engine.Stream] // nil while the stream is suspended
+	blocked atomic.Int64                  // time at which a write to the caller began, or zero
 }
 
 func (s *streamSet) add(st *engine.Stream) *streamRow {
@@ -92,6 +98,7 @@
 	delete(s.rows, r)
 }
 
+// stream returns the open stream, or nil while it is suspended.
 func (r *streamRow) stream() *engine.Stream { return r.cur.Load() }
 
 // replace closes the stream and puts another one in its place.
@@ -101,11 +108,19 @@
 	}
 }
 
+// close closes the stream and keeps it, so that a reader of it sees the error.
+func (r *streamRow) close() {
+	if s := r.cur.Load(); s != nil {
+		_ = s.Close()
+	}
+}
+
 func (r *streamRow) writing(now time.Time) { r.blocked.Store(now.UnixNano()) }
 func (r *streamRow) written()              { r.blocked.Store(0) }
 
-// suspend closes the streams whose callers have not read for the given time. The copying goroutine resumes a stream
-// at its offset when the caller reads again.
+// suspend closes the streams whose callers have not read for the given time, and drops them with their buffers. The
+// copying goroutine resumes a stream at its offset when the caller reads again. It returns the number of streams that
+// are suspended.
 func (s *streamSet) suspend(now time.Time, after time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,7 +131,10 @@
 			continue
 		}
 		n++
-		_ = r.stream().Close()
+		if old := r.cur.Swap(nil); old != nil {
+			_ = old.Close()
+			s.suspensions.Add(1)
+		}
 	}
 	return n
 }
