--- a/io/engine/reach/reach.go
+++ b/io/engine/reach/reach.go
@@ -77,6 +77,9 @@
 	MaxHeaderBytes int64
 	// Dial opens the connections; nil is a dialer with DialTimeout.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// ReceiveBuffer is the size of a connection's receive buffer in the kernel in bytes; 32 KB. Without it the kernel
+	// lets the buffer grow to megabytes while a slow caller blocks the reading.
+	ReceiveBuffer int
 }
 
 // Transport sends requests over pooled connections. It is safe for concurrent use.
@@ -103,12 +106,20 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: 15 * time.Second}).DialContext
 	}
+	if cfg.ReceiveBuffer <= 0 {
+		cfg.ReceiveBuffer = 32 << 10
+	}
 	return &Transport{http: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := cfg.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
+			if t, ok := c.(*net.TCPConn); ok {
+				if err := t.SetReadBuffer(cfg.ReceiveBuffer); err != nil {
+					return nil, errors.Join(err, c.Close())
+				}
+			}
 			return &conn{Conn: c}, nil
 		},
 		MaxIdleConnsPerHost:    cfg.MaxIdlePerHost,
--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -31,7 +31,7 @@
 	running bool
 }
 
-// waiter is a request that waits for a target.
+// waiter is a request that waits for a target. Its request is not changed, because two goroutines read it.
 type waiter struct {
 	req  target.Request
 	done chan gateResult
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/target"
+	"geraniumsaddle/io/caller"
 	"geraniumsaddle/io/flags"
 	"geraniumsaddle/io/metric"
 	"geraniumsaddle/io/peer"
@@ -190,6 +191,7 @@
 		return trace.NewAggregate(trace.ConvertSystemError(err), n.callerL.Close())
 	}
 	n.callers = n.server(n.callerHandler())
+	n.callers.ConnContext = caller.BoundSendBuffer
 	n.admins = n.server(n.adminHandler())
 	return nil
 }
