--- /dev/null
+++ b/cmd/geraniumsaddle/check_test.go
@@ -0,0 +1,202 @@
+package main_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/fakes/desk"
+	"geraniumsaddle/io/fakes/engine"
+	"geraniumsaddle/io/store"
+)
+
+// getJSON reads a JSON answer.
+func getJSON(url string, out any) error {
+	client := &http.Client{Timeout: startWait}
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(out)
+}
+
+// cmdRuns prints how many request ids or idempotency keys ran more than once and how often the capacity was exceeded:
+// runs engine|service ADDR...
+func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	double, breaches := 0, 0
+	for _, addr := range args[1:] {
+		runs, n := runsAt(ts, args[0], addr)
+		breaches += n
+		for _, r := range runs {
+			if r > 1 {
+				double++
+			}
+		}
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "double %d breaches %d\n", double, breaches)
+}
+
+func runsAt(ts *testscript.TestScript, kind, addr string) (runs map[string]int, breaches int) {
+	if kind == "engine" {
+		var st engine.Stats
+		ts.Check(getJSON("http://"+addr+"/v1/stats", &st))
+		return st.Runs, st.Breaches
+	}
+	var st desk.Stats
+	ts.Check(getJSON("http://"+addr+"/v1/stats", &st))
+	return st.Runs, st.Breaches
+}
+
+// cmdServed sets a variable to the number of requests for a version, or for all with "-": served VAR VERSION ADDR...
+func cmdServed(ts *testscript.TestScript, _ bool, args []string) {
+	n := 0
+	for _, addr := range args[2:] {
+		var st engine.Stats
+		ts.Check(getJSON("http://"+addr+"/v1/stats", &st))
+		for v, count := range st.Versions {
+			if args[1] == "-" || args[1] == v {
+				n += count
+			}
+		}
+	}
+	ts.Setenv(args[0], strconv.Itoa(n))
+}
+
+// cmdSame checks that two values are equal, or differ with "!": same A B.
+func cmdSame(ts *testscript.TestScript, neg bool, args []string) {
+	if (args[0] == args[1]) == neg {
+		ts.Fatalf("%q and %q", args[0], args[1])
+	}
+}
+
+var gaugeLine = regexp.MustCompile(`^geraniumsaddle_state\{name="(free|held)_tokens"\} (\S+)$`)
+
+// routerTokens returns the free and held tokens of a router, from its metrics.
+func routerTokens(addr string) (ident.Tokens, error) {
+	client := &http.Client{Timeout: startWait}
+	resp, err := client.Get("http://" + addr + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var sum ident.Tokens
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		m := gaugeLine.FindStringSubmatch(lines.Text())
+		if m == nil {
+			continue
+		}
+		v, err := strconv.ParseFloat(m[2], 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += ident.Tokens(v)
+	}
+	return sum, lines.Err()
+}
+
+// cmdBalance waits until what was paid is what is billed, free and held at the routers, unallotted and unresolved, and
+// prints the overspend and the unresolved rest. The fleet has one budget and no requests:
+// balance PLATFORM_URL BUDGET ADMIN_ADDR...
+func cmdBalance(ts *testscript.TestScript, _ bool, args []string) {
+	st, err := store.New(store.Config{URL: args[0]}, clockwork.NewRealClock())
+	ts.Check(err)
+	id := escrow.BudgetEntry(ident.BudgetID(args[1]))
+	end := time.Now().Add(pollWait)
+	for {
+		s, _ := readShard(ts, st, id)
+		e := s.Entry(id)
+		var routers ident.Tokens
+		for _, addr := range args[2:] {
+			n, err := routerTokens(addr)
+			ts.Check(err)
+			routers += n
+		}
+		paid := e.Paid - e.Refunded
+		if paid == e.Settled()+routers+e.Unallotted()+e.UnresolvedTokens() {
+			ts.Logf("paid %d billed %d at routers %d unallotted %d", paid, e.Settled(), routers, e.Unallotted())
+			_, _ = fmt.Fprintf(ts.Stdout(), "balanced over %d unresolved %d\n", max(0, e.Settled()-paid), e.UnresolvedTokens())
+			return
+		}
+		if time.Now().After(end) {
+			b, _ := json.Marshal(e)
+			ts.Fatalf("%d tokens at routers do not balance %s", routers, b)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// cmdWaitRefused waits until a load has a number of refusals: waitrefused NAME COUNT.
+func cmdWaitRefused(ts *testscript.TestScript, _ bool, args []string) {
+	l := of(ts).loads[args[0]]
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	end := time.Now().Add(pollWait)
+	for {
+		l.mu.Lock()
+		sum := l.sum
+		l.mu.Unlock()
+		if sum.Refused >= want {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("load %s has %+v", args[0], sum)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// cmdMint sets a variable to a new operation token: mint VAR CALLER_ADDR.
+func cmdMint(ts *testscript.TestScript, _ bool, args []string) {
+	q := &httpRequest{method: http.MethodPost, url: "http://" + args[1] + "/v1/operations", raw: true,
+		header: http.Header{"Authorization": {"Bearer demo-key"}}}
+	_, out, err := q.send()
+	ts.Check(err)
+	var tok struct {
+		Key string `json:"idempotency_key"`
+	}
+	ts.Check(json.Unmarshal([]byte(out), &tok))
+	ts.Setenv(args[0], tok.Key)
+}
+
+// call is a request in the background.
+type call struct {
+	done chan struct{}
+	out  string
+	err  error
+}
+
+// cmdCall starts a request in the background: call NAME followed by the arguments of http.
+func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
+	q := parseHTTP(ts, args[1:])
+	c := &call{done: make(chan struct{})}
+	of(ts).calls[args[0]] = c
+	go func() {
+		defer close(c.done)
+		_, c.out, c.err = q.send()
+	}()
+}
+
+// cmdCallEnd waits for the end of a request in the background and prints its answer: callend NAME.
+func cmdCallEnd(ts *testscript.TestScript, _ bool, args []string) {
+	c := of(ts).calls[args[0]]
+	select {
+	case <-c.done:
+	case <-time.After(pollWait):
+		ts.Fatalf("call %s does not end", args[0])
+	}
+	if c.err != nil {
+		c.out = "no answer"
+	}
+	_, _ = fmt.Fprintln(ts.Stdout(), c.out)
+}
--- a/cmd/geraniumsaddle/harness_test.go
+++ b/cmd/geraniumsaddle/harness_test.go
@@ -28,6 +28,8 @@
 	loads map[string]*load
 	// streams are the background streams by name.
 	streams map[string]*background
+	// calls are the background requests by name.
+	calls map[string]*call
 }
 
 // process is a started program.
@@ -40,7 +42,8 @@
 type sessionKey struct{}
 
 func setup(env *testscript.Env) error {
-	s := &session{procs: make(map[string]*process), loads: make(map[string]*load), streams: make(map[string]*background)}
+	s := &session{procs: make(map[string]*process), loads: make(map[string]*load), streams: make(map[string]*background),
+		calls: make(map[string]*call)}
 	env.Values[sessionKey{}] = s
 	env.Defer(s.stop)
 	return nil
@@ -78,6 +81,18 @@
 		"vm":        cmdVM,
 		"stream":    cmdStream,
 		"streamend": cmdStreamEnd,
+		"runs":      cmdRuns,
+		"served":    cmdServed,
+		"same":      cmdSame,
+		"balance":   cmdBalance,
+		"mint":      cmdMint,
+		"call":      cmdCall,
+		"callend":   cmdCallEnd,
+		"admin":     cmdAdmin,
+		"race":      cmdRace,
+		"createkey": cmdCreateKey,
+
+		"waitrefused": cmdWaitRefused,
 	}
 }
 
@@ -129,12 +144,29 @@
 	case line := <-first:
 		setAddrs(ts, name, line)
 	case <-p.done:
-		ts.Fatalf("%s ended: %s", name, ts.ReadFile(name+".log"))
+		ts.Fatalf("%s ended: %s", name, excerpt(ts, name))
 	case <-time.After(startWait):
 		ts.Fatalf("%s did not start", name)
 	}
 }
 
+// maxExcerpt bounds the lines of a log that a failure shows.
+const maxExcerpt = 60
+
+// excerpt returns what a process logged, without the lines of the levels debug and info.
+func excerpt(ts *testscript.TestScript, name string) string {
+	var out []string
+	for _, line := range strings.Split(ts.ReadFile(name+".log"), "\n") {
+		if line == "" || strings.Contains(line, `"level":"INFO"`) || strings.Contains(line, `"level":"DEBUG"`) {
+			continue
+		}
+		if out = append(out, line); len(out) == maxExcerpt {
+			break
+		}
+	}
+	return strings.Join(out, "\n")
+}
+
 func lookProgram(ts *testscript.TestScript) (string, error) {
 	for _, dir := range strings.Split(ts.Getenv("PATH"), string(os.PathListSeparator)) {
 		path := dir + "/geraniumsaddle"
@@ -179,7 +211,7 @@
 		ts.Fatalf("%s did not end", args[0])
 	}
 	if ok := p.cmd.ProcessState.Success(); ok == neg {
-		ts.Fatalf("%s ended with %s: %s", args[0], p.cmd.ProcessState, ts.ReadFile(args[0]+".log"))
+		ts.Fatalf("%s ended with %s: %s", args[0], p.cmd.ProcessState, excerpt(ts, args[0]))
 	}
 }
 
@@ -188,7 +220,7 @@
 	end := time.Now().Add(pollWait)
 	for !strings.Contains(ts.ReadFile(args[0]+".log"), args[1]) {
 		if time.Now().After(end) {
-			ts.Fatalf("%s did not log %q: %s", args[0], args[1], ts.ReadFile(args[0]+".log"))
+			ts.Fatalf("%s did not log %q: %s", args[0], args[1], excerpt(ts, args[0]))
 		}
 		time.Sleep(pollEvery)
 	}
--- /dev/null
+++ b/cmd/geraniumsaddle/operator_test.go
@@ -0,0 +1,119 @@
+package main_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os/exec"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// adminVariable are the parts of the operators' output that differ between runs.
+var adminVariable = []struct {
+	re *regexp.Regexp
+	to string
+}{
+	{regexp.MustCompile(`"version": \d+`), `"version": N`},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`(r\d)\.\d{13}`), "$1.EPOCH"},
+	{regexp.MustCompile(`(\w)=\d+`), "$1=N"},
+	{regexp.MustCompile(`req-[0-9a-f]{32}`), "req-ID"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDR"},
+	{regexp.MustCompile(`(version is|current version|version) \d+`), "$1 N"},
+	{regexp.MustCompile(` {2,}`), "  "},
+}
+
+var versionField = regexp.MustCompile(`"version": (\d+)`)
+
+// cmdAdmin runs an operator's command and prints its output and its error, with the variable parts replaced. A
+// version in the output sets the variable "version". With -retry it is repeated until it is successful:
+// admin [-retry] ADMIN_ADDR TOKEN ARG...
+func cmdAdmin(ts *testscript.TestScript, neg bool, args []string) {
+	retry := args[0] == "-retry"
+	if retry {
+		args = args[1:]
+	}
+	end := time.Now().Add(pollWait)
+	for {
+		out, err := runAdmin(ts, args)
+		if retry && err != nil && time.Now().Before(end) {
+			time.Sleep(pollEvery)
+			continue
+		}
+		if m := versionField.FindStringSubmatch(out); m != nil {
+			ts.Setenv("version", m[1])
+		}
+		out = stable(out)
+		if (err == nil) == neg {
+			ts.Fatalf("admin %v: %v: %s", args[2:], err, out)
+		}
+		_, _ = fmt.Fprint(ts.Stdout(), out)
+		return
+	}
+}
+
+func runAdmin(ts *testscript.TestScript, args []string) (string, error) {
+	path, err := lookProgram(ts)
+	ts.Check(err)
+	cmd := exec.Command(path, append([]string{"admin"}, args[2:]...)...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Env = []string{"GERANIUMSADDLE_ADMIN_URL=http://" + args[0], "GERANIUMSADDLE_OPERATOR_TOKEN=" + args[1]}
+	var out strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err = cmd.Run()
+	return out.String(), err
+}
+
+// cmdCreateKey creates an API key and sets a variable to its secret: createkey VAR ADMIN_ADDR TOKEN ORGANISATION KEY.
+func cmdCreateKey(ts *testscript.TestScript, _ bool, args []string) {
+	out, err := runAdmin(ts, []string{args[1], args[2], "--output", "json", "key", "create", args[3], args[4]})
+	ts.Check(err)
+	var k struct {
+		Secret string `json:"secret"`
+	}
+	ts.Check(json.Unmarshal([]byte(out), &k))
+	ts.Setenv(args[0], k.Secret)
+}
+
+// cmdRace lets two operators replace the same version of an object at once and prints their results in the order of
+// success: race COLLECTION ADMIN_ADDR TOKEN FILE FILE VERSION.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	var outs [2]string
+	var errs [2]error
+	var wg sync.WaitGroup
+	for i, file := range args[3:5] {
+		wg.Go(func() {
+			outs[i], errs[i] = runAdmin(ts, []string{args[1], args[2], "put", args[0], "--file", file, "--if-match", args[5]})
+		})
+	}
+	wg.Wait()
+	if (errs[0] == nil) == (errs[1] == nil) {
+		ts.Fatalf("race: %v %v: %s%s", errs[0], errs[1], outs[0], outs[1])
+	}
+	out := outs[0] + outs[1]
+	if errs[0] != nil {
+		out = outs[1] + outs[0]
+	}
+	_, _ = fmt.Fprint(ts.Stdout(), stable(out))
+}
+
+// versionCell is the second column of a table of objects.
+var versionCell = regexp.MustCompile(`(?m)^(\S+)  \d+  `)
+
+// slotsCell is the last column of the targets of a status, which follows the demand.
+var slotsCell = regexp.MustCompile(`(?m)  (active|ejected)  \d+$`)
+
+// stable replaces the parts of the operators' output that differ between runs.
+func stable(out string) string {
+	for _, v := range adminVariable {
+		out = v.re.ReplaceAllString(out, v.to)
+	}
+	if strings.HasPrefix(out, "ID  VERSION") {
+		out = versionCell.ReplaceAllString(out, "$1  N  ")
+	}
+	return slotsCell.ReplaceAllString(out, "  $1  N")
+}
--- a/cmd/geraniumsaddle/stream_test.go
+++ b/cmd/geraniumsaddle/stream_test.go
@@ -47,7 +47,12 @@
 		select {
 		case <-b.chunks:
 		case <-b.done:
-			ts.Fatalf("stream %s ended early: status %d code %q", args[0], b.status, b.code)
+			// The end may be seen before chunks that have arrived.
+			select {
+			case <-b.chunks:
+			default:
+				ts.Fatalf("stream %s ended early: status %d code %q", args[0], b.status, b.code)
+			}
 		case <-time.After(startWait):
 			ts.Fatalf("stream %s has no chunks", args[0])
 		}
