--- a/core/record/link.go
+++ b/core/record/link.go
@@ -29,12 +29,17 @@
 	wait     time.Duration
 	snapshot bool // a snapshot must be acknowledged before entries are sent
 	snapSeq  uint64
-	heard    bool
-	instance uint64 // replica that acknowledged first, zero before
-	lost     bool   // another replica answered under the same term
-	lastAck  time.Time
-	confirm  uint64
-	told     uint64 // last confirm sent
+	// parts are the messages of the snapshot in transfer. Those that the peer has are nil.
+	parts      []Message
+	partsAcked int
+	partsSent  int
+	collector  uint64 // replica that acknowledged parts, zero before
+	heard      bool
+	instance   uint64 // replica that acknowledged first, zero before
+	lost       bool   // another replica answered under the same term
+	lastAck    time.Time
+	confirm    uint64
+	told       uint64 // last confirm sent
 }
 
 func (l *link) declaration() Declaration { return Declaration{Peer: l.peer, Term: l.term} }
@@ -42,6 +47,7 @@
 func (l *link) needSnapshot() {
 	l.snapshot = true
 	l.snapSeq = 0
+	l.parts, l.partsAcked, l.partsSent, l.collector = nil, 0, 0, 0
 	l.sentAt = time.Time{}
 	l.wait = resendAfter
 }
@@ -71,28 +77,19 @@
 		if l.peer == "" || l.lost {
 			continue
 		}
-		if m := j.message(l, now); m != nil {
+		for _, m := range j.messages(l, now) {
 			out = append(out, Outgoing{To: l.peer, Message: m})
 		}
 	}
 	return out
 }
 
-func (j *Journal) message(l *link, now time.Time) Message {
-	late := now.Sub(l.sentAt) >= l.wait
+func (j *Journal) messages(l *link, now time.Time) []Message {
 	if l.snapshot {
-		if l.snapSeq != 0 && !late {
-			return nil
-		}
-		l.onSend(now, late && l.snapSeq != 0)
-		sn := j.state.snapshot()
-		sn.Router, sn.Term = j.router, l.term
-		// Zero marks a snapshot that is not sent, so the number is stored plus one.
-		l.snapSeq = sn.Seq + 1
-		return sn
+		return j.snapshotMessages(l, now)
 	}
 	from := max(l.sent, l.acked)
-	resend := late && l.acked < l.sent
+	resend := now.Sub(l.sentAt) >= l.wait && l.acked < l.sent
 	if resend {
 		from = l.acked
 	}
@@ -106,7 +103,7 @@
 		l.sent = es[n-1].Seq
 	}
 	l.told = l.confirm
-	return &Append{Router: j.router, Term: l.term, Entries: es, Instance: l.instance, Confirm: l.confirm}
+	return []Message{&Append{Router: j.router, Term: l.term, Entries: es, Instance: l.instance, Confirm: l.confirm}}
 }
 
 func (l *link) onSend(now time.Time, resend bool) {
@@ -160,6 +157,10 @@
 		}
 		return
 	}
+	if a.PartsOf != 0 {
+		l.ackParts(a)
+		return
+	}
 	if a.Number == 0 || a.Seq > j.state.seq {
 		return
 	}
@@ -169,7 +170,7 @@
 	}
 	l.acked = max(l.acked, a.Seq)
 	if l.snapshot && l.snapSeq != 0 && a.Seq+1 >= l.snapSeq {
-		l.snapshot = false
+		l.snapshot, l.parts = false, nil
 		l.sent = l.acked
 	}
 	if a.Resend {
--- a/core/record/prove.go
+++ b/core/record/prove.go
@@ -41,6 +41,7 @@
 func (r *Replica) Gone(d Declaration, now time.Time) Verdict {
 	if !r.gone {
 		r.gone, r.goneAt = true, now
+		r.collect = nil
 	}
 	switch {
 	case !r.loaded || d.Peer != r.self || d.Term != r.term:
--- a/core/record/replica.go
+++ b/core/record/replica.go
@@ -29,6 +29,7 @@
 	state     state
 	term      uint64
 	loaded    bool // a snapshot of the term is applied
+	collect   *collection
 	acks      [ackNumbers]sentAck
 	last      sentAck
 	confirmed sentAck
@@ -54,6 +55,11 @@
 			return Ack{}, false
 		}
 		return r.applySnapshot(m, now), true
+	case *SnapshotPart:
+		if m.Snapshot.Router != r.router || m.Snapshot.Term < r.term {
+			return Ack{}, false
+		}
+		return r.applyPart(m, now)
 	case *Append:
 		if m.Router != r.router || m.Term < r.term {
 			return Ack{}, false
@@ -80,6 +86,7 @@
 		r.term = m.Term
 	}
 	r.loaded = true
+	r.dropStale()
 	return r.ack(now)
 }
 
@@ -103,6 +110,7 @@
 		}
 		r.state.apply(e)
 	}
+	r.dropStale()
 	a := r.ack(now)
 	a.Resend, a.Full = gap, full
 	return a
--- a/core/record/types.go
+++ b/core/record/types.go
@@ -99,7 +99,7 @@
 	Term uint64         `json:"term"`
 }
 
-// Message is sent from a router to its journal peer: *Append or *Snapshot.
+// Message is sent from a router to its journal peer: *Append, *Snapshot or *SnapshotPart.
 type Message interface{ message() }
 
 // Append carries entries with consecutive numbers. It is empty when it only confirms or keeps the coverage alive.
@@ -123,8 +123,17 @@
 	Recent   []Closed       `json:"recent,omitempty"`
 }
 
-func (*Append) message()   {}
-func (*Snapshot) message() {}
+// SnapshotPart is one part of a snapshot that is too large for one message. The replica applies the parts when it has
+// all of them. Snapshot holds the rows of this part; router, term and number are those of the whole.
+type SnapshotPart struct {
+	Index    int      `json:"index"`
+	Count    int      `json:"count"`
+	Snapshot Snapshot `json:"snapshot"`
+}
+
+func (*Append) message()       {}
+func (*Snapshot) message()     {}
+func (*SnapshotPart) message() {}
 
 // Ack is sent from a journal peer to the router.
 type Ack struct {
@@ -142,6 +151,10 @@
 	Resync bool `json:"resync,omitempty"`
 	// Full reports that the peer refused an entry at its memory limit.
 	Full bool `json:"full,omitempty"`
+	// PartsOf is the number of the snapshot of which the peer collects the parts, and Parts how many of them it has
+	// before the first missing one. Such an acknowledgement has no number, because the snapshot is not applied.
+	PartsOf uint64 `json:"parts_of,omitempty"`
+	Parts   int    `json:"parts,omitempty"`
 }
 
 // Limits bounds the memory of a Journal or Replica.
@@ -154,6 +167,8 @@
 	AnswerBytes ident.Bytes
 	// PendingBytes bounds the unacknowledged entries of a Journal. A peer further behind gets a snapshot.
 	PendingBytes ident.Bytes
+	// PartBytes bounds one part of a snapshot. Zero means 256 KiB.
+	PartBytes ident.Bytes
 }
 
 // DefaultLimits returns the limits of a small entry VM.
--- a/io/node/journal.go
+++ b/io/node/journal.go
@@ -133,6 +133,8 @@
 			m.Append = msg
 		case *record.Snapshot:
 			m.Snapshot = msg
+		case *record.SnapshotPart:
+			m.Part = msg
 		}
 		k.n.sendTo(o.To, m)
 	}
@@ -257,6 +259,8 @@
 		msg = m.Append
 	case m.Snapshot != nil && m.Snapshot.Router == from.ID:
 		msg = m.Snapshot
+	case m.Part != nil && m.Part.Snapshot.Router == from.ID:
+		msg = m.Part
 	default:
 		return
 	}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -63,10 +63,12 @@
 // TransferAck states the cumulative amount that the receiver of a transfer has merged.
 type TransferAck struct{ escrow.Transfer }
 
-// JournalAppend carries journal entries or a snapshot to the journal peer. Exactly one field is set.
+// JournalAppend carries journal entries, a snapshot or a part of one to the journal peer. Exactly one field is set. A
+// release that does not know parts drops them, so it never takes one for the whole.
 type JournalAppend struct {
-	Append   *record.Append   `cbor:"1,keyasint,omitempty"`
-	Snapshot *record.Snapshot `cbor:"2,keyasint,omitempty"`
+	Append   *record.Append       `cbor:"1,keyasint,omitempty"`
+	Snapshot *record.Snapshot     `cbor:"2,keyasint,omitempty"`
+	Part     *record.SnapshotPart `cbor:"3,keyasint,omitempty"`
 }
 
 // JournalAck acknowledges journal entries.
