--- a/core/escrow/bench_test.go
+++ b/core/escrow/bench_test.go
@@ -173,7 +173,11 @@
 	policies := []struct {
 		name string
 		p    escrow.Policy
-	}{{"equal_split", escrow.EqualSplit{Holders: simDomains * simPerDomain}}, {"cover", escrow.DefaultCover}, {"recall", escrow.DefaultRecall}}
+	}{
+		{"equal_split", escrow.EqualSplit{Holders: simDomains * simPerDomain}}, {"cover", escrow.DefaultCover}, {"recall", escrow.DefaultRecall},
+		{"recall_80m", escrow.Recall{Cover: escrow.Cover{Partition: 80 * time.Minute, Min: 4096}, Keep: time.Minute}},
+		{"recall_90m", escrow.Recall{Cover: escrow.Cover{Partition: 90 * time.Minute, Min: 4096}, Keep: time.Minute}},
+	}
 	const use = 300 * simDomains * simPerDomain * 2 * simHour
 	for _, p := range policies {
 		for _, shift := range []int{1, 4} {
--- a/io/node/bench_test.go
+++ b/io/node/bench_test.go
@@ -133,7 +133,7 @@
 // BenchmarkIdle reports what routers without traffic cost: processor time and bytes to peers for each router, and
 // calls of the platform for the whole fleet. It runs on the real clock; use -benchtime 1x.
 func BenchmarkIdle(b *testing.B) {
-	for _, c := range []struct{ routers, domains, orgs int }{{2, 1, 100}, {4, 1, 100}, {8, 1, 100}, {8, 4, 100}, {4, 1, 400}, {4, 1, 1600}} {
+	for _, c := range []struct{ routers, domains, orgs int }{{2, 1, 100}, {4, 1, 100}, {8, 1, 100}, {16, 1, 100}, {32, 1, 100}, {8, 4, 100}, {4, 1, 400}, {4, 1, 1600}} {
 		b.Run(fmt.Sprintf("routers=%d/domains=%d/budgets=%d", c.routers, c.domains, c.orgs), func(b *testing.B) {
 			for range b.N {
 				f := newFleet(b, c.routers, c.domains, c.orgs)
