--- a/core/record/journal.go
+++ b/core/record/journal.go
@@ -54,6 +54,12 @@
 	return j.append(Entry{Raise: &c})
 }
 
+// Forget drops the counters of an account after the platform has closed its row, so that the journal keeps only the
+// accounts in use. It needs no release. Without counters it gives ErrNoCounters, and with an open hold ErrHeld.
+func (j *Journal) Forget(f Forget) (uint64, error) {
+	return j.append(Entry{Forget: &f})
+}
+
 func (j *Journal) append(e Entry) (uint64, error) {
 	if err := j.state.check(&e); err != nil {
 		return 0, err
@@ -233,14 +239,14 @@
 	return false
 }
 
-// Counters returns the counters of one budget.
-func (j *Journal) Counters(b ident.BudgetID) Counters {
-	if c := j.state.counters[b]; c != nil {
-		cp := *c
+// Counters returns the counters of the nth account that the router opened on a budget.
+func (j *Journal) Counters(b ident.BudgetID, nth uint64) Counters {
+	if c := j.state.counters[account{b, nth}]; c != nil {
+		cp := c.Counters
 		cp.Out, cp.In = slices.Clone(c.Out), slices.Clone(c.In)
 		return cp
 	}
-	return Counters{Budget: b}
+	return Counters{Budget: b, Nth: nth}
 }
 
 // OpenHolds returns the open holds sorted by request.
--- a/core/record/parts.go
+++ b/core/record/parts.go
@@ -84,7 +84,7 @@
 	if sn.size() <= limit {
 		return []Message{sn}
 	}
-	c := cutter{head: Snapshot{Router: sn.Router, Term: sn.Term, Seq: sn.Seq}, limit: limit}
+	c := cutter{head: Snapshot{Router: sn.Router, Term: sn.Term, Seq: sn.Seq, Numbered: sn.Numbered}, limit: limit}
 	for i := range sn.Counters {
 		p := c.last(counterSize(&sn.Counters[i]))
 		p.Counters = append(p.Counters, sn.Counters[i])
--- a/core/record/property_test.go
+++ b/core/record/property_test.go
@@ -35,7 +35,12 @@
 	released []Entry
 	open     []ident.RequestID // released and not settled
 	requests int
-	returned ident.Tokens
+	nth      uint64                     // latest account of the budget
+	nthOf    map[ident.RequestID]uint64 // account of each hold
+	held     map[uint64]int             // open holds of each account
+	returned map[uint64]ident.Tokens
+	// forgotten lists the accounts with a Forget entry; a replica may lack the entry.
+	forgotten map[uint64]bool
 }
 
 var testLimits = Limits{Holds: 8, Budgets: 4, Recent: 4096, AnswerBytes: 4096, PendingBytes: 6 << 10, PartBytes: 2500}
@@ -61,11 +66,51 @@
 
 func (w *world) openHold(*rapid.T) {
 	w.requests++
-	h := Hold{Request: ident.RequestID(fmt.Sprint("q", w.requests)), Budget: "b", Tokens: 100, IdempotencyKey: Hash{byte(w.requests), byte(w.requests >> 8)}}
+	h := Hold{Request: ident.RequestID(fmt.Sprint("q", w.requests)), Budget: "b", Nth: w.nth, Tokens: 100, IdempotencyKey: Hash{byte(w.requests), byte(w.requests >> 8)}}
 	seq, err := w.j.Open(h)
+	if err == nil {
+		w.nthOf[h.Request] = h.Nth
+		w.held[h.Nth]++
+	}
 	w.appended(Entry{Open: &h}, seq, err)
 }
 
+// newAccount replaces the account of the budget while the old one may have open holds.
+func (w *world) newAccount(t *rapid.T) {
+	if rapid.IntRange(0, 2).Draw(t, "replace") != 0 || !w.known(w.nth) {
+		t.Skip("kept")
+	}
+	w.nth++
+}
+
+func (w *world) known(nth uint64) bool {
+	return !w.forgotten[nth] && (w.held[nth] > 0 || w.returned[nth] > 0 || slices.ContainsFunc(w.j.state.allCounters(),
+		func(c Counters) bool { return c.Nth == nth }))
+}
+
+func (w *world) forgetAccount(t *rapid.T) {
+	if w.nth == 0 {
+		t.Skip("one account")
+	}
+	nth := rapid.Uint64Range(0, w.nth-1).Draw(t, "account")
+	_, err := w.j.Forget(Forget{Budget: "b", Nth: nth})
+	var want error
+	switch {
+	case w.held[nth] > 0:
+		want = ErrHeld
+	case w.forgotten[nth]:
+		want = ErrNoCounters
+	default:
+		w.forgotten[nth] = true
+	}
+	if !errors.Is(err, want) {
+		t.Fatalf("forgetting account %d with %d holds gave %v", nth, w.held[nth], err)
+	}
+	if c := w.j.Counters("b", nth); err == nil && (c.Settled != 0 || c.Returned != 0 || c.Out != nil) {
+		t.Fatalf("a forgotten account has %+v", c)
+	}
+}
+
 func (w *world) settle(t *rapid.T) {
 	if len(w.open) == 0 {
 		t.Skip("none open")
@@ -74,6 +119,7 @@
 	s := Settlement{Request: w.open[i], Billed: 40, Outcome: ident.OutcomeRun, Answer: &Answer{Status: 200, Body: make([]byte, 300)}}
 	w.open = slices.Delete(w.open, i, i+1)
 	seq, err := w.j.Settle(s)
+	w.held[w.nthOf[s.Request]]--
 	w.appended(Entry{Settle: &s}, seq, err)
 	if _, err := w.j.Settle(s); !errors.Is(err, ErrNotOpen) {
 		t.Fatalf("second settlement gave %v", err)
@@ -81,9 +127,12 @@
 }
 
 func (w *world) raise(*rapid.T) {
-	w.returned += 10
-	c := Counters{Budget: "b", Returned: w.returned, Out: []Transfer{{"x.1", w.returned}}}
+	n := w.returned[w.nth] + 10
+	c := Counters{Budget: "b", Nth: w.nth, Returned: n, Out: []Transfer{{"x.1", n}}}
 	seq, err := w.j.Raise(c)
+	if err == nil {
+		w.returned[w.nth] = n
+	}
 	w.appended(Entry{Raise: &c}, seq, err)
 }
 
@@ -214,9 +263,12 @@
 }
 
 func (w *world) checkProof(r *Replica, p Proof) {
-	c := Counters{}
-	if len(p.Counters) > 0 {
-		c = p.Counters[0]
+	known := map[uint64]Counters{}
+	for _, c := range p.Counters {
+		known[c.Nth] = c
+		if c.Returned > w.returned[c.Nth] {
+			w.t.Fatalf("account %d has counters of another", c.Nth)
+		}
 	}
 	for _, e := range w.released {
 		switch {
@@ -229,6 +281,10 @@
 				w.t.Fatalf("proof without the released settlement %s", e.Settle.Request)
 			}
 		case e.Raise != nil:
+			c, ok := known[e.Raise.Nth]
+			if !ok && w.forgotten[e.Raise.Nth] {
+				continue
+			}
 			if c.Returned < e.Raise.Returned || c.Out[0].Tokens < e.Raise.Out[0].Tokens {
 				w.t.Fatal("proof without released counters")
 			}
@@ -240,35 +296,45 @@
 // become unresolved, because an operator could release them.
 func (w *world) checkKnown(rec Recovery) {
 	seen := map[ident.RequestID]bool{}
-	var billed, unresolved ident.Tokens
+	billed, unresolved := map[uint64]ident.Tokens{}, map[uint64]ident.Tokens{}
 	for _, b := range rec.Bills {
 		if seen[b.Request] {
 			w.t.Fatalf("two bills of %s", b.Request)
 		}
 		seen[b.Request] = true
-		billed += b.Billed
+		billed[w.nthOf[b.Request]] += b.Billed
 	}
 	for _, s := range rec.Settlements {
 		if seen[s.Request] {
 			w.t.Fatalf("%s is settled twice", s.Request)
 		}
 		seen[s.Request] = true
-		unresolved += s.Unresolved
+		unresolved[w.nthOf[s.Request]] += s.Unresolved
 	}
+	known := map[uint64]bool{}
 	for _, b := range rec.Known {
-		if b.Counters.Settled != billed || b.Unresolved != unresolved {
-			w.t.Fatalf("the close says %+v for %d billed and %d unresolved", b, billed, unresolved)
+		nth := b.Counters.Nth
+		known[nth] = true
+		if b.Counters.Settled != billed[nth] || b.Unresolved != unresolved[nth] {
+			w.t.Fatalf("the close says %+v for %d billed and %d unresolved", b, billed[nth], unresolved[nth])
+		}
+	}
+	for nth := range w.nth + 1 {
+		if !known[nth] && (unresolved[nth] > 0 || billed[nth] > 0 && !w.forgotten[nth]) {
+			w.t.Fatalf("account %d with %d billed and %d unresolved is missing", nth, billed[nth], unresolved[nth])
 		}
 	}
 }
 
 // TestPropertyProof guards against a proof that misses something released, against two proofs, and against a request
-// that is settled or billed twice, when messages are dropped, duplicated, delayed and reordered, peers are changed or
+// that is settled or billed twice, and against an account that is forgotten while a hold is open, whose counters pass to
+// the next account, or that is missing in the close, when messages are dropped, duplicated, delayed and reordered, peers are changed or
 // lose their replica, the router is cut off, and the VM list lags.
 func TestPropertyProof(t *testing.T) {
 	proofs := 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, now: time.Unix(1000, 0), j: New("r.1", testLimits)}
+		w := &world{t: t, now: time.Unix(1000, 0), j: New("r.1", testLimits), nthOf: map[ident.RequestID]uint64{},
+			held: map[uint64]int{}, returned: map[uint64]ident.Tokens{}, forgotten: map[uint64]bool{}}
 		for i := range w.peers {
 			w.forget(i)
 		}
@@ -281,6 +347,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"open": w.openHold, "settle": w.settle, "raise": w.raise, "release": w.release, "release again": w.release,
+			"new account": w.newAccount, "forget account": w.forgetAccount,
 			"pump": w.pump, "network": w.network, "network again": w.network, "late duplicate": w.lateDuplicate,
 			"exchange": w.exchange, "exchange again": w.exchange, "declare": w.declare, "declare again": w.declare,
 			"choose": func(t *rapid.T) {
--- a/core/record/prove.go
+++ b/core/record/prove.go
@@ -16,6 +16,8 @@
 	ReasonNeverConfirmed Reason = "never_confirmed"
 	// ReasonLearnedLate means that the death was learned after the coverage grace.
 	ReasonLearnedLate Reason = "learned_late"
+	// ReasonUnnumbered means that the router is of a release that does not number its accounts.
+	ReasonUnnumbered Reason = "unnumbered_accounts"
 )
 
 // Verdict is Proof or NotProvable.
@@ -50,6 +52,8 @@
 		return NotProvable{ReasonNeverConfirmed}
 	case r.goneAt.Sub(r.confirmed.at) >= Grace-ClockMargin:
 		return NotProvable{ReasonLearnedLate}
+	case !r.state.numbered:
+		return NotProvable{ReasonUnnumbered}
 	}
 	return Proof{Router: r.router, Declaration: d, Counters: r.state.allCounters(), Open: r.state.openHolds()}
 }
--- a/core/record/recover.go
+++ b/core/record/recover.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// BudgetClose is the proved state of one budget at a closed holder. The holder's unspent rest is
+// BudgetClose is the proved state of one account at a closed router. The holder's unspent rest is
 // granted + in - returned - settled - out - unresolved.
 type BudgetClose struct {
 	Counters   Counters     `json:"counters"`
@@ -74,8 +74,8 @@
 	// Bills covers the open holds with a known result. Bills of requests that the router settled are included, because
 	// the router may have died before it wrote them. Duplicates have the same identity and content.
 	Bills []Bill
-	// Known is what the journal has of each budget, open holds with a known result included. Without a proof it is a
-	// lower bound: the router may have released more. Budgets are sorted.
+	// Known is what the journal has of each account, open holds with a known result included. Without a proof it is a
+	// lower bound: the router may have released more. It is sorted by budget and account.
 	Known []BudgetClose
 	// Proof is nil when the coverage is not provable.
 	Proof  *CloseProof
@@ -89,20 +89,20 @@
 	for _, c := range r.state.recent.list() {
 		rec.Bills = append(rec.Bills, NewBill(r.router, c.Hold, c.Settlement))
 	}
-	billed := map[ident.BudgetID]ident.Tokens{}
-	unresolved := map[ident.BudgetID]ident.Tokens{}
+	billed := map[account]ident.Tokens{}
+	unresolved := map[account]ident.Tokens{}
 	for _, h := range r.state.openHolds() {
 		s, known := settle(h, results[h.Request], at)
 		rec.Settlements = append(rec.Settlements, s)
-		billed[h.Budget] += s.Billed
-		unresolved[h.Budget] += s.Unresolved
+		billed[h.account()] += s.Billed
+		unresolved[h.account()] += s.Unresolved
 		if known {
 			rec.Bills = append(rec.Bills, NewBill(r.router, h, s))
 		}
 	}
 	for _, c := range r.state.allCounters() {
-		c.Settled += billed[c.Budget]
-		rec.Known = append(rec.Known, BudgetClose{Counters: c, Unresolved: unresolved[c.Budget]})
+		c.Settled += billed[c.account()]
+		rec.Known = append(rec.Known, BudgetClose{Counters: c, Unresolved: unresolved[c.account()]})
 	}
 	switch v := v.(type) {
 	case NotProvable:
--- a/core/record/state.go
+++ b/core/record/state.go
@@ -1,6 +1,7 @@
 package record
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -18,15 +19,36 @@
 	ErrNotOpen = errors.New("request has no open hold")
 	// ErrInvalid reports an entry with impossible amounts or without content.
 	ErrInvalid = errors.New("invalid journal entry")
+	// ErrHeld reports an account that cannot be forgotten while one of its holds is open.
+	ErrHeld = errors.New("account has an open hold")
+	// ErrNoCounters reports an account that the journal does not know.
+	ErrNoCounters = errors.New("account has no counters")
 )
 
+// account names the account to which counters belong.
+type account struct {
+	budget ident.BudgetID
+	nth    uint64
+}
+
+func (h *Hold) account() account     { return account{h.Budget, h.Nth} }
+func (c *Counters) account() account { return account{c.Budget, c.Nth} }
+func (f *Forget) account() account   { return account{f.Budget, f.Nth} }
+
+// row holds the counters of an account and the number of its open holds.
+type row struct {
+	Counters
+	open int
+}
+
 // state is the effect of the entries up to seq. The router and its peer apply the same entries to it.
 type state struct {
 	lim      Limits
 	seq      uint64
 	holds    map[ident.RequestID]Hold
 	byKey    map[Hash]ident.RequestID
-	counters map[ident.BudgetID]*Counters
+	counters map[account]*row
+	numbered bool // see Snapshot
 	recent   recent
 }
 
@@ -35,7 +57,7 @@
 		lim:      lim,
 		holds:    map[ident.RequestID]Hold{},
 		byKey:    map[Hash]ident.RequestID{},
-		counters: map[ident.BudgetID]*Counters{},
+		counters: map[account]*row{},
 		recent:   newRecent(lim.Recent, lim.AnswerBytes),
 	}
 }
@@ -58,7 +80,9 @@
 			return fmt.Errorf("%w: settlement of %q", ErrInvalid, e.Settle.Request)
 		}
 	case e.Raise != nil:
-		return s.checkBudget(e.Raise.Budget)
+		return s.checkRoom(e.Raise.account())
+	case e.Forget != nil:
+		return s.checkForget(e.Forget)
 	default:
 		return ErrInvalid
 	}
@@ -75,16 +99,26 @@
 	if len(s.holds) >= s.lim.Holds {
 		return ErrFull
 	}
-	return s.checkBudget(h.Budget)
+	return s.checkRoom(h.account())
 }
 
-func (s *state) checkBudget(b ident.BudgetID) error {
-	if s.counters[b] == nil && len(s.counters) >= s.lim.Budgets {
+func (s *state) checkRoom(a account) error {
+	if s.counters[a] == nil && len(s.counters) >= s.lim.Budgets {
 		return ErrFull
 	}
 	return nil
 }
 
+func (s *state) checkForget(f *Forget) error {
+	switch c := s.counters[f.account()]; {
+	case c == nil:
+		return ErrNoCounters
+	case c.open > 0:
+		return ErrHeld
+	}
+	return nil
+}
+
 // apply must follow a check without error.
 func (s *state) apply(e *Entry) {
 	s.seq = e.Seq
@@ -101,10 +135,14 @@
 		if s.byKey[h.IdempotencyKey] == h.Request {
 			delete(s.byKey, h.IdempotencyKey)
 		}
-		s.budget(h.Budget).Settled += e.Settle.Billed
+		c := s.row(h.account())
+		c.open--
+		c.Settled += e.Settle.Billed
 		s.recent.add(Closed{Hold: h, Settlement: *e.Settle})
 	case e.Raise != nil:
-		merge(s.budget(e.Raise.Budget), e.Raise)
+		merge(&s.row(e.Raise.account()).Counters, e.Raise)
+	case e.Forget != nil:
+		delete(s.counters, e.Forget.account())
 	}
 }
 
@@ -113,14 +151,14 @@
 	if h.IdempotencyKey != (Hash{}) {
 		s.byKey[h.IdempotencyKey] = h.Request
 	}
-	s.budget(h.Budget)
+	s.row(h.account()).open++
 }
 
-func (s *state) budget(b ident.BudgetID) *Counters {
-	c := s.counters[b]
+func (s *state) row(a account) *row {
+	c := s.counters[a]
 	if c == nil {
-		c = &Counters{Budget: b}
-		s.counters[b] = c
+		c = &row{Counters: Counters{Budget: a.budget, Nth: a.nth}}
+		s.counters[a] = c
 	}
 	return c
 }
@@ -156,21 +194,21 @@
 	return hs
 }
 
-// allCounters returns copies of the counters sorted by budget.
+// allCounters returns copies of the counters sorted by budget and account.
 func (s *state) allCounters() []Counters {
 	cs := make([]Counters, 0, len(s.counters))
 	for _, c := range s.counters {
-		cp := *c
+		cp := c.Counters
 		cp.Out = slices.Clone(c.Out)
 		cp.In = slices.Clone(c.In)
 		cs = append(cs, cp)
 	}
-	slices.SortFunc(cs, func(a, b Counters) int { return strings.Compare(string(a.Budget), string(b.Budget)) })
+	slices.SortFunc(cs, func(a, b Counters) int { return cmp.Or(cmp.Compare(a.Budget, b.Budget), cmp.Compare(a.Nth, b.Nth)) })
 	return cs
 }
 
 func (s *state) snapshot() *Snapshot {
-	return &Snapshot{Seq: s.seq, Holds: s.openHolds(), Counters: s.allCounters(), Recent: s.recent.list()}
+	return &Snapshot{Seq: s.seq, Numbered: true, Holds: s.openHolds(), Counters: s.allCounters(), Recent: s.recent.list()}
 }
 
 // load replaces the state by a snapshot.
@@ -179,9 +217,9 @@
 		return ErrFull
 	}
 	n := newState(s.lim)
-	n.seq = sn.Seq
+	n.seq, n.numbered = sn.Seq, sn.Numbered
 	for i := range sn.Counters {
-		c := n.budget(sn.Counters[i].Budget)
+		c := &n.row(sn.Counters[i].account()).Counters
 		c.Settled = sn.Counters[i].Settled
 		merge(c, &sn.Counters[i])
 	}
--- a/core/record/types.go
+++ b/core/record/types.go
@@ -20,6 +20,8 @@
 	Request ident.RequestID `json:"request_id"`
 	Org     ident.OrgID     `json:"org"`
 	Budget  ident.BudgetID  `json:"budget"`
+	// Nth numbers the account of the budget that has the tokens, see Counters.
+	Nth     uint64          `json:"nth,omitempty"`
 	Key     ident.KeyID     `json:"key"`
 	Model   ident.ModelID   `json:"model,omitempty"`
 	Service ident.ServiceID `json:"service,omitempty"`
@@ -63,8 +65,12 @@
 }
 
 // Counters are the cumulative escrow counters of one budget at one holder. Out and In are sorted by router.
+//
+// Nth numbers the accounts that the router opened on the budget, from 0. Each is a holder of its own, whose counters
+// start at zero.
 type Counters struct {
 	Budget   ident.BudgetID `json:"budget"`
+	Nth      uint64         `json:"nth,omitempty"`
 	Settled  ident.Tokens   `json:"settled"`
 	Returned ident.Tokens   `json:"returned"`
 	Out      []Transfer     `json:"out,omitempty"`
@@ -77,6 +83,12 @@
 	Target  ident.TargetID  `json:"target"`
 }
 
+// Forget drops the counters of an account whose row the platform has closed.
+type Forget struct {
+	Budget ident.BudgetID `json:"budget"`
+	Nth    uint64         `json:"nth,omitempty"`
+}
+
 // Entry is one change of the journal. Exactly one of the pointers is set.
 type Entry struct {
 	Seq      uint64      `json:"seq"`
@@ -84,6 +96,7 @@
 	Retarget *Retarget   `json:"retarget,omitempty"`
 	Settle   *Settlement `json:"settle,omitempty"`
 	Raise    *Counters   `json:"raise,omitempty"`
+	Forget   *Forget     `json:"forget,omitempty"`
 }
 
 // Closed is a settled request that is kept for lookups.
@@ -115,12 +128,14 @@
 
 // Snapshot carries the whole state up to Seq.
 type Snapshot struct {
-	Router   ident.RouterID `json:"router"`
-	Term     uint64         `json:"term"`
-	Seq      uint64         `json:"seq"`
-	Holds    []Hold         `json:"holds,omitempty"`
-	Counters []Counters     `json:"counters,omitempty"`
-	Recent   []Closed       `json:"recent,omitempty"`
+	Router ident.RouterID `json:"router"`
+	Term   uint64         `json:"term"`
+	Seq    uint64         `json:"seq"`
+	// Numbered says that the router numbers its accounts. Without it, an account without counters may have spent.
+	Numbered bool       `json:"numbered,omitempty"`
+	Holds    []Hold     `json:"holds,omitempty"`
+	Counters []Counters `json:"counters,omitempty"`
+	Recent   []Closed   `json:"recent,omitempty"`
 }
 
 // SnapshotPart is one part of a snapshot that is too large for one message. The replica applies the parts when it has
@@ -159,7 +174,8 @@
 
 // Limits bounds the memory of a Journal or Replica.
 type Limits struct {
-	Holds   int
+	Holds int
+	// Budgets is the number of accounts whose counters are kept.
 	Budgets int
 	// Recent is the number of settled requests kept for lookups.
 	Recent int
@@ -173,5 +189,5 @@
 
 // DefaultLimits returns the limits of a small entry VM.
 func DefaultLimits() Limits {
-	return Limits{Holds: 16384, Budgets: 18000, Recent: 4096, AnswerBytes: 4 << 20, PendingBytes: 4 << 20}
+	return Limits{Holds: 16384, Budgets: 20000, Recent: 4096, AnswerBytes: 4 << 20, PendingBytes: 4 << 20}
 }
--- a/io/node/capacity_test.go
+++ b/io/node/capacity_test.go
@@ -32,7 +32,7 @@
 	platform *fakestore.Server
 }
 
-func newBench(b *testing.B) *bench {
+func newBench(b testing.TB) *bench {
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC))
 	platform := fakestore.New(fakestore.Config{}, clock)
 	srv := httptest.NewServer(platform)
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumsaddle/core/claim"
-	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/queue"
 	"geraniumsaddle/core/target"
@@ -35,7 +34,7 @@
 	n   *Node
 	r   caller.ChatRequest
 	w   caller.ChatWriter
-	res escrow.Reservation
+	res reservation
 
 	need     ident.Tokens
 	prompt   ident.Tokens
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -87,7 +87,11 @@
 
 // closeHolder closes the row of one account and reports whether nothing of it is left.
 func (n *Node) closeHolder(ctx context.Context, a *account) bool {
-	if a.Report().Open == 0 || a.Closed() {
+	if a.Closed() {
+		n.journal.forget(a)
+		return true
+	}
+	if a.Report().Open == 0 {
 		return true
 	}
 	if len(a.Unacked()) > 0 {
@@ -97,18 +101,25 @@
 	if !ok {
 		return false
 	}
+	closed := false
 	r := n.writers.update(ctx, a.shard, func(s escrow.Shard) (escrow.Shard, bool) {
+		closed = false
 		known := s.Entry(a.Entry())
 		if known == nil {
 			return s, false
 		}
 		e := known.Clone()
 		changed, err := e.Close(p)
+		// Opened tells a shard from after the row was closed from a cached one from before it was opened.
+		closed = err == nil && (changed || e.Opened >= p.Open)
 		if err != nil || !changed {
 			return s, false
 		}
 		return s.With(e), true
 	})
+	if r.err == nil && closed {
+		n.journal.forget(a)
+	}
 	return r.err == nil
 }
 
--- a/io/node/journal.go
+++ b/io/node/journal.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,8 +20,9 @@
 // ErrUncovered marks an entry that the journal peer has not acknowledged in time.
 var ErrUncovered = errors.New("journal peer has not acknowledged")
 
-// journalLimits keeps a snapshot below the largest peer message.
-var journalLimits = record.Limits{Holds: 1024, Budgets: 2048, Recent: 512, AnswerBytes: 4 << 20, PendingBytes: 2 << 20}
+// journalLimits covers 18,000 budgets with limits and slots beside them, and more running requests than a small VM
+// serves.
+var journalLimits = record.Limits{Holds: 16384, Budgets: 20000, Recent: 512, AnswerBytes: 4 << 20, PendingBytes: 2 << 20}
 
 // journal keeps this router's holds at its journal peer. Traffic goroutines append; the control goroutine chooses the
 // peer.
@@ -29,6 +32,9 @@
 	mu  sync.Mutex
 	j   *record.Journal
 	ack escrow.Signal
+	// closed lists accounts that are closed on the platform and have an open hold in the journal. The reservation of a
+	// request ends shortly before its hold.
+	closed []record.Forget
 
 	// The following belong to the control goroutine.
 	choosing  ident.RouterID
@@ -76,6 +82,40 @@
 	k.flush()
 }
 
+// forget drops the counters of an account that is closed on the platform.
+func (k *journal) forget(a *account) {
+	k.mu.Lock()
+	k.closed = append(k.closed, record.Forget{Budget: ident.BudgetID(a.Entry()), Nth: accountNumber(a.Holder())})
+	k.mu.Unlock()
+	k.forgetClosed()
+}
+
+// forgetClosed drops the counters of closed accounts whose holds have ended.
+func (k *journal) forgetClosed() {
+	k.mu.Lock()
+	k.closed = slices.DeleteFunc(k.closed, func(f record.Forget) bool {
+		_, err := k.j.Forget(f)
+		return !errors.Is(err, record.ErrHeld)
+	})
+	k.mu.Unlock()
+	k.flush()
+}
+
+// accountNumber returns the number in the identity of a holder, see escrow.NewHolderID.
+func accountNumber(h escrow.HolderID) uint64 {
+	_, s, _ := strings.Cut(string(h), "/")
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0 // The first account of an entry has no number.
+	}
+	return n
+}
+
+// counters returns the journal's identity of an account, without amounts.
+func (a *account) counters() record.Counters {
+	return record.Counters{Budget: ident.BudgetID(a.Entry()), Nth: accountNumber(a.Holder())}
+}
+
 func (k *journal) append(ctx context.Context, add func() (uint64, error)) error {
 	k.mu.Lock()
 	seq, err := add()
@@ -169,6 +209,7 @@
 		k.confirm()
 		return
 	}
+	k.forgetClosed()
 	want := k.preferred(current.Peer)
 	switch {
 	case k.choosing != "" && ready:
--- /dev/null
+++ b/io/node/journal_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/record"
+	"geraniumsaddle/io/peer"
+)
+
+// fullJournal returns a journal at its limits: holds, budgets and recent requests.
+func fullJournal(tb testing.TB, budgets, holds int) *record.Journal {
+	at := time.Unix(1_796_342_400, 123456789).UTC()
+	j := record.New("router-001.1796342400000", journalLimits)
+	for i := range budgets + holds {
+		h := record.Hold{Request: ident.RequestID(fmt.Sprintf("req_%032d", i)), Org: "org-00001", Budget: ident.BudgetID(fmt.Sprintf("budget-%05d", i%budgets)),
+			Key: "key-1", Model: "chat", Version: "chat-v1", Target: "engine-0001", Tokens: 1000, IdempotencyKey: record.Hash{1, byte(i), byte(i >> 8)},
+			Body: record.Hash{2}, At: at}
+		_, err := j.Open(h)
+		if err == nil && i < budgets {
+			_, err = j.Settle(record.Settlement{Request: h.Request, PromptTokens: 300, OutputTokens: 350, Billed: 650, Outcome: ident.OutcomeRun, At: at})
+		}
+		if err != nil {
+			tb.Fatalf("the journal refuses request %d: %v", i, err)
+		}
+	}
+	return j
+}
+
+// TestSnapshotMessages guards against a snapshot at the limits that does not fit the messages between peers, or that
+// differs after it was encoded.
+func TestSnapshotMessages(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := fullJournal(t, journalLimits.Budgets, journalLimits.Holds)
+	r := record.NewReplica("p.1", "router-001.1796342400000", 9, journalLimits)
+	is.NoErr(j.Choose("p.1"))
+	parts := 0
+	for !j.Ready() {
+		out := j.Outbox(now)
+		is.True(len(out) > 0) // the transfer goes on
+		for _, o := range out {
+			part, ok := o.Message.(*record.SnapshotPart)
+			is.True(ok)
+			raw, err := peer.Encode("router-001.1796342400000", peer.JournalAppend{Part: part})
+			is.NoErr(err)
+			is.True(len(raw) <= 256<<10)
+			env, err := peer.Decode(raw)
+			is.NoErr(err)
+			ack, ok := r.Apply(env.Msg.(peer.JournalAppend).Part, now)
+			is.True(ok)
+			parts++
+			j.Ack(ack, now)
+		}
+	}
+	is.Equal(r.OpenHolds(), j.OpenHolds())
+	t.Logf("%d parts", parts)
+}
+
+// TestForgetClosed guards against counters that are kept after the platform has closed their account, that are dropped
+// while a hold is open or before the row is closed, or that pass to the next account of the budget.
+func TestForgetClosed(t *testing.T) {
+	is := is.New(t)
+	n := newBench(t)
+	ctx := context.Background()
+	open := func() *account {
+		a := n.accounts.open("b", nil)
+		e := escrow.Entry{ID: "b", Paid: 1000, Opened: 1 + accountNumber(a.Holder()),
+			Holders: []escrow.Holder{{ID: a.Holder(), Open: 1 + accountNumber(a.Holder()), Seq: 1, Granted: 500}}}
+		a.ApplyEntry(1, &e, n.clock.Now())
+		// The writer's copy is older than the row, so the first close finds nothing to do.
+		n.writers.observe(a.shard, escrow.NewShard().With(escrow.Entry{ID: "b", Paid: 1000, Opened: e.Opened - 1}), 1)
+		is.True(a.Hold(100))
+		_, err := n.journal.j.Open(record.Hold{Request: ident.RequestID(a.Holder()), Budget: "b", Nth: accountNumber(a.Holder()), Tokens: 100})
+		is.NoErr(err)
+		a.Leave()
+		_, _ = a.Settle(100, 40)
+		is.True(n.closeHolder(ctx, a))
+		is.Equal(len(n.journal.closed), 0) // not closed
+		r := n.writers.update(ctx, a.shard, func(s escrow.Shard) (escrow.Shard, bool) { return s.With(e), true })
+		is.NoErr(r.err)
+		is.True(n.closeHolder(ctx, a))
+		is.Equal(len(n.journal.closed), 1) // waits for the hold
+		return a
+	}
+	for nth := range uint64(2) {
+		a := open()
+		is.Equal(a.Holder(), escrow.NewHolderID(n.id, nth))
+		is.Equal(accountNumber(a.Holder()), nth)
+		is.Equal(n.journal.j.Counters("b", nth).Settled, ident.Tokens(0)) // starts at zero
+		n.journal.settle(record.Settlement{Request: ident.RequestID(a.Holder()), Billed: 40, Outcome: ident.OutcomeRun})
+		is.Equal(n.journal.j.Counters("b", nth).Settled, ident.Tokens(40))
+		n.journal.forgetClosed()
+		is.Equal(len(n.journal.closed), 0)
+		is.Equal(n.journal.j.Counters("b", nth), record.Counters{Budget: "b", Nth: nth})
+		n.accounts.drop(a)
+	}
+}
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -105,7 +105,7 @@
 
 // recoverRouter settles the open requests of a dead router and closes its holders.
 func (n *Node) recoverRouter(ctx context.Context, id ident.RouterID, replica *record.Replica) {
-	c := &closing{n: n, id: id, known: make(map[escrow.EntryID]record.BudgetClose), reason: reasonNoJournal}
+	c := &closing{n: n, id: id, known: make(map[rowID]record.BudgetClose), reason: reasonNoJournal}
 	for {
 		rows, err := c.rows(ctx)
 		if err == nil {
@@ -143,8 +143,14 @@
 	proof    bool
 	declared ident.RouterID
 	reason   string
-	// known is what the journal has of each entry; it is complete when proof is set.
-	known map[escrow.EntryID]record.BudgetClose
+	// known is what the journal has of each row; it is complete when proof is set.
+	known map[rowID]record.BudgetClose
+}
+
+// rowID names the row of a holder in an entry.
+type rowID struct {
+	entry  escrow.EntryID
+	holder escrow.HolderID
 }
 
 // shardRows is a shard with the holders of a dead router in it.
@@ -222,7 +228,7 @@
 		// The slots of an unproved router are judged by the rows alone. The bills of the journal stand in any case, so
 		// what they settle must not become unresolved and be released a second time.
 		if c.proof || !isSlot(id) {
-			c.known[id] = b
+			c.known[rowID{id, escrow.NewHolderID(c.id, b.Counters.Nth)}] = b
 		}
 	}
 }
@@ -328,7 +334,7 @@
 
 // proofOf returns what is proved of one row.
 func (c *closing) proofOf(e *escrow.Entry, h escrow.Holder) escrow.Proof {
-	b := c.known[e.ID]
+	b := c.known[rowID{e.ID, h.ID}]
 	p := escrow.Proof{
 		Holder: h.ID, Open: h.Open, Settled: b.Counters.Settled, Returned: b.Counters.Returned,
 		In: sum(b.Counters.In), Out: sum(b.Counters.Out), Reason: c.reason,
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -81,27 +81,44 @@
 	return caller.Identity{Org: row.org, Key: row.key.ID, Class: class}, nil
 }
 
+// reservation is a reservation with the account that has its tokens.
+type reservation struct {
+	escrow.Reservation
+	nth uint64 // number of the account of the budget at this router
+}
+
+// reserved adds the number of the account to a reservation of the wallet.
+func reserved(w *escrow.Wallet, res escrow.Reservation) reservation {
+	for i := range w.Budgets {
+		if b := &w.Budgets[i]; b.Budget == res.Budget {
+			return reservation{res, accountNumber(b.Account.Holder())}
+		}
+	}
+	return reservation{Reservation: res}
+}
+
 // reserve holds tokens for a request. It waits a bounded time for settlements, transfers and refills.
-func (n *Node) reserve(ctx context.Context, who caller.Identity, need ident.Tokens) (escrow.Reservation, error) {
+func (n *Node) reserve(ctx context.Context, who caller.Identity, need ident.Tokens) (reservation, error) {
 	w := n.accounts.wallet(n.view.Load(), who.Org)
 	if res, ok := w.Hold(who.Key, who.Class, need); ok {
-		return res, nil
+		return reserved(w, res), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.BudgetWait)
 	defer cancel()
 	res, err := w.HoldWait(ctx, who.Key, who.Class, need)
 	if next := n.accounts.wallet(n.view.Load(), who.Org); err != nil && next != w {
 		// An account of the wallet was closed in between, because it was idle or by recovery.
-		res, err = next.HoldWait(ctx, who.Key, who.Class, need)
+		w = next
+		res, err = w.HoldWait(ctx, who.Key, who.Class, need)
 	}
 	if err == nil {
-		return res, nil
+		return reserved(w, res), nil
 	}
 	var ref *escrow.Refusal
 	if !errors.As(err, &ref) {
-		return escrow.Reservation{}, err
+		return reservation{}, err
 	}
-	return escrow.Reservation{}, n.budgetRefusal(ref, need)
+	return reservation{}, n.budgetRefusal(ref, need)
 }
 
 // budgetRefusal says what was missing. Tokens that other routers hold, or that the platform has but does not answer
--- a/io/node/transfer.go
+++ b/io/node/transfer.go
@@ -72,7 +72,8 @@
 // send journals a transfer and then sends it. Without the journal, a proof after this router's death could give the
 // same tokens back to the platform.
 func (t *transfers) send(a *account, out escrow.Transfer) {
-	c := record.Counters{Budget: ident.BudgetID(a.Entry()), Out: []record.Transfer{{Router: ident.RouterID(out.To), Tokens: out.Total}}}
+	c := a.counters()
+	c.Out = []record.Transfer{{Router: ident.RouterID(out.To), Tokens: out.Total}}
 	t.n.spawn(func(ctx context.Context) {
 		if err := t.n.journal.raise(ctx, c); err == nil {
 			t.n.sendTo(out.To.Router(), peer.Transfer{Transfer: out})
@@ -86,7 +87,8 @@
 	if a == nil || a.Holder() != m.To || m.From.Router() != from.ID || !a.TransferIn(m.From, m.Total) {
 		return
 	}
-	c := record.Counters{Budget: ident.BudgetID(a.Entry()), In: []record.Transfer{{Router: ident.RouterID(m.From), Tokens: m.Total}}}
+	c := a.counters()
+	c.In = []record.Transfer{{Router: ident.RouterID(m.From), Tokens: m.Total}}
 	t.n.journal.note(c)
 	t.n.send(from.Addr, peer.TransferAck(m))
 }
