--- a/core/record/capacity_test.go
+++ b/core/record/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -30,18 +31,21 @@
 			if err := j.Choose("p.1"); err != nil {
 				b.Fatal(err)
 			}
-			out := j.Outbox(t0)
+			out := transfer(b, j, t0)
 			size := 0
 			for b.Loop() {
 				r := NewReplica("p.1", "router-001.1796342400000", 9, DefaultLimits())
-				for _, o := range out {
-					if _, ok := r.Apply(o.Message, t0); !ok {
-						b.Fatal("the replica did not apply the snapshot")
+				for _, m := range out {
+					if _, ok := r.Apply(m, t0); !ok {
+						b.Fatal("the replica refused a message")
 					}
 				}
+				if !r.loaded {
+					b.Fatal("the replica did not apply the snapshot")
+				}
 			}
-			for _, o := range out {
-				raw, err := cbor.Marshal(o.Message)
+			for _, m := range out {
+				raw, err := cbor.Marshal(m)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -84,3 +88,158 @@
 		})
 	}
 }
+
+// transfer returns the messages by which the chosen peer p.1 gets the state.
+func transfer(b *testing.B, j *Journal, now time.Time) []Message {
+	r := NewReplica("p.1", j.router, 9, DefaultLimits())
+	var ms []Message
+	for !j.Ready() {
+		out := j.Outbox(now)
+		if len(out) == 0 {
+			b.Fatal("the transfer stops")
+		}
+		for _, o := range out {
+			a, _ := r.Apply(o.Message, now)
+			j.Ack(a, now)
+			ms = append(ms, o.Message)
+		}
+	}
+	return ms
+}
+
+// budgetSteps are the numbers of budgets of the benchmarks below: the former limit of the journal, a step between and
+// all budgets in two years.
+var budgetSteps = []int{2048, 8192, 18_000}
+
+// used returns a journal whose router has used budgets, of which none has an open hold.
+func used(b *testing.B, budgets int) *Journal {
+	j := New("router-001.1796342400000", DefaultLimits())
+	for i := range budgets {
+		if _, err := j.Raise(Counters{Budget: ident.BudgetID(fmt.Sprintf("budget-%05d", i)), Returned: 1000,
+			Out: []Transfer{{"router-002.1796342400000", 123_456}}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return j
+}
+
+// BenchmarkBudgetsAppend is a hold, its release and its settlement, with the exchange of both, on one of many budgets.
+func BenchmarkBudgetsAppend(b *testing.B) {
+	for _, n := range budgetSteps {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) {
+			now := time.Unix(1_796_342_400, 0)
+			p := &pair{j: used(b, n), r: NewReplica("p.1", "router-001.1796342400000", 9, DefaultLimits())}
+			if err := p.j.Choose("p.1"); err != nil {
+				b.Fatal(err)
+			}
+			for !p.j.Ready() {
+				p.exchange(now)
+			}
+			d, _ := p.j.BeginDeclare()
+			p.j.Declared(d)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				h := Hold{Request: ident.RequestID(fmt.Sprintf("req_%032d", i)), Budget: ident.BudgetID(fmt.Sprintf("budget-%05d", i%n)), Tokens: 100}
+				seq, err := p.j.Open(h)
+				p.exchange(now)
+				if err != nil || !p.j.Release(seq, now).OK {
+					b.Fatalf("not released: %v", err)
+				}
+				if _, err := p.j.Settle(Settlement{Request: h.Request, Billed: 50, Outcome: ident.OutcomeRun}); err != nil {
+					b.Fatal(err)
+				}
+				p.exchange(now)
+			}
+		})
+	}
+}
+
+// BenchmarkBudgetsSnapshot is the first call of Outbox for a new peer, during which the journal is locked. It reports
+// the encoded size of the snapshot and the largest of its messages.
+func BenchmarkBudgetsSnapshot(b *testing.B) {
+	for _, n := range budgetSteps {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) {
+			now := time.Unix(1_796_342_400, 0)
+			j := used(b, n)
+			for b.Loop() {
+				if err := j.Choose("p.1"); err != nil {
+					b.Fatal(err)
+				}
+				j.Outbox(now)
+			}
+			if err := j.Choose("p.1"); err != nil {
+				b.Fatal(err)
+			}
+			ms := transfer(b, j, now)
+			size, largest := 0, 0
+			for _, m := range ms {
+				raw, err := cbor.Marshal(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size += len(raw)
+				largest = max(largest, len(raw))
+			}
+			b.ReportMetric(float64(size), "snapshot-B")
+			b.ReportMetric(float64(largest), "largest-B")
+			b.ReportMetric(float64(len(ms)), "messages")
+		})
+	}
+}
+
+// BenchmarkBudgetsReplica reports the heap of a replica, and the heap that is added while it collects a newer snapshot.
+func BenchmarkBudgetsReplica(b *testing.B) {
+	for _, n := range budgetSteps {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) {
+			now := time.Unix(1_796_342_400, 0)
+			j := used(b, n)
+			var encoded [2][][]byte
+			for i := range encoded {
+				if err := j.Choose("p.1"); err != nil {
+					b.Fatal(err)
+				}
+				for _, m := range transfer(b, j, now) {
+					raw, err := cbor.Marshal(m)
+					if err != nil {
+						b.Fatal(err)
+					}
+					encoded[i] = append(encoded[i], raw)
+				}
+			}
+			var loaded, collecting uint64
+			for b.Loop() {
+				start := heap()
+				r := NewReplica("p.1", j.router, 9, DefaultLimits())
+				receive(b, r, encoded[0], now)
+				loaded = heap() - start
+				receive(b, r, encoded[1][:len(encoded[1])-1], now)
+				collecting = heap() - start - loaded
+				if !r.loaded {
+					b.Fatal("the replica did not apply the snapshot")
+				}
+			}
+			b.ReportMetric(float64(loaded), "replica-B")
+			b.ReportMetric(float64(collecting), "collecting-B")
+		})
+	}
+}
+
+// receive decodes messages, so that the replica shares no memory with the journal, and applies them.
+func receive(b *testing.B, r *Replica, encoded [][]byte, now time.Time) {
+	for _, raw := range encoded {
+		var p SnapshotPart
+		if err := cbor.Unmarshal(raw, &p); err != nil {
+			b.Fatal(err)
+		}
+		if _, ok := r.Apply(&p, now); !ok {
+			b.Fatal("the replica refused a part")
+		}
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
