Test the proof of numbered accounts and of earlier releases

Change: TestProofOfAccount checks that a row is closed with the counters of its own account, and TestGoneWithinGrace that a router of a release that does not number accounts gets no proof. closing.judge hands the rows to closing.keep, so that the test needs no platform.

--- a/core/record/journal_test.go
+++ b/core/record/journal_test.go
@@ -59,8 +59,8 @@
 	is.Equal(p.r.Gone(p.d, t0.Add(Grace+3*time.Second)), NotProvable{ReasonLearnedLate})
 }
 
-// TestGoneWithinGrace guards against a proof after the grace, from a peer that the ledger does not name, or without a
-// confirmation, and against its absence when all is covered.
+// TestGoneWithinGrace guards against a proof after the grace, from a peer that the ledger does not name, without a
+// confirmation, or for a router that does not number its accounts, and against its absence when all is covered.
 func TestGoneWithinGrace(t *testing.T) {
 	is := is.New(t)
 	t0 := time.Unix(1000, 0)
@@ -87,6 +87,10 @@
 	fresh := NewReplica("p.1", "r.1", 1, DefaultLimits())
 	fresh.Apply(&Snapshot{Router: "r.1", Term: 1}, t0)
 	is.Equal(fresh.Gone(Declaration{"p.1", 1}, t0), NotProvable{ReasonNeverConfirmed})
+	earlier := NewReplica("p.1", "r.1", 1, DefaultLimits())
+	a, _ := earlier.Apply(&Snapshot{Router: "r.1", Term: 1}, t0)
+	earlier.Apply(&Append{Router: "r.1", Term: 1, Instance: 1, Confirm: a.Number}, t0)
+	is.Equal(earlier.Gone(Declaration{"p.1", 1}, t0), NotProvable{ReasonUnnumbered})
 }
 
 // TestRecoverOutcomes guards against a bill above the hold, a not_run that is not certain, and an unknown request whose
--- a/io/node/journal_test.go
+++ b/io/node/journal_test.go
@@ -102,3 +102,33 @@
 		n.accounts.drop(a)
 	}
 }
+
+// TestProofOfAccount guards against a row that is closed with the counters of another account of the same router.
+func TestProofOfAccount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j, r := record.New("r.1", journalLimits), record.NewReplica("p.1", "r.1", 9, journalLimits)
+	is.NoErr(j.Choose("p.1"))
+	for nth := range uint64(3) {
+		id := ident.RequestID(fmt.Sprint("q", nth))
+		_, err := j.Open(record.Hold{Request: id, Budget: "b", Nth: nth, Tokens: 100})
+		is.NoErr(err)
+		_, err = j.Settle(record.Settlement{Request: id, Billed: ident.Tokens(10 + nth), Outcome: ident.OutcomeRun})
+		is.NoErr(err)
+	}
+	_, err := j.Forget(record.Forget{Budget: "b", Nth: 1})
+	is.NoErr(err)
+	for _, o := range j.Outbox(now) {
+		_, ok := r.Apply(o.Message, now)
+		is.True(ok)
+	}
+	c := &closing{id: "r.1", proof: true, declared: "p.1#.1", known: make(map[rowID]record.BudgetClose)}
+	c.keep(r.Recover(record.NotProvable{}, nil, now).Known)
+	settled := func(nth uint64) ident.Tokens {
+		h := escrow.Holder{ID: escrow.NewHolderID("r.1", nth), Open: 1, JournalPeer: c.declared}
+		p := c.proofOf(&escrow.Entry{ID: "b", Holders: []escrow.Holder{h}}, h)
+		is.True(p.Complete)
+		return p.Settled
+	}
+	is.Equal([]ident.Tokens{settled(0), settled(1), settled(2)}, []ident.Tokens{10, 0, 12})
+}
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -223,7 +223,12 @@
 	}
 	c.reason = string(rec.Reason)
 	c.proof = rec.Proof != nil
-	for _, b := range rec.Known {
+	c.keep(rec.Known)
+}
+
+// keep takes over what the journal has of each row.
+func (c *closing) keep(known []record.BudgetClose) {
+	for _, b := range known {
 		id := escrow.EntryID(b.Counters.Budget)
 		// The slots of an unproved router are judged by the rows alone. The bills of the journal stand in any case, so
 		// what they settle must not become unresolved and be released a second time.
