--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"geraniumsaddle/core/escrow"
@@ -95,7 +96,11 @@
 func (n *Node) closeShard(ctx context.Context, k object.Key, accts []*account) (left []*account) {
 	var proofs []accountProof
 	for _, a := range accts {
-		if a.Report().Open == 0 || a.Closed() {
+		if a.Closed() {
+			n.journal.forget(a)
+			continue
+		}
+		if a.Report().Open == 0 {
 			continue
 		}
 		if len(a.Unacked()) > 0 {
@@ -112,13 +117,7 @@
 	if len(proofs) == 0 {
 		return left
 	}
-	r := n.writers.update(ctx, k, func(s escrow.Shard) (escrow.Shard, bool) { return closeRows(s, proofs) })
-	if r.err != nil {
-		for _, p := range proofs {
-			left = append(left, p.account)
-		}
-	}
-	return left
+	return append(left, n.closeProved(ctx, k, proofs)...)
 }
 
 // accountProof is the closing statement of an account.
@@ -127,19 +126,49 @@
 	proof   escrow.Proof
 }
 
-func closeRows(s escrow.Shard, proofs []accountProof) (escrow.Shard, bool) {
-	changed := false
+// closeProved closes rows by one update and returns the accounts whose rows are not known to be closed.
+func (n *Node) closeProved(ctx context.Context, k object.Key, proofs []accountProof) (left []*account) {
+	var open []accountProof
+	r := n.writers.update(ctx, k, func(s escrow.Shard) (next escrow.Shard, changed bool) {
+		next, open, changed = closeRows(s, proofs)
+		return next, changed
+	})
+	if r.err != nil {
+		open = proofs
+	}
+	for _, p := range open {
+		left = append(left, p.account)
+	}
+	if r.err == nil && len(open) > 0 {
+		n.writers.forget(k) // The cached shard predates a row.
+	}
+	for _, p := range proofs {
+		if !slices.Contains(left, p.account) {
+			n.journal.forget(p.account)
+		}
+	}
+	return left
+}
+
+// closeRows closes the rows of a shard that the proofs name and returns the proofs whose rows it does not show yet.
+func closeRows(s escrow.Shard, proofs []accountProof) (next escrow.Shard, open []accountProof, changed bool) {
 	for _, p := range proofs {
 		known := s.Entry(p.account.Entry())
 		if known == nil {
+			open = append(open, p)
 			continue
 		}
 		e := known.Clone()
-		if ok, err := e.Close(p.proof); ok && err == nil {
+		ok, err := e.Close(p.proof)
+		switch {
+		case err == nil && ok:
 			s, changed = s.With(e), true
+		case err != nil || e.Opened < p.proof.Open:
+			// Opened tells a shard from after the row was closed from one before it was opened.
+			open = append(open, p)
 		}
 	}
-	return s, changed
+	return s, open, changed
 }
 
 // giveToPeer sends free tokens to a router of the own failure domain when the platform does not take them back.
