Remove the stream window and account the memory that streams hold

Cause: the router copies directly and never used core/stream.Window.

Change: Window and its tests are removed; the checks of chunks are in io/engine and keep their tests there. The limiter accounts 117 KB for an open stream and 53 KB for a suspended one.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,8 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+	go build -o bench/ ./cmd/geraniumsaddle ./cmd/loadtest
+	bench/loadtest --binary bench/geraniumsaddle
 
 soak:
 	go test -run 'Property|Soak' ./core/... -rapid.checks=20000
--- a/core/stream/example_test.go
+++ b/core/stream/example_test.go
@@ -1,23 +1,21 @@
 package stream_test
 
 import (
+	"errors"
 	"fmt"
-	"time"
 
 	"geraniumsaddle/core/stream"
 )
 
-func ExampleWindow() {
-	now := time.Unix(0, 0)
-	w := stream.NewWindow("r1", 0)
-	fmt.Println(w.Push(stream.Chunk{Request: "r1", Data: []byte("hello")}, now))
-	fmt.Println(w.Push(stream.Chunk{Request: "r2", Offset: 1, Data: []byte("x")}, now))
-	fmt.Println(w.Push(stream.Chunk{Request: "r1", Offset: 3, Data: []byte("x")}, now))
-	b, ok := w.Pop(nil)
-	fmt.Println(string(b), ok, w.End("r1", 1), w.Complete())
+func ExampleLimiter() {
+	l := stream.NewLimiter(100, 150)
+	fmt.Println(l.Reserve("a", 80), l.Reserve("b", 60))
+	var limit *stream.LimitError
+	fmt.Println(errors.As(l.Reserve("a", 30), &limit), limit.Limit)
+	l.Release("a", 80)
+	fmt.Println(l.Reserve("a", 30), l.Used())
 	// Output:
-	// <nil>
-	// chunk belongs to another request
-	// chunk 3 arrived where 1 was expected
-	// hello true <nil> true
+	// <nil> <nil>
+	// true 150
+	// <nil> 90
 }
--- a/core/stream/limiter.go
+++ b/core/stream/limiter.go
@@ -1,3 +1,5 @@
+// Package stream bounds the memory that the streams of callers hold, for each organisation and for the process. It does
+// no I/O and reads no clock.
 package stream
 
 import (
--- a/io/caller/chatw.go
+++ b/io/caller/chatw.go
@@ -57,8 +57,9 @@
 	}
 }
 
-// flushBytes is the amount of buffered data at which Chunk writes without waiting for Flush.
-const flushBytes = 4 << 10
+// flushBytes is the amount of buffered data at which Chunk writes without waiting for Flush. net/http collects writes
+// below 4 KB, so a smaller buffer costs no further system calls.
+const flushBytes = 2 << 10
 
 func (s *sseWriter) Begin(id ident.RequestID) error {
 	h := s.w.Header()
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -26,8 +26,10 @@
 	chatRoute  = "chat/completions"
 	// endWait is the time after the request's deadline in which the error that ends its stream is written.
 	endWait = 2 * time.Second
-	// streamBytes is the memory that a stream of a caller keeps: the buffers of both connections and of the decoder.
-	streamBytes ident.Bytes = 24 << 10
+	// callerBytes is the resident memory that a stream keeps while it is suspended: the caller's connection with its
+	// goroutines, and the request. targetBytes is what an open stream of the target adds.
+	callerBytes ident.Bytes = 53 << 10
+	targetBytes ident.Bytes = 64 << 10
 	// promptOverhead is added to the estimate of a prompt, in tokens.
 	promptOverhead ident.Tokens = 8
 )
@@ -72,14 +74,15 @@
 	if !n.view.Load().hasModel(r.Model) {
 		return caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "the model %q does not exist", r.Model)
 	}
-	if err := n.traffic.limiter.Reserve(r.Caller.Org, streamBytes); err != nil {
+	row, err := n.traffic.streams.reserve(r.Caller.Org)
+	if err != nil {
 		return caller.Refuse(caller.CodeOverloaded, ident.OutcomeNotRun, "%s", err).After(time.Second)
 	}
-	defer n.traffic.limiter.Release(r.Caller.Org, streamBytes)
+	defer n.traffic.streams.release(row)
 	if b, ok := w.(caller.Bounded); ok && !r.Deadline.IsZero() {
 		b.Bound(r.Deadline.Add(endWait))
 	}
-	c := &chat{n: n, r: r, w: w, start: n.clock.Now()}
+	c := &chat{n: n, r: r, w: w, row: row, start: n.clock.Now()}
 	if r.IdempotencyKey != "" {
 		return n.chatKeyed(ctx, c)
 	}
@@ -200,7 +203,7 @@
 
 // copy writes the chunks of a stream to the caller. A broken stream is resumed at its offset.
 func (c *chat) copy(ctx context.Context, s *engine.Stream) error {
-	c.row = c.n.traffic.streams.add(s)
+	c.n.traffic.streams.add(c.row, s)
 	defer c.n.traffic.streams.remove(c.row)
 	defer c.row.close()
 	if !c.survives() {
@@ -280,6 +283,8 @@
 	}
 	if !c.begun {
 		c.begun = true
+		// No further attempt needs the prompt, which may be larger than all buffers of the stream.
+		c.r.Body, c.r.Prefix = nil, nil
 		if err := c.w.Begin(c.r.ID); err != nil {
 			return &callerGone{err}
 		}
@@ -301,6 +306,13 @@
 // resume opens the stream again at the next chunk and reports whether that worked.
 func (c *chat) resume(ctx context.Context, failures int) bool {
 	for ; failures <= maxResumes; failures++ {
+		for !c.n.traffic.streams.reopen(c.row) {
+			select {
+			case <-c.n.clock.After(resumeWait):
+			case <-ctx.Done():
+				return false
+			}
+		}
 		s, err := c.client.Resume(context.WithoutCancel(ctx), c.r.ID, c.chunks)
 		if err == nil {
 			c.row.replace(s)
--- a/io/node/reap.go
+++ b/io/node/reap.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/stream"
 	"geraniumsaddle/core/target"
 	"geraniumsaddle/io/engine"
 )
@@ -68,28 +69,66 @@
 
 // streamSet holds the streams that are copied to callers, so that those of slow readers can be suspended.
 type streamSet struct {
-	mu   sync.Mutex
-	rows map[*streamRow]struct{}
+	limiter *stream.Limiter
+	mu      sync.Mutex
+	rows    map[*streamRow]struct{}
 	// suspensions counts the streams that were suspended.
 	suspensions atomic.Int64
 }
 
 // streamRow is one stream.
 type streamRow struct {
+	org ident.OrgID
+	// held says that targetBytes are reserved for the stream.
+	held    atomic.Bool
 	cur     atomic.Pointer[engine.Stream] // nil while the stream is suspended
 	blocked atomic.Int64                  // time at which a write to the caller began, or zero
 }
 
-func (s *streamSet) add(st *engine.Stream) *streamRow {
-	row := new(streamRow)
-	row.cur.Store(st)
+func newStreamSet(l *stream.Limiter) streamSet {
+	return streamSet{limiter: l, rows: make(map[*streamRow]struct{})}
+}
+
+// reserve takes the memory of a stream, or returns a *stream.LimitError and takes none.
+func (s *streamSet) reserve(org ident.OrgID) (*streamRow, error) {
+	if err := s.limiter.Reserve(org, callerBytes+targetBytes); err != nil {
+		return nil, err
+	}
+	r := &streamRow{org: org}
+	r.held.Store(true)
+	return r, nil
+}
+
+// reopen takes the memory that the suspension gave back.
+func (s *streamSet) reopen(r *streamRow) bool {
+	if r.held.Load() {
+		return true
+	}
+	if s.limiter.Reserve(r.org, targetBytes) != nil {
+		return false
+	}
+	r.held.Store(true)
+	return true
+}
+
+// shrink gives back the memory of the target's side.
+func (s *streamSet) shrink(r *streamRow) {
+	if r.held.Swap(false) {
+		s.limiter.Release(r.org, targetBytes)
+	}
+}
+
+// release gives back the memory of a stream.
+func (s *streamSet) release(r *streamRow) {
+	s.shrink(r)
+	s.limiter.Release(r.org, callerBytes)
+}
+
+func (s *streamSet) add(r *streamRow, st *engine.Stream) {
+	r.cur.Store(st)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rows == nil {
-		s.rows = make(map[*streamRow]struct{})
-	}
-	s.rows[row] = struct{}{}
-	return row
+	s.rows[r] = struct{}{}
 }
 
 func (s *streamSet) remove(r *streamRow) {
@@ -133,6 +172,7 @@
 		n++
 		if old := r.cur.Swap(nil); old != nil {
 			_ = old.Close()
+			s.shrink(r)
 			s.suspensions.Add(1)
 		}
 	}
--- a/io/node/slow_test.go
+++ b/io/node/slow_test.go
@@ -133,7 +133,8 @@
 }
 
 // TestSlowReaderGetsWholeAnswer guards against a suspended stream that loses, repeats or never delivers chunks, against
-// a slot that is free while the target still holds the suspended request, and against one that stays held after its end.
+// a slot that is free while the target still holds the suspended request, and against a slot or memory that stays held
+// after its end.
 func TestSlowReaderGetsWholeAnswer(t *testing.T) {
 	is := is.New(t)
 	// The answer is larger than all socket buffers on its way.
@@ -145,6 +146,7 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	eventually(t, "suspension", func() bool { return n.traffic.streams.suspensions.Load() > 0 })
 	is.Equal(n.accounts.slot("e1").Held(), ident.Tokens(1))
+	is.Equal(n.traffic.streams.limiter.Used(), callerBytes)
 
 	var got strings.Builder
 	marked := false
@@ -174,6 +176,7 @@
 	is.NoErr(err)
 	is.True(got.String() == want.Text)
 	eventually(t, "free slot", func() bool { return n.accounts.slot("e1").Held() == 0 })
+	eventually(t, "free memory", func() bool { return n.traffic.streams.limiter.Used() == 0 })
 	is.Equal(len(e.Stats().Runs), 1)
 }
 
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -23,13 +23,12 @@
 	draining atomic.Bool
 	running  sync.WaitGroup
 	count    atomic.Int64
-	limiter  *stream.Limiter
 	streams  streamSet
 }
 
 func newTraffic(n *Node) *traffic {
 	return &traffic{
-		n: n, limiter: stream.NewLimiter(ident.Bytes(n.cfg.OrgStreamBytes), ident.Bytes(n.cfg.ProcessStreamBytes)),
+		n: n, streams: newStreamSet(stream.NewLimiter(ident.Bytes(n.cfg.OrgStreamBytes), ident.Bytes(n.cfg.ProcessStreamBytes))),
 	}
 }
 
