--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -28,11 +28,12 @@
 	waiting atomic.Int64
 	limiter *stream.Limiter
 	streams streamSet
+	streams streamSet
 }
 
 func newTraffic(n *Node) *traffic {
 	return &traffic{
-		n: n, limiter: stream.NewLimiter(ident.Bytes(n.cfg.OrgStreamBytes), ident.Bytes(n.cfg.ProcessStreamBytes)),
+		n: n, streams: newStreamSet(stream.NewLimiter(ident.Bytes(n.cfg.OrgStreamBytes), ident.Bytes(n.cfg.ProcessStreamBytes))),
 	}
 }
 
