Keep the outcome of an earlier attempt when a retry finds no target

A request whose first attempt failed at a target, and whose retry found no target, ended with the outcome not_run and without a bill record (TestRetryOutcome: not_run instead of run). The last attempt's not_run now gives way to the outcome of an attempt that may have reached a target. The slots of the weight store are forgotten when the lease is lost.

--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -56,6 +56,8 @@
 	// journaled means that the hold is in the journal; joined, that another attempt runs and bills the request.
 	journaled bool
 	joined    bool
+	// earlier is the outcome of the attempts before the present one, or empty if none can have reached a target.
+	earlier ident.Outcome
 }
 
 // Chat implements caller.Backend.
@@ -101,7 +103,9 @@
 		if err == nil || !c.mayRetry(ctx, err, attempt) {
 			break
 		}
+		c.remember(err)
 	}
+	err = c.truthful(err)
 	c.finish(err)
 	return err
 }
@@ -121,6 +125,26 @@
 	return errors.As(err, &r) && !c.begun && attempt < maxAttempts && ctx.Err() == nil && c.n.gates.retry(c.n.clock.Now())
 }
 
+// remember keeps the outcome of a failed attempt that may have reached its target.
+func (c *chat) remember(err error) {
+	var r *retryable
+	if !errors.As(err, &r) || r.refusal.Outcome == ident.OutcomeNotRun || c.earlier == ident.OutcomeRun {
+		return
+	}
+	c.earlier = r.refusal.Outcome
+}
+
+// truthful replaces the outcome not_run of the last attempt when an earlier one may have reached a target.
+func (c *chat) truthful(err error) error {
+	var ref *caller.Refusal
+	if c.earlier == "" || !errors.As(err, &ref) || ref.Outcome != ident.OutcomeNotRun {
+		return err
+	}
+	out := *ref
+	out.Outcome = c.earlier
+	return &out
+}
+
 // attempt sends the request to one target and copies the answer.
 func (c *chat) attempt(ctx context.Context) error {
 	choice, err := c.acquire(ctx)
--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -159,8 +159,9 @@
 		if w == nil {
 			continue
 		}
-		w.req.Thorough = true
-		c, err := g.choose(w.req)
+		req := w.req
+		req.Thorough = true
+		c, err := g.choose(req)
 		if errors.Is(err, target.ErrNoCapacity) {
 			if res, queued := g.queue.Return(now, next).(queue.Queued); queued {
 				g.evict(res.Evicted)
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -69,6 +69,8 @@
 	}
 	o.compete(now)
 	if !o.lease.Held(now) {
+		// Another holder takes slots of its own.
+		clear(o.slots)
 		return
 	}
 	if now.Sub(o.planAt) >= planEvery {
