--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -181,21 +181,3 @@
 	}
 	return ident.Tokens(n)
 }
-
-// maxPrefixBytes bounds the part of the prompt that prefix affinity hashes.
-const maxPrefixBytes = 2048
-
-// prefixMessages is the number of messages that identify a conversation: the system message and the first
-// one of the user. They stay the same while the conversation grows.
-const prefixMessages = 2
-
-// prompt returns the start of the conversation and the size of all messages.
-func (b *chatBody) prompt() (prefix []byte, size int) {
-	for i, m := range b.Messages {
-		size += len(m.Role) + len(m.Content) + len(m.ToolCalls) + len(m.FunctionCall)
-		if room := maxPrefixBytes - len(prefix); room > 0 && i < prefixMessages {
-			prefix = append(prefix, m.Content[:min(room, len(m.Content))]...)
-		}
-	}
-	return prefix, size
-}
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -173,7 +173,7 @@
 	defer cancel()
 	key := target.Key{Model: c.r.Model, Domain: c.n.domain}
 	now := c.n.clock.Now()
-	prefix := prefixOf(c.r.Body, c.r.Prefix)
+	prefix := prefixOf(c.r.Prefix)
 	return c.n.gates.get(key).acquire(ctx, target.Request{
 		Sticky: string(c.r.Caller.Org) + "/" + string(c.r.Prefix), Prefix: prefix, Retryable: true, Exclude: c.exclude,
 		Now: now, Rand: c.n.traffic.random(),
--- a/io/node/reports.go
+++ b/io/node/reports.go
@@ -196,14 +196,13 @@
 	return st, cache
 }
 
-// promptBlocks bounds the cache blocks that a request is matched by: those of the part of the prompt that stays the same
-// while the conversation grows.
+// promptBlocks bounds the cache blocks that a request is matched by.
 const promptBlocks = 32
 
 // prefixOf returns the hash by which a request is matched with cache events: that of the last whole cache block in the
-// first messages. A shorter prompt has no block, and its own hash keeps it at one target.
-func prefixOf(body, prefix []byte) uint64 {
-	blocks := engine.Prefixes(leadingText(body), promptBlocks)
+// start of its prompt. A shorter start has no block, and its own hash keeps it at one target.
+func prefixOf(prefix []byte) uint64 {
+	blocks := engine.Prefixes(string(prefix), promptBlocks)
 	if len(blocks) > 0 {
 		if h, err := strconv.ParseUint(blocks[len(blocks)-1], 16, 64); err == nil {
 			return h
--- a/io/node/spill.go
+++ b/io/node/spill.go
@@ -192,7 +192,7 @@
 	}
 	defer n.traffic.limiter.Release(f.Org, streamBytes)
 	choice, err := n.table.Load().Pool(target.Key{Model: f.Model, Domain: n.domain}).Choose(target.Request{
-		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Body, f.Prefix), Retryable: true, Thorough: true,
+		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Prefix), Retryable: true, Thorough: true,
 		Now: n.clock.Now(), Rand: n.traffic.random(),
 	}, n.accounts)
 	if err != nil {
