End the wait of a forwarded request for its target with the process

A closing transport waits for the handlers of its streams, and a forwarded request waited for the headers of its target up to the request timeout, so a router could not stop. Start and Resume now end with the process. The test counts the requests that reach the target, and holds not_run against that.

--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -310,7 +310,7 @@
 // resume opens the stream again at the next chunk and reports whether that worked.
 func (c *chat) resume(ctx context.Context, failures int) bool {
 	for ; failures <= maxResumes; failures++ {
-		s, err := c.client.Resume(context.WithoutCancel(ctx), c.r.ID, c.chunks)
+		s, err := c.client.Resume(c.n.life, c.r.ID, c.chunks)
 		if err == nil {
 			c.row.replace(s)
 			return true
--- a/io/node/spill.go
+++ b/io/node/spill.go
@@ -242,7 +242,8 @@
 		c.choice.Release(target.ResultFailed)
 		return caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the target's address is invalid")
 	}
-	s, err := c.client.Start(context.WithoutCancel(ctx), engine.Request{
+	// The end of the process ends the wait for the target, because a closing transport waits for this stream.
+	s, err := c.client.Start(c.n.life, engine.Request{
 		ID: c.r.ID, Version: c.choice.Version, Route: chatRoute, Priority: c.r.Priority, Body: c.r.Body})
 	if err != nil {
 		return c.startFailed(err)
--- a/io/node/spill_test.go
+++ b/io/node/spill_test.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +40,8 @@
 	ca     peer.Pair
 	engine *fakeengine.Server
 	a, b   *Node
+	// arrivals counts the requests that have reached the target, as *atomic.Int64 by request id.
+	arrivals sync.Map
 }
 
 func newPair(t testing.TB, cfg fakeengine.Config, args ...string) *pair {
@@ -47,7 +52,7 @@
 	t.Cleanup(st.Close)
 	p.url = srv.URL
 	p.engine = fakeengine.New(cfg, p.clock)
-	esrv := httptest.NewServer(p.engine)
+	esrv := httptest.NewServer(p)
 	t.Cleanup(esrv.Close)
 	t.Cleanup(p.engine.Close)
 	var err error
@@ -182,6 +187,7 @@
 			is.True(errors.As(err, &ref))
 			is.Equal(ref.Outcome, tc.outcome)
 			is.Equal(p.engine.Stats().Runs["x"], tc.runs)
+			is.True(ref.Outcome != ident.OutcomeNotRun || p.arrived("x") == 0)
 			for tc.prepare == nil && p.b.accounts.slot("e").Held() > 0 {
 				runtime.Gosched() // The slot is returned once the target holds the request no longer.
 			}
@@ -196,19 +202,40 @@
 	}
 }
 
-// TestSpillRouterDies guards against the outcome not_run when the router that sends the request dies without an answer.
+// TestSpillRouterDies guards against the outcome not_run when the router that sends the request dies without an answer, and
+// against a router that cannot stop while it waits for a target.
 func TestSpillRouterDies(t *testing.T) {
-	is := is.New(t)
-	p := newPair(t, fakeengine.Config{})
-	p.ready()
-	p.engine.SetFaults(fakeengine.Faults{Stuck: true})
-	done := make(chan error, 1)
-	go func() { done <- p.chat(context.Background(), p.a, "x", new(collector)) }()
-	for p.engine.Stats().Held == 0 {
-		runtime.Gosched() // The target receives the request.
+	for name, faults := range map[string]fakeengine.Faults{"no tokens": {Stuck: true}, "no headers": {Pause: true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t, fakeengine.Config{})
+			p.ready()
+			p.engine.SetFaults(faults)
+			done := make(chan error, 1)
+			go func() { done <- p.chat(context.Background(), p.a, "x", new(collector)) }()
+			for p.arrived("x") == 0 {
+				runtime.Gosched()
+			}
+			p.b.Kill()
+			var ref *caller.Refusal
+			is.True(errors.As(<-done, &ref))
+			is.Equal(ref.Outcome, ident.OutcomeUnknown)
+			p.engine.SetFaults(fakeengine.Faults{})
+		})
+	}
+}
+
+// arrived returns how often the target has received a request.
+func (p *pair) arrived(id string) int64 {
+	v, _ := p.arrivals.LoadOrStore(id, new(atomic.Int64))
+	return v.(*atomic.Int64).Load()
+}
+
+// ServeHTTP counts the requests that reach the target before it handles them.
+func (p *pair) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		v, _ := p.arrivals.LoadOrStore(id, new(atomic.Int64))
+		v.(*atomic.Int64).Add(1)
 	}
-	p.b.Kill()
-	var ref *caller.Refusal
-	is.True(errors.As(<-done, &ref))
-	is.Equal(ref.Outcome, ident.OutcomeUnknown)
+	p.engine.ServeHTTP(w, r)
 }
