--- a/io/node/orders_test.go
+++ b/io/node/orders_test.go
@@ -24,7 +24,7 @@
 )
 
 // bench holds routers whose control goroutines the test steps itself, with a platform and engines in process.
-type bench struct {
+type fixture struct {
 	t     testing.TB
 	clock *clockwork.FakeClock
 	store *fakestore.Server
@@ -32,8 +32,8 @@
 	view  *view
 }
 
-func newBench(t testing.TB) *bench {
-	b := &bench{t: t, clock: clockwork.NewFakeClock(), view: newView()}
+func newFixture(t testing.TB) *fixture {
+	b := &fixture{t: t, clock: clockwork.NewFakeClock(), view: newView()}
 	b.store = fakestore.New(fakestore.Config{}, b.clock)
 	srv := httptest.NewServer(b.store)
 	t.Cleanup(srv.Close)
@@ -43,7 +43,7 @@
 }
 
 // router returns a router that runs no goroutine of its own but the workers.
-func (b *bench) router(name, domain string, args ...string) *Node {
+func (b *fixture) router(name, domain string, args ...string) *Node {
 	b.t.Helper()
 	var cfg flags.Router
 	fs := pflag.NewFlagSet("router", pflag.ContinueOnError)
@@ -68,7 +68,7 @@
 }
 
 // configure gives the view to a router.
-func (b *bench) configure(n *Node) {
+func (b *fixture) configure(n *Node) {
 	v := *b.view
 	n.view.Store(&v)
 	n.pools.configure(&v, b.clock.Now())
@@ -83,7 +83,7 @@
 }
 
 // step advances the time and lets the routers issue orders, in the given order.
-func (b *bench) step(d time.Duration, routers ...*Node) {
+func (b *fixture) step(d time.Duration, routers ...*Node) {
 	const tick = 500 * time.Millisecond
 	for ; d > 0; d -= tick {
 		b.clock.Advance(tick)
@@ -94,7 +94,7 @@
 	}
 }
 
-func (b *bench) engine(id, domain string, cfg fakeengine.Config, versions ...ident.VersionID) *fakeengine.Server {
+func (b *fixture) engine(id, domain string, cfg fakeengine.Config, versions ...ident.VersionID) *fakeengine.Server {
 	e := fakeengine.New(cfg, b.clock)
 	srv := httptest.NewServer(e)
 	b.t.Cleanup(srv.Close)
@@ -111,7 +111,7 @@
 	return e
 }
 
-func (b *bench) loaded(n *Node, id ident.TargetID) []ident.VersionID {
+func (b *fixture) loaded(n *Node, id ident.TargetID) []ident.VersionID {
 	b.t.Helper()
 	c, err := n.pools.engine(b.view.targets[id].URL)
 	if err != nil {
@@ -130,7 +130,7 @@
 // outlives a graceful shutdown.
 func TestOrders(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	full := fakeengine.Config{Versions: []string{"old", "v1"}, Room: 2}
 	b.engine("plain", "a", full, "v1", "v2")
 	full.ChecksFence = true
@@ -169,7 +169,7 @@
 // TestOrdersHandover guards against a successor that waits for the lease of a router that has shut down.
 func TestOrdersHandover(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	r1, r2 := b.router("r1", "a"), b.router("r2", "a")
 	b.step(leaseTTL+2*time.Second, r1, r2)
 	is.True(r1.orders.lease.Held(b.clock.Now()))
@@ -185,7 +185,7 @@
 // TestOrderTooLate guards against an order that is written after the time up to which the lease covers it.
 func TestOrderTooLate(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine("e", "a", fakeengine.Config{Versions: []string{"v1"}}, "v1")
 	n := b.router("r", "a")
 	send := order.Send{Order: order.Order{ID: "o", Kind: order.KindLoad, Target: "e", Version: "v2"}, NotAfter: b.clock.Now()}
@@ -199,7 +199,7 @@
 // against one that is given up.
 func TestWeightSlotRefused(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine("e", "a", fakeengine.Config{Versions: []string{"v1"}, ChecksFence: true}, "v1", "v2")
 	n := b.router("r", "a")
 	b.step(leaseTTL, n)
@@ -230,7 +230,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			b := newBench(t)
+			b := newFixture(t)
 			for i := range 2 {
 				b.engine(fmt.Sprint("e", i), "a", fakeengine.Config{}, "v1", "v2")
 			}
--- a/io/node/reports_test.go
+++ b/io/node/reports_test.go
@@ -50,7 +50,7 @@
 // TestPrefixOf guards against a hash that no cache event of an engine names, and against one hash for all short prompts.
 func TestPrefixOf(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine("e", "a", fakeengine.Config{}, "v1")
 	n := b.router("r", "a")
 	c, err := n.pools.engine(b.view.targets["e"].URL)
@@ -81,7 +81,7 @@
 // against hints that outlive a gap in the cache events.
 func TestReports(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	engines := make(map[ident.TargetID]*fakeengine.Server)
 	for i := range 6 {
 		id := fmt.Sprint("e", i)
@@ -135,7 +135,7 @@
 // members that are dropped because a part of the list was taken for the whole, and against lists that never agree.
 func TestVMList(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	b.engine("e0", "a", fakeengine.Config{}, "v1")
 	b.engine("e1", "a", fakeengine.Config{}, "v1")
 	watcher, other := b.router("r1", "a"), b.router("r2", "a")
@@ -170,7 +170,7 @@
 // TestTotals guards against a failure domain that is taken to have room though it has reported none.
 func TestTotals(t *testing.T) {
 	is := is.New(t)
-	b := newBench(t)
+	b := newFixture(t)
 	for _, d := range []string{"a", "b", "c"} {
 		b.engine("e-"+d, d, fakeengine.Config{}, "v1")
 	}
