--- a/io/node/spill.go
+++ b/io/node/spill.go
@@ -187,12 +187,12 @@
 		return err
 	}
 	defer done()
-	if err := n.traffic.limiter.Reserve(f.Org, streamBytes); err != nil {
+	if err := n.traffic.streams.limiter.Reserve(f.Org, callerBytes+targetBytes); err != nil {
 		return err
 	}
-	defer n.traffic.limiter.Release(f.Org, streamBytes)
+	defer n.traffic.streams.limiter.Release(f.Org, callerBytes+targetBytes)
 	choice, err := n.table.Load().Pool(target.Key{Model: f.Model, Domain: n.domain}).Choose(target.Request{
-		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Body, f.Prefix), Retryable: true, Thorough: true,
+		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Prefix), Retryable: true, Thorough: true,
 		Now: n.clock.Now(), Rand: n.traffic.random(),
 	}, n.accounts)
 	if err != nil {
@@ -242,7 +242,8 @@
 		c.choice.Release(target.ResultFailed)
 		return caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the target's address is invalid")
 	}
-	s, err := c.client.Start(context.WithoutCancel(ctx), engine.Request{
+	// The end of the process ends the wait for the target, because a closing transport waits for this stream.
+	s, err := c.client.Start(c.n.life, engine.Request{
 		ID: c.r.ID, Version: c.choice.Version, Route: chatRoute, Priority: c.r.Priority, Body: c.r.Body})
 	if err != nil {
 		return c.startFailed(err)
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -26,8 +26,6 @@
 	count    atomic.Int64
 	// waiting is the number of requests that wait for tokens or slots.
 	waiting atomic.Int64
-	limiter *stream.Limiter
-	streams streamSet
 	streams streamSet
 }
 
