Write the settlements of every router at a flush

Cause: a flush wrote only the reports of its own batch and then started the next interval. Of two routers that report in a fixed order, the second always missed it: its settlements and transfers stayed unwritten while both had wants.

Change: the writer of a shard keeps the latest report whose counters it left out, and a flush applies those too. The rate of writes is as before.

Conclusion: each router's counters are written within a flush interval and a report.

--- a/io/node/writer.go
+++ b/io/node/writer.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +39,14 @@
 	running bool
 	flushed time.Time
 	queue   []waitingReport
+	// late are the latest reports whose settlements and transfers wait for the next flush. Without them a flush would
+	// write only the reports of its own batch, and routers that report in a fixed order would always miss it.
+	late map[lateKey]escrow.Report
+}
+
+type lateKey struct {
+	entry  escrow.EntryID
+	holder escrow.HolderID
 }
 
 type waitingReport struct {
@@ -57,7 +67,7 @@
 func (w *writers) shard(k object.Key) *shardWriter {
 	s := w.shards[k]
 	if s == nil {
-		s = &shardWriter{key: k, flushed: w.n.clock.Now()}
+		s = &shardWriter{key: k, flushed: w.n.clock.Now(), late: make(map[lateKey]escrow.Report)}
 		w.shards[k] = s
 	}
 	return s
@@ -137,6 +147,9 @@
 	defer cancel()
 	now := w.n.clock.Now()
 	flush := now.Sub(s.flushed) >= flushEvery
+	if flush {
+		reports = s.withLate(reports)
+	}
 	policy := w.n.accounts.policy
 	if s.key.Kind == object.KindSlots {
 		policy = w.n.accounts.slots
@@ -147,12 +160,47 @@
 		return next, changed || resized
 	}
 	r := w.update(ctx, s.key, apply)
-	if r.err == nil && flush {
+	switch {
+	case r.err != nil:
+	case flush:
 		s.flushed = now
+		clear(s.late)
+	default:
+		s.keepLate(r.shard, reports)
 	}
 	return r
 }
 
+// withLate adds the reports that wait for a flush, in front of those of the batch.
+func (s *shardWriter) withLate(reports []escrow.Report) []escrow.Report {
+	out := make([]escrow.Report, 0, len(s.late)+len(reports))
+	for _, r := range s.late {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b escrow.Report) int {
+		return cmp.Or(cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Holder, b.Holder))
+	})
+	return append(out, reports...)
+}
+
+// keepLate remembers the reports of which a write left out counters. Their wants are out of date by the next flush.
+func (s *shardWriter) keepLate(sh escrow.Shard, reports []escrow.Report) {
+	for _, r := range reports {
+		k := lateKey{r.Entry, r.Holder}
+		e := sh.Entry(r.Entry)
+		if e == nil {
+			continue
+		}
+		h := e.Holder(r.Holder)
+		if h == nil || h.Open != r.Open || h.Settled >= r.Settled && h.In >= r.In && h.Out >= r.Out {
+			delete(s.late, k)
+			continue
+		}
+		r.Want = 0
+		s.late[k] = r
+	}
+}
+
 // update changes a shard by conditional updates. A conflict or a lost reply leads to another read.
 func (w *writers) update(ctx context.Context, k object.Key, apply func(escrow.Shard) (escrow.Shard, bool)) writeResult {
 	var last error
