Count a watch as an answer of the platform only when it answers

Cause: each attempt to open a watch counted as a successful call, so the status said during an outage that the platform is reachable.

Change: an event and the compacted history count as answers; the end of a watch counts by its error.

--- a/io/node/feeds.go
+++ b/io/node/feeds.go
@@ -123,15 +123,17 @@
 }
 
 func (n *Node) watch(ctx context.Context, a config.WatchFrom, send func(config.FeedEvent)) {
-	n.platformCall("watch", nil)
 	_, err := n.store.Watch(ctx, a.Kind, a.Version, func(e store.Event) error {
+		n.lastReply.Store(n.clock.Now().UnixNano())
 		send(config.WatchEvent{Object: configObject(e.Object, e.Deleted)})
 		return nil
 	})
 	if errors.Is(err, store.ErrCompacted) {
+		n.platformCall("watch", nil)
 		send(config.WatchCompacted{})
 		return
 	}
+	n.platformCall("watch", err)
 	send(config.WatchClosed{After: retryAfter(err)})
 }
 
