--- a/cmd/geraniumsaddle/check_test.go
+++ b/cmd/geraniumsaddle/check_test.go
@@ -200,3 +200,21 @@
 	}
 	_, _ = fmt.Fprintln(ts.Stdout(), c.out)
 }
+
+// cmdWaitTokens waits until a router has a number of free and held tokens: waittokens ADMIN_ADDR COUNT.
+func cmdWaitTokens(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.ParseInt(args[1], 10, 64)
+	ts.Check(err)
+	end := time.Now().Add(pollWait)
+	for {
+		n, err := routerTokens(args[0])
+		ts.Check(err)
+		if n >= ident.Tokens(want) {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("the router has %d tokens", n)
+		}
+		time.Sleep(pollEvery)
+	}
+}
--- a/cmd/geraniumsaddle/harness_test.go
+++ b/cmd/geraniumsaddle/harness_test.go
@@ -91,8 +91,13 @@
 		"admin":     cmdAdmin,
 		"race":      cmdRace,
 		"createkey": cmdCreateKey,
+		"version":   cmdVersion,
+		"release":   cmdRelease,
+		"outcome":   cmdOutcome,
 
 		"waitrefused": cmdWaitRefused,
+		"waittokens":  cmdWaitTokens,
+		"clienterror": cmdClientError,
 	}
 }
 
--- a/cmd/geraniumsaddle/load_test.go
+++ b/cmd/geraniumsaddle/load_test.go
@@ -137,12 +137,19 @@
 	_, _ = io.WriteString(ts.Stdout(), strings.TrimSpace(out)+"\n")
 }
 
-// cmdWaitLoad waits until a load has a number of whole answers: waitload NAME COUNT.
+// cmdWaitLoad waits until a load has a number of whole answers, or with "+" before the number so many more than now:
+// waitload NAME COUNT.
 func cmdWaitLoad(ts *testscript.TestScript, _ bool, args []string) {
 	l := of(ts).loads[args[0]]
+	count, more := strings.CutPrefix(args[1], "+")
 	var want int
-	_, err := fmt.Sscan(args[1], &want)
+	_, err := fmt.Sscan(count, &want)
 	ts.Check(err)
+	if more {
+		l.mu.Lock()
+		want += l.sum.Whole
+		l.mu.Unlock()
+	}
 	end := time.Now().Add(pollWait)
 	for {
 		l.mu.Lock()
