--- a/io/node/spill.go
+++ b/io/node/spill.go
@@ -187,10 +187,11 @@
 		return err
 	}
 	defer done()
-	if err := n.traffic.streams.limiter.Reserve(f.Org, callerBytes+targetBytes); err != nil {
+	row, err := n.traffic.streams.reserve(f.Org)
+	if err != nil {
 		return err
 	}
-	defer n.traffic.streams.limiter.Release(f.Org, callerBytes+targetBytes)
+	defer n.traffic.streams.release(row)
 	choice, err := n.table.Load().Pool(target.Key{Model: f.Model, Domain: n.domain}).Choose(target.Request{
 		Sticky: string(f.Org) + "/" + string(f.Prefix), Prefix: prefixOf(f.Prefix), Retryable: true, Thorough: true,
 		Now: n.clock.Now(), Rand: n.traffic.random(),
@@ -206,7 +207,7 @@
 	w := &relayWriter{ctx: ctx, s: s}
 	c := &chat{
 		n: n, r: caller.ChatRequest{ID: f.Request, Caller: caller.Identity{Org: f.Org}, Model: f.Model, Body: f.Body, Priority: f.Priority},
-		w: w, start: n.clock.Now(), choice: choice,
+		w: w, start: n.clock.Now(), choice: choice, row: row,
 	}
 	w.c = c
 	err = c.relay(ctx)
