--- a/io/demo/tour.go
+++ b/io/demo/tour.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	if r.Status != http.StatusOK || r.Outcome != ident.OutcomeRun || !r.Whole || r.Text != want.Text {
-		return fmt.Errorf("status %d, outcome %s, code %q, whole %t, %d of %d bytes", r.Status, r.Outcome, r.Code, r.Whole, len(r.Text), len(want.Text))
+		return fmt.Errorf("status %d, outcome %s, whole %t, %d of %d bytes: %.300s", r.Status, r.Outcome, r.Whole, len(r.Text), len(want.Text), r.Body)
 	}
 	return nil
 }
