Keep a request that can never fit from collecting other holders' tokens

Change: a request above what its entry has left waits without asking; it does not count as demand; an account returns a surplus that lasts 10 s.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -58,6 +58,9 @@
 	confirmedPeer ident.RouterID
 	demand        estimate
 	share         ident.Tokens   // an equal part of what the entry has left
+	left          ident.Tokens   // what the entry has left
+	surplusSince  time.Time      // since when the free tokens exceed twice the level, or zero
+	surplus       bool           // the surplus has lasted long enough to be returned
 	waiting       []ident.Tokens // waiting requests, smallest first
 	pending       ident.Tokens   // sum of waiting
 }
@@ -189,7 +192,7 @@
 		a.version = version
 		a.expiresAt = e.ExpiresAt
 		a.wanted = e.Shrink
-		a.share = e.share()
+		a.share, a.left = e.share(), e.left()
 		if e.Unallotted() <= 0 {
 			a.wanted += e.Wanted(a.cfg.Holder)
 		}
--- a/core/escrow/demand.go
+++ b/core/escrow/demand.go
@@ -56,6 +56,24 @@
 	total := a.Settled() + ident.Tokens(a.refused.Load())
 	a.demand.tick(now, total, a.Held())
 	a.setState(stateExpired, !a.expiresAt.IsZero() && !now.Before(a.expiresAt))
+	a.noteSurplus(now)
+}
+
+// surplusAfter is the time for which an account must have more than twice its level before it returns the rest. A burst
+// of demand that has just ended may come again.
+const surplusAfter = 10 * time.Second
+
+// noteSurplus observes whether the account has much more than its level, for example after a large request that was
+// refused had collected tokens from other holders.
+func (a *Account) noteSurplus(now time.Time) {
+	if a.Free() <= 2*a.cfg.Policy.level(a.load()) {
+		a.surplusSince, a.surplus = time.Time{}, false
+		return
+	}
+	if a.surplusSince.IsZero() {
+		a.surplusSince = now
+	}
+	a.surplus = now.Sub(a.surplusSince) >= surplusAfter
 }
 
 // Demand returns the current estimate.
@@ -84,9 +102,9 @@
 	return min(want, object.MaxTokens), max(0, min(near-free, object.MaxTokens))
 }
 
-// Rebalance returns tokens to the entry as far as the newest confirmed entry calls for it: all free
-// tokens of an unusable account, otherwise what the policy recalls. It acts once per entry version, so
-// that a want is not answered twice before the entry shows the first answer.
+// Rebalance returns tokens to the entry: all free tokens of an unusable account, a lasting surplus over the level, and
+// what the policy recalls for the newest confirmed entry. A recall acts once per entry version, so that a want is not
+// answered twice before the entry shows the first answer.
 func (a *Account) Rebalance() ident.Tokens {
 	if !a.Usable() {
 		if a.Closed() {
@@ -97,7 +115,12 @@
 	a.mu.Lock()
 	d, wanted, done := a.load(), a.wanted, a.recalled == a.version
 	a.recalled = a.version
+	surplus := a.surplus
+	a.surplus, a.surplusSince = false, time.Time{}
 	a.mu.Unlock()
+	if surplus {
+		return a.Return(max(0, a.Free()-a.cfg.Policy.level(d)))
+	}
 	if done || wanted <= 0 {
 		return 0
 	}
@@ -138,14 +161,24 @@
 	return a.pending > a.Free()
 }
 
+// hopeless reports whether the whole entry has less left than n tokens, as far as this holder knows. Such a request must
+// not collect the tokens of other holders. It may still wait for a top-up.
+func (a *Account) hopeless(n ident.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.version != 0 && n > a.left
+}
+
 // HoldWait reserves n tokens like Hold and otherwise waits for them until the context ends. The error
 // is a *Refusal.
 func (a *Account) HoldWait(ctx context.Context, n ident.Tokens) error {
 	if a.Hold(n) {
 		return nil
 	}
-	a.addWaiting(n)
-	defer a.removeWaiting(n)
+	if !a.hopeless(n) {
+		a.addWaiting(n)
+		defer a.removeWaiting(n)
+	}
 	for {
 		ch := a.cfg.Freed.Wait()
 		if a.Hold(n) {
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -135,9 +135,11 @@
 }
 
 // share returns an equal part for each holder of what is not known to be billed.
-func (e *Entry) share() ident.Tokens {
-	left := e.Paid - e.Refunded - e.WrittenOff - e.Settled() - e.UnresolvedTokens()
-	return max(0, left) / ident.Tokens(max(1, len(e.Holders)))
+func (e *Entry) share() ident.Tokens { return e.left() / ident.Tokens(max(1, len(e.Holders))) }
+
+// left returns what can still be billed.
+func (e *Entry) left() ident.Tokens {
+	return max(0, e.Paid-e.Refunded-e.WrittenOff-e.Settled()-e.UnresolvedTokens())
 }
 
 // Usable reports whether tokens of the entry may be granted and spent at the given time.
--- a/core/escrow/wallet.go
+++ b/core/escrow/wallet.go
@@ -73,8 +73,8 @@
 		if lacks == nil {
 			return r, nil, true
 		}
-		// Waiting for an unusable account is in vain.
-		if short == nil && lacks.Usable() {
+		// Waiting for an unusable account is in vain, and for one of an entry that has too little left almost so.
+		if lacks.Usable() && (short == nil || short.hopeless(n) && !lacks.hopeless(n)) {
 			short = lacks
 		}
 	}
@@ -132,7 +132,11 @@
 		if short == nil {
 			return Reservation{}, &Refusal{Need: n}
 		}
-		wait(short)
+		if short.hopeless(n) {
+			wait(nil)
+		} else {
+			wait(short)
+		}
 		select {
 		case <-ch:
 		case <-ctx.Done():
@@ -143,7 +147,9 @@
 
 // refuse counts the request into the demand, so that a holder without tokens still asks for some.
 func (a *Account) refuse(n ident.Tokens, err error) *Refusal {
-	a.refused.Add(int64(n))
+	if !a.hopeless(n) {
+		a.refused.Add(int64(n))
+	}
 	return &Refusal{Entry: a.cfg.Entry, Need: n, Free: a.Free(), Err: err}
 }
 
