--- a/io/node/slow_test.go
+++ b/io/node/slow_test.go
@@ -30,7 +30,7 @@
 )
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, what string, cond func() bool) {
+func eventually(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
@@ -45,7 +45,7 @@
 }
 
 // longAnswers serves an engine whose answers have a number of tokens that the router's callers cannot ask for.
-func longAnswers(t *testing.T, tokens int) (*engine.Server, string) {
+func longAnswers(t testing.TB, tokens int) (*engine.Server, string) {
 	t.Helper()
 	e := engine.New(engine.Config{}, clockwork.NewRealClock())
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -61,7 +61,7 @@
 }
 
 // startNode runs a router that is alone in its failure domain with one engine.
-func startNode(t *testing.T, engineURL string, args ...string) *Node {
+func startNode(t testing.TB, engineURL string, args ...string) *Node {
 	t.Helper()
 	is := is.New(t)
 	clock := clockwork.NewRealClock()
@@ -89,7 +89,7 @@
 	return n
 }
 
-func seedNode(t *testing.T, platformURL, engineURL string) {
+func seedNode(t testing.TB, platformURL, engineURL string) {
 	t.Helper()
 	is := is.New(t)
 	st, err := store.New(store.Config{URL: platformURL}, clockwork.NewRealClock())
@@ -191,3 +191,30 @@
 	eventually(t, "end of the request", func() bool { return n.traffic.count.Load() == 0 })
 	eventually(t, "free slot", func() bool { return n.accounts.slot("e1").Held() == 0 })
 }
+
+// BenchmarkStreamed streams answers of 347 tokens through a router, in one process with the stand-ins. It is meant for
+// profiles; loadtest measures the router alone.
+func BenchmarkStreamed(b *testing.B) {
+	const tokens = 347
+	_, url := longAnswers(b, tokens)
+	n := startNode(b, url)
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"profile"}],"max_tokens":%d,"stream":true}`, tokens)
+	client := &http.Client{Transport: &http.Transport{}}
+	b.Cleanup(client.CloseIdleConnections)
+	b.ReportAllocs()
+	for b.Loop() {
+		req, err := http.NewRequest(http.MethodPost, "http://"+n.CallerAddr()+"/v1/chat/completions", strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer secret")
+		resp, err := client.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatal(resp.Status, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
