--- a/core/escrow/demand.go
+++ b/core/escrow/demand.go
@@ -116,7 +116,9 @@
 	d, wanted, done := a.load(), a.wanted, a.recalled == a.version
 	a.recalled = a.version
 	surplus := a.surplus
-	a.surplus, a.surplusSince = false, time.Time{}
+	if surplus {
+		a.surplus, a.surplusSince = false, time.Time{}
+	}
 	a.mu.Unlock()
 	if surplus {
 		return a.Return(max(0, a.Free()-a.cfg.Policy.level(d)))
--- /dev/null
+++ b/core/escrow/surplus_test.go
@@ -0,0 +1,52 @@
+package escrow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+)
+
+// opened returns an account on an entry of the given size with the given grant.
+func opened(paid, granted int64, now time.Time) *escrow.Account {
+	a := escrow.NewAccount(escrow.AccountConfig{Entry: "b", Holder: "r.1", Policy: escrow.DefaultRecall})
+	e := escrow.Entry{ID: "b", Opened: 2, Holders: []escrow.Holder{{ID: "r.1", Open: 1, Seq: 1}, {ID: "s.1", Open: 2, Seq: 1}}}
+	_, _ = e.Do(escrow.Op{ID: "paid", Kind: escrow.OpTopUp, Tokens: ident.Tokens(paid)})
+	e.Holders[0].Granted = ident.Tokens(granted)
+	a.ApplyEntry(1, &e, now)
+	return a
+}
+
+// TestHopelessRequest guards against a request above all that an entry has left that collects the tokens of other
+// holders and counts as demand.
+func TestHopelessRequest(t *testing.T) {
+	is := is.New(t)
+	a := opened(100000, 4096, time.Unix(1000, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(a.HoldWait(ctx, 100001) != nil)
+	_, asks := a.Ask()
+	is.True(!asks)
+	is.Equal(a.Report().Need, ident.Tokens(0))
+	a.Tick(time.Unix(1000, 0))
+	a.Tick(time.Unix(1010, 0))
+	is.Equal(a.Demand().PerSecond, 0.0)
+}
+
+// TestSurplusReturns guards against tokens that stay with a holder that collected them for one request and has no use
+// for them, and against a return that comes with the end of each burst.
+func TestSurplusReturns(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := opened(100000, 100000, now)
+	a.Tick(now)
+	is.Equal(a.Rebalance(), ident.Tokens(0)) // not yet
+	a.Tick(now.Add(11 * time.Second))
+	back := a.Rebalance()
+	is.True(back >= 50000 && back < 100000) // the rest covers its share
+	is.Equal(a.Free(), 100000-back)
+}
--- a/io/flags/router.go
+++ b/io/flags/router.go
@@ -36,9 +36,7 @@
 	PromptBytesPerToken int
 	DefaultMaxTokens    int64
 	BudgetWait          time.Duration
-	JournalWait         time.Duration
 	QueueWait           time.Duration
-	WindowBytes         int
 	OrgStreamBytes      int64
 	ProcessStreamBytes  int64
 	SlowReaderAfter     time.Duration
@@ -82,11 +80,9 @@
 	fs.IntVar(&r.PromptBytesPerToken, "prompt-bytes-per-token", 3, "bytes of a prompt for which one token is reserved")
 	fs.Int64Var(&r.DefaultMaxTokens, "default-max-tokens", 1024, "output bound of a request that sets none, in tokens")
 	fs.DurationVar(&r.BudgetWait, "budget-wait", 500*time.Millisecond, "longest wait for tokens before a request is refused")
-	fs.DurationVar(&r.JournalWait, "journal-wait", 20*time.Millisecond, "first wait for the journal peer's acknowledgement")
 	fs.DurationVar(&r.QueueWait, "queue-wait", 5*time.Second, "longest wait for capacity at a target")
-	fs.IntVar(&r.WindowBytes, "stream-window-bytes", 32<<10, "buffer of one stream, in bytes")
-	fs.Int64Var(&r.OrgStreamBytes, "org-stream-bytes", 64<<20, "buffers of all streams of an organisation, in bytes")
-	fs.Int64Var(&r.ProcessStreamBytes, "process-stream-bytes", 512<<20, "buffers of all streams of the process, in bytes")
+	fs.Int64Var(&r.OrgStreamBytes, "org-stream-bytes", 256<<20, "buffers of all streams of an organisation, in bytes")
+	fs.Int64Var(&r.ProcessStreamBytes, "process-stream-bytes", 1<<30, "buffers of all streams of the process, in bytes")
 	fs.DurationVar(&r.SlowReaderAfter, "slow-reader-after", 10*time.Second, "time with a full buffer after which the target's stream is suspended")
 	fs.StringVar(&r.ReleasePolicy, "release-policy", "default", "figures of the canary releases: default, or small for little traffic and short windows")
 	fs.Int64Var(&r.WeightBytesPerSecond, "weight-bytes-per-second", 0, "rate of the weight store, in bytes per second; 0 if it is not known, and loads are not planned")
@@ -123,8 +119,7 @@
 	c.between("max-header-bytes", int64(r.HeaderBytes), 1<<10, 1<<20)
 	c.between("prompt-bytes-per-token", int64(r.PromptBytesPerToken), 1, 16)
 	c.between("default-max-tokens", r.DefaultMaxTokens, 1, 1<<20)
-	c.between("stream-window-bytes", int64(r.WindowBytes), 4<<10, 1<<20)
-	c.between("org-stream-bytes", r.OrgStreamBytes, int64(r.WindowBytes), 1<<40)
+	c.between("org-stream-bytes", r.OrgStreamBytes, 1<<20, 1<<40)
 	c.between("process-stream-bytes", r.ProcessStreamBytes, r.OrgStreamBytes, 1<<40)
 	c.between("weight-bytes-per-second", r.WeightBytesPerSecond, 0, 1<<50)
 	c.between("weight-transfers", int64(r.WeightTransfers), 1, 1<<16)
@@ -134,7 +129,6 @@
 	c.span("drain-timeout", r.DrainTimeout, time.Second, 2*time.Hour)
 	c.span("drain-grace", r.DrainGrace, 0, time.Minute)
 	c.span("budget-wait", r.BudgetWait, 0, time.Minute)
-	c.span("journal-wait", r.JournalWait, time.Millisecond, time.Second)
 	c.span("queue-wait", r.QueueWait, 0, 5*time.Minute)
 	c.span("slow-reader-after", r.SlowReaderAfter, 100*time.Millisecond, 10*time.Minute)
 	return c.faults
