--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -71,7 +71,7 @@
 	}
 	defer done()
 	if !n.view.Load().hasModel(r.Model) {
-		return caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "the model %q does not exist", r.Model)
+		return n.absent("the model %q does not exist", r.Model)
 	}
 	row, err := n.traffic.streams.reserve(r.Caller.Org)
 	if err != nil {
--- a/io/node/control.go
+++ b/io/node/control.go
@@ -163,6 +163,7 @@
 	}
 	n.lastTick.Store(now.UnixNano())
 	n.feeds.setActive(n.isWatcher())
+	n.noteLoaded(now)
 	n.feeds.tick(now)
 	n.pools.tick(now)
 	n.members.tick(now)
--- a/io/node/feeds.go
+++ b/io/node/feeds.go
@@ -10,6 +10,7 @@
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/caller"
 	"geraniumsaddle/io/store"
 )
 
@@ -177,3 +178,38 @@
 	}
 	return out
 }
+
+// complete reports whether every kind was listed from the platform.
+func (f *feeds) complete() bool {
+	for _, r := range f.rows {
+		if !r.feed.Complete() {
+			return false
+		}
+	}
+	return true
+}
+
+// loadedAfter is the time after the first objects from peers at which a router without the platform takes its
+// configuration for whole.
+const loadedAfter = 5 * time.Second
+
+// noteLoaded observes whether the configuration is whole. Before that an unknown model or service may exist.
+func (n *Node) noteLoaded(now time.Time) {
+	if n.loaded.Load() {
+		return
+	}
+	if n.firstObjects.IsZero() && len(n.view.Load().orgs) > 0 {
+		n.firstObjects = now
+	}
+	if n.feeds.complete() || !n.firstObjects.IsZero() && now.Sub(n.firstObjects) >= loadedAfter {
+		n.loaded.Store(true)
+	}
+}
+
+// absent refuses a request for something that the configuration does not have.
+func (n *Node) absent(format string, args ...any) error {
+	if !n.loaded.Load() {
+		return caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has not loaded its configuration yet").After(time.Second)
+	}
+	return caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, format, args...)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -64,24 +64,27 @@
 	table atomic.Pointer[target.Table]
 
 	// The following belong to the control goroutine unless they say otherwise.
-	feeds      *feeds
-	decoder    *decoder
-	ledger     *ledgerClient
-	pools      *pools
-	members    *members
-	transfers  *transfers
-	recovery   *recovery
-	releases   *releases
-	rollUps    *rollUps
-	idle       *idleAccounts
-	wire       wireCounts
-	orders     *orders
-	reports    *reports
-	vmList     *vmList
-	dirty      bool
-	slowTick   time.Time
-	vmsAt      time.Time
-	vmsRunning bool
+	feeds     *feeds
+	decoder   *decoder
+	ledger    *ledgerClient
+	pools     *pools
+	members   *members
+	transfers *transfers
+	recovery  *recovery
+	releases  *releases
+	rollUps   *rollUps
+	idle      *idleAccounts
+	wire      wireCounts
+	orders    *orders
+	reports   *reports
+	vmList    *vmList
+	dirty     bool
+	// firstObjects is when the first objects arrived; loaded, which any goroutine reads, says that all have.
+	firstObjects time.Time
+	loaded       atomic.Bool
+	slowTick     time.Time
+	vmsAt        time.Time
+	vmsRunning   bool
 
 	accounts  *accounts
 	writers   *writers
--- a/io/node/serve.go
+++ b/io/node/serve.go
@@ -37,7 +37,7 @@
 
 // ready answers 204 while the router takes requests: it has a configuration and is not shutting down.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	if n.traffic.leaving.Load() || len(n.view.Load().orgs) == 0 {
+	if n.traffic.leaving.Load() || !n.loaded.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -24,7 +24,7 @@
 func (n *Node) serviceRoute(r caller.ServiceRequest) (object.ServiceRoute, error) {
 	row := n.view.Load().services[r.Service]
 	if row == nil {
-		return object.ServiceRoute{}, caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, "the service %q does not exist", r.Service)
+		return object.ServiceRoute{}, n.absent("the service %q does not exist", r.Service)
 	}
 	route, ok := row.route(r.Method, r.Path)
 	if !ok {
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -69,7 +69,7 @@
 	sum := sha256.Sum256([]byte(secret))
 	v := n.view.Load()
 	row, ok := v.keys[hex.EncodeToString(sum[:])]
-	if !ok && len(v.orgs) == 0 {
+	if !ok && !n.loaded.Load() {
 		return caller.Identity{}, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has no configuration yet")
 	}
 	if !ok {
