End a retry that has failed at every target of its pool

Cause: a version that failed every request on the only engine of a failure domain was judged bad after 21 s: each failed conversation waited 5 s in the queue for a target other than the one that it excluded, which held up traffic and evidence. Change: a retry that excludes all targets ends with the outcome of its first attempt.

--- a/io/node/gate.go
+++ b/io/node/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +68,10 @@
 			return c, asTargetRefusal(err)
 		}
 	}
+	if g.exhausted(req) {
+		g.mu.Unlock()
+		return target.Choice{}, asTargetRefusal(target.ErrNoTarget)
+	}
 	w := &waiter{req: req, done: make(chan gateResult, 1)}
 	switch res := g.queue.Push(g.n.clock.Now(), it).(type) {
 	case queue.Refused:
@@ -84,6 +89,19 @@
 	return g.wait(ctx, w, it.ID)
 }
 
+// exhausted reports whether a retry has failed at every target of the pool, so that waiting for one is in vain.
+func (g *gate) exhausted(req target.Request) bool {
+	if len(req.Exclude) == 0 {
+		return false
+	}
+	for _, id := range g.n.poolTargets(g.key) {
+		if !slices.Contains(req.Exclude, id) {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *gate) wait(ctx context.Context, w *waiter, id ident.RequestID) (target.Choice, error) {
 	g.n.traffic.waiting.Add(1)
 	defer g.n.traffic.waiting.Add(-1)
--- a/io/node/retry_test.go
+++ b/io/node/retry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -24,3 +25,18 @@
 	is.True(errors.As(err, &ref))
 	is.Equal(ref.Outcome, ident.OutcomeRun)
 }
+
+// TestRetryWithoutTarget guards against a retry that waits in the queue although it has failed at every target. Such
+// waits held up the evidence against a bad version on a single engine for 20 s.
+func TestRetryWithoutTarget(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t, fakeengine.Config{}, "--queue-wait", "5m")
+	p.ready()
+	p.engine.SetFaults(fakeengine.Faults{ErrorRate: 1})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var ref *caller.Refusal
+	is.True(errors.As(p.chat(ctx, p.b, "x", new(collector)), &ref))
+	is.Equal(ref.Outcome, ident.OutcomeRun)
+	is.NoErr(ctx.Err()) // it did not wait for the end of the queue's time
+}
