--- a/core/record/property_test.go
+++ b/core/record/property_test.go
@@ -298,11 +298,11 @@
 	seen := map[ident.RequestID]bool{}
 	billed, unresolved := map[uint64]ident.Tokens{}, map[uint64]ident.Tokens{}
 	for _, b := range rec.Bills {
-		if seen[b.Request] {
-			w.t.Fatalf("two bills of %s", b.Request)
+		if seen[b.RequestID] {
+			w.t.Fatalf("two bills of %s", b.RequestID)
 		}
-		seen[b.Request] = true
-		billed[w.nthOf[b.Request]] += b.Billed
+		seen[b.RequestID] = true
+		billed[w.nthOf[b.RequestID]] += b.Billed
 	}
 	for _, s := range rec.Settlements {
 		if seen[s.Request] {
--- a/core/record/recover.go
+++ b/core/record/recover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumsaddle/core/bill"
 	"geraniumsaddle/core/ident"
 )
 
@@ -26,30 +27,12 @@
 func (Absent) result()  {}
 func (Unknown) result() {}
 
-// Bill is the bill record of one request. The request is its identity.
-type Bill struct {
-	Request      ident.RequestID `json:"request_id"`
-	Org          ident.OrgID     `json:"org"`
-	Budget       ident.BudgetID  `json:"budget"`
-	Key          ident.KeyID     `json:"key"`
-	Model        ident.ModelID   `json:"model,omitempty"`
-	Service      ident.ServiceID `json:"service,omitempty"`
-	Version      ident.VersionID `json:"version,omitempty"`
-	Target       ident.TargetID  `json:"target,omitempty"`
-	PromptTokens ident.Tokens    `json:"prompt_tokens"`
-	OutputTokens ident.Tokens    `json:"output_tokens"`
-	Billed       ident.Tokens    `json:"billed"`
-	Outcome      ident.Outcome   `json:"outcome"`
-	Router       ident.RouterID  `json:"router"`
-	At           time.Time       `json:"at"`
-}
-
 // NewBill returns the bill of a settled hold.
-func NewBill(router ident.RouterID, h Hold, s Settlement) Bill {
-	return Bill{
-		Request: h.Request, Org: h.Org, Budget: h.Budget, Key: h.Key, Model: h.Model, Service: h.Service,
+func NewBill(router ident.RouterID, h Hold, s Settlement) bill.Bill {
+	return bill.Bill{
+		RequestID: h.Request, Org: h.Org, Budget: h.Budget, Key: h.Key, Model: h.Model, Service: h.Service,
 		Version: h.Version, Target: h.Target, PromptTokens: s.PromptTokens, OutputTokens: s.OutputTokens,
-		Billed: s.Billed, Outcome: s.Outcome, Router: router, At: s.At,
+		Billed: s.Billed, OverBound: s.OverBound, Outcome: s.Outcome, Router: router, At: s.At,
 	}
 }
 
@@ -73,7 +56,7 @@
 	Settlements []Settlement
 	// Bills covers the open holds with a known result. Bills of requests that the router settled are included, because
 	// the router may have died before it wrote them. Duplicates have the same identity and content.
-	Bills []Bill
+	Bills []bill.Bill
 	// Known is what the journal has of each account, open holds with a known result included. Without a proof it is a
 	// lower bound: the router may have released more. It is sorted by budget and account.
 	Known []BudgetClose
--- a/io/node/bills.go
+++ b/io/node/bills.go
@@ -9,7 +9,6 @@
 	"geraniumsaddle/core/bill"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
-	"geraniumsaddle/core/record"
 	"geraniumsaddle/io/caller"
 	"geraniumsaddle/io/store"
 )
@@ -41,16 +40,11 @@
 }
 
 // add takes the bill of a request. Recovery repeats bills, which the pages and the roll-up tell by their request.
-func (b *bills) add(r record.Bill, overBound ident.Tokens) {
-	row := bill.Bill{
-		RequestID: r.Request, Org: r.Org, Budget: r.Budget, Key: r.Key, Model: r.Model, Service: r.Service, Version: r.Version,
-		Target: r.Target, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, Billed: r.Billed, OverBound: overBound,
-		Outcome: r.Outcome, Router: r.Router, At: r.At,
-	}
+func (b *bills) add(row bill.Bill) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, err := b.batcher.Add(b.n.clock.Now(), row); err != nil {
-		b.n.log.Error("bill cannot be recorded", "request_id", r.Request, "error", err)
+		b.n.log.Error("bill cannot be recorded", "request_id", row.RequestID, "error", err)
 		return
 	}
 	if _, ok := b.rows[row.RequestID]; !ok {
--- a/io/node/recover.go
+++ b/io/node/recover.go
@@ -218,7 +218,7 @@
 	c.n.replicas.mu.Unlock()
 	for _, b := range rec.Bills {
 		if b.Outcome != ident.OutcomeNotRun {
-			c.n.bills.add(b, 0)
+			c.n.bills.add(b)
 		}
 	}
 	c.reason = string(rec.Reason)
--- a/io/node/settle.go
+++ b/io/node/settle.go
@@ -37,7 +37,7 @@
 	if s.Outcome == ident.OutcomeNotRun {
 		return
 	}
-	n.bills.add(record.NewBill(n.id, h, s), s.OverBound)
+	n.bills.add(record.NewBill(n.id, h, s))
 	n.metrics.Billed(class, h.Org, s.Billed)
 }
 
