Test the callers' edge with a table of bad input

Cause: sizes, keys, schemes and panics at the edge had no test of the handler. Conclusion: the edge refuses with a code and the outcome not_run.

--- /dev/null
+++ b/io/caller/server_test.go
@@ -0,0 +1,86 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/caller"
+)
+
+// idle is a backend that accepts one key and answers nothing else. Its embedded interface is nil, so a request that
+// reaches another method ends with a panic.
+type idle struct{ caller.Backend }
+
+func (idle) Authenticate(_ context.Context, secret string) (caller.Identity, error) {
+	if secret != "good" {
+		return caller.Identity{}, caller.Refuse(caller.CodeInvalidKey, ident.OutcomeNotRun, "the API key is not known or is revoked")
+	}
+	return caller.Identity{Org: "o"}, nil
+}
+
+type quiet struct{}
+
+func (quiet) Finished(caller.Finished) {}
+
+type edgeCase struct {
+	Name   string            `json:"name"`
+	Method string            `json:"method"`
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header"`
+	Body   string            `json:"body"`
+	Repeat int               `json:"repeat"`
+	Status int               `json:"status"`
+	Code   string            `json:"code"`
+}
+
+// TestEdge guards against bad input that reaches the backend, or that is refused without a code and a truthful outcome.
+func TestEdge(t *testing.T) {
+	raw, err := os.ReadFile("testdata/edge.json")
+	is.New(t).NoErr(err)
+	var cases []edgeCase
+	is.New(t).NoErr(json.Unmarshal(raw, &cases))
+	limits := caller.Limits{BodyBytes: 256, RequestTimeout: time.Minute}
+	h := caller.New(idle{}, limits, slog.New(slog.DiscardHandler), quiet{}, time.Now)
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) {
+			is := is.New(t)
+			body := strings.Repeat(c.Body, max(1, c.Repeat))
+			req := httptest.NewRequest(c.Method, c.Path, strings.NewReader(body))
+			for k, v := range c.Header {
+				req.Header.Set(k, v)
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, req)
+			answer, err := io.ReadAll(w.Body)
+			is.NoErr(err)
+			is.Equal(w.Code, c.Status)
+			is.True(strings.Contains(string(answer), `"code":"`+c.Code+`"`))
+			is.Equal(w.Header().Get("Request-Outcome"), "not_run")
+			is.True(strings.HasPrefix(w.Header().Get("X-Request-Id"), "req-"))
+		})
+	}
+}
+
+// TestPanicEndsConnection guards against an answer that looks whole after a panic in the backend.
+func TestPanicEndsConnection(t *testing.T) {
+	is := is.New(t)
+	h := caller.New(idle{}, caller.Limits{BodyBytes: 256, RequestTimeout: time.Minute}, slog.New(slog.DiscardHandler), quiet{}, time.Now)
+	srv := httptest.NewServer(h)
+	defer srv.Close()
+	req, err := http.NewRequest(http.MethodGet, srv.URL+"/v1/models", nil)
+	is.NoErr(err)
+	req.Header.Set("Authorization", "Bearer good")
+	_, err = http.DefaultClient.Do(req)
+	is.True(err != nil)
+}
