Wait for the counters of a load in one place

The bounds are the same. Conclusion: the other sleeps of the harness are polls of real processes and stay.

--- a/cmd/geraniumsaddle/check_test.go
+++ b/cmd/geraniumsaddle/check_test.go
@@ -141,19 +141,7 @@
 	l := of(ts).loads[args[0]]
 	want, err := strconv.Atoi(args[1])
 	ts.Check(err)
-	end := time.Now().Add(pollWait)
-	for {
-		l.mu.Lock()
-		sum := l.sum
-		l.mu.Unlock()
-		if sum.Refused >= want {
-			return
-		}
-		if time.Now().After(end) {
-			ts.Fatalf("load %s has %+v", args[0], sum)
-		}
-		time.Sleep(pollEvery)
-	}
+	l.waitFor(ts, args[0], func(s loadSum) bool { return s.Refused >= want })
 }
 
 // cmdMint sets a variable to a new operation token: mint VAR CALLER_ADDR.
--- a/cmd/geraniumsaddle/load_test.go
+++ b/cmd/geraniumsaddle/load_test.go
@@ -150,16 +150,21 @@
 		want += l.sum.Whole
 		l.mu.Unlock()
 	}
+	l.waitFor(ts, args[0], func(s loadSum) bool { return s.Whole >= want })
+}
+
+// waitFor waits until the counters of a load meet a condition.
+func (l *load) waitFor(ts *testscript.TestScript, name string, done func(loadSum) bool) {
 	end := time.Now().Add(pollWait)
 	for {
 		l.mu.Lock()
 		sum := l.sum
 		l.mu.Unlock()
-		if sum.Whole >= want {
+		if done(sum) {
 			return
 		}
 		if time.Now().After(end) {
-			ts.Fatalf("load %s has %+v", args[0], sum)
+			ts.Fatalf("load %s has %+v", name, sum)
 		}
 		time.Sleep(pollEvery)
 	}
