--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -26,30 +26,44 @@
 type Config struct {
 	Self ident.RouterID
 	VM   ident.VMID
-	// Lease is the time after the last write from which a holder may spend beyond the armed bound.
-	Lease time.Duration
+	// Quiet is the time after the last write from which a holder may spend beyond the armed bound.
+	Quiet time.Duration
 	// ArmedFor and GrantedFor are the times of present demand that the two bounds cover.
 	ArmedFor, GrantedFor time.Duration
+	// Idle is the part of an organisation's tokens that a router without demand is granted.
+	Idle float64
 	// Alive is the time for which a holder without a write counts for the division.
 	Alive time.Duration
 }
 
+// Answer is the answer to a request for tokens.
+type Answer struct {
+	Verdict Verdict
+	// Near says that the next write of the ledger can bring the tokens, and Grows after which time they can be spent if
+	// the store stays away, or zero.
+	Near  bool
+	Grows time.Duration
+}
+
 // account is this router's part of one organisation's tokens.
 type account struct {
 	total ident.Tokens
 	spent ident.Tokens
 	held  ident.Tokens
-	// granted and armed are the bounds that hold whichever of the writes under way takes effect.
-	granted, armed ident.Tokens
-	// proposed is the row of the write under way.
-	proposed Row
-	// elsewhere is what closed and other holders are known to have spent.
-	elsewhere ident.Tokens
-	// asked is the demand since the last plan, rate its average, peak the largest recent request.
+	// granted and arm are the bounds that hold whichever of the writes under way takes effect.
+	granted ident.Tokens
+	arm     Arm
+	// nextGranted and nextArm are those of the writes under way.
+	nextGranted ident.Tokens
+	nextArm     Arm
+	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken.
+	elsewhere, free ident.Tokens
+	// asked is the demand since the last plan, rate its average in tokens per second, and size the average request.
 	asked ident.Tokens
 	rate  float64
-	peak  ident.Tokens
-	want  ident.Tokens
+	size  float64
+	// want is what waiting requests lack.
+	want ident.Tokens
 }
 
 // Accounts is the router's side of the ledger. It is safe for concurrent use.
@@ -59,7 +73,7 @@
 	mu     sync.Mutex
 	orgs   map[ident.OrgID]*account
 	writes uint64
-	// sent is the uptime at which the last write was sent that may have taken effect, and before that of the one
+	// sent is the uptime at which the last arms were sent that may have taken effect, and before that of the one
 	// before it.
 	sent     time.Duration
 	before   time.Duration
@@ -67,12 +81,20 @@
 	planned  time.Duration
 	left     bool
 	seen     map[ident.RouterID]sighting
+	// observed is the uptime at which the ledger was last read, and first that of the first time.
+	observed time.Duration
+	first    time.Duration
 }
 
-// sighting is when a holder's number of writes was first seen.
+// sighting is what is known of another holder's last write.
 type sighting struct {
+	vm     ident.VMID
 	writes uint64
-	at     time.Duration
+	wall   int64
+	// at is the uptime at which the write was first seen, and after that of the reading before, when it was not there
+	// yet. Fresh says that there was such a reading.
+	at, after time.Duration
+	fresh     bool
 }
 
 // New returns accounts without tokens.
@@ -97,31 +119,64 @@
 }
 
 // Hold reserves n tokens. Now is the uptime of the VM.
-func (a *Accounts) Hold(org ident.OrgID, n ident.Tokens, now time.Duration) Verdict {
+func (a *Accounts) Hold(org ident.OrgID, n ident.Tokens, now time.Duration) Answer {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	acc := a.org(org)
-	acc.peak = max(acc.peak, n)
+	acc.meet(n)
+	used := acc.spent + acc.held
 	switch {
 	case a.left:
-		return Short
-	case acc.spent+acc.held+n <= a.bound(acc, now):
+		return Answer{Verdict: Short}
+	case used+n <= a.bound(acc, now):
 		acc.held += n
 		acc.asked += n
-		return Held
+		return Answer{Verdict: Held}
 	case acc.spent+acc.elsewhere+n > acc.total:
-		return Exhausted
+		return Answer{Verdict: Exhausted}
 	}
-	acc.want = max(acc.want, acc.spent+acc.held+n-acc.armed)
-	return Short
+	acc.want = max(acc.want, n)
+	near := used+n <= acc.granted+max(acc.free, 0)
+	return Answer{Verdict: Short, Near: near, Grows: a.grows(acc, used+n, now)}
+}
+
+// meet follows the size of requests.
+func (acc *account) meet(n ident.Tokens) {
+	const weight = 0.1 // of the newest request
+	if acc.size == 0 {
+		acc.size = float64(n)
+		return
+	}
+	acc.size += (float64(n) - acc.size) * weight
 }
 
 // bound returns up to which total the router may spend now.
 func (a *Accounts) bound(acc *account, now time.Duration) ident.Tokens {
-	if a.everSent && now-a.sent >= a.cfg.Lease {
-		return acc.granted
+	return min(acc.arm.bound(a.age(now), a.cfg.Quiet), acc.granted)
+}
+
+// age returns the age of the last write that may have taken effect.
+func (a *Accounts) age(now time.Duration) time.Duration {
+	if !a.everSent {
+		return 0
+	}
+	return now - a.sent
+}
+
+// Age returns how old the arms are that may have taken effect last.
+func (a *Accounts) Age(now time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.age(now)
+}
+
+// grows returns after which time without a write the bound reaches a total, or zero if it never does.
+func (a *Accounts) grows(acc *account, total ident.Tokens, now time.Duration) time.Duration {
+	if total > acc.granted || acc.arm.Growth <= 0 {
+		return 0
 	}
-	return min(acc.armed, acc.granted)
+	seconds := float64(total-acc.arm.Armed) / float64(acc.arm.Growth)
+	return max(a.cfg.Quiet+time.Duration(seconds*float64(time.Second))-a.age(now), 0)
 }
 
 // Settle ends a hold, of which used tokens are billed.
@@ -134,12 +189,12 @@
 	acc.asked -= held - min(max(used, 0), held)
 }
 
-// Wanting reports whether a request waits for tokens.
-func (a *Accounts) Wanting() bool {
+// Lacking reports whether requests lack tokens that are not granted to this router.
+func (a *Accounts) Lacking() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, acc := range a.orgs {
-		if acc.want > 0 {
+		if acc.want > 0 && acc.spent+acc.held+acc.want > acc.granted {
 			return true
 		}
 	}
@@ -161,7 +216,7 @@
 
 // Balance is what a router knows of one organisation's tokens.
 type Balance struct {
-	Total, Spent, Held, Granted, Armed, Elsewhere ident.Tokens
+	Total, Spent, Held, Granted, Armed, Growth, Elsewhere, Free ident.Tokens
 }
 
 // Balance returns the present figures of an organisation.
@@ -169,8 +224,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	acc := a.org(org)
-	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted, Armed: acc.armed,
-		Elsewhere: acc.elsewhere}
+	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted,
+		Armed: acc.arm.Armed, Growth: acc.arm.Growth, Elsewhere: acc.elsewhere, Free: acc.free}
 }
 
 // Leave makes the accounts refuse new holds for good. It returns what was spent once nothing is held, and false
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -1,13 +1,14 @@
 // Package quota divides the prepaid tokens of organisations between the routers of a fleet.
 //
 // The platform's store holds one Ledger, which routers change by conditional writes. Each router incarnation is a
-// holder with a row for each organisation. It spends only what a confirmed write has granted to it, so the sum of all
-// rows bounds what the fleet can spend, in any state of the network.
+// holder with a row for each organisation, and never spends more than a confirmed write has granted to it. So the sum
+// of all rows bounds what the fleet can spend, in any state of the network.
 //
-// A grant has two bounds. Up to the armed bound a holder may always spend. Up to the granted bound it may spend only
-// when its last write is older than the Lease, which happens when it cannot reach the store. A holder that died within
-// the Lease after its last write has therefore spent at most the armed bound, and its successor on the same VM returns
-// the rest. A holder that died later counts as having spent all that was granted.
+// Beside the ledger each holder has Arms, an object that it alone writes and more often. It may always spend up to its
+// armed tokens. Beyond them, a holder that cannot reach the store may spend more the older its arms are: nothing for
+// the Quiet time, then tokens at the rate Growth, up to what is granted. A successor on the same VM knows how long its
+// predecessor can have lived after its last write, and returns what it cannot have spent. Without that knowledge all
+// that was granted counts as spent.
 //
 // The package does no I/O and reads no clock.
 package quota
@@ -29,19 +30,21 @@
 // ErrFormat means that a newer program has written the ledger.
 var ErrFormat = errors.New("ledger has an unknown format")
 
-// Uptime is the time since a VM was booted, which goes on while the VM is suspended. Times of two boots cannot be
-// compared.
-type Uptime struct {
-	Boot string        `json:"boot"`
-	Time time.Duration `json:"time_ns"`
+// Moment is a point in time as one VM sees it.
+type Moment struct {
+	// Boot names the boot of the VM.
+	Boot string `json:"boot,omitempty"`
+	// Uptime is the time since then, including the time in which the VM was suspended. Uptimes of two boots cannot be
+	// compared.
+	Uptime time.Duration `json:"uptime_ns"`
+	// Wall is the time of day in Unix milliseconds. It may jump.
+	Wall int64 `json:"wall_ms"`
 }
 
-// Row is a holder's part of the tokens of one organisation. All but Rate and Want are totals since the holder's
-// start.
+// Row is a holder's part of the tokens of one organisation. Granted and Spent are totals since the holder's start.
 type Row struct {
-	// Granted is taken out of the prepaid tokens. Armed is the part that the holder may spend within the Lease.
+	// Granted is taken out of the prepaid tokens.
 	Granted ident.Tokens `json:"granted"`
-	Armed   ident.Tokens `json:"armed"`
 	// Spent is what the holder has billed.
 	Spent ident.Tokens `json:"spent"`
 	// Rate is the demand in tokens per second.
@@ -50,14 +53,14 @@
 	Want ident.Tokens `json:"want,omitempty"`
 }
 
-// Holder is one incarnation of a router.
+// Holder is one incarnation of a router in the ledger.
 type Holder struct {
 	VM ident.VMID `json:"vm"`
-	// Sent is the uptime of the VM when the holder sent its last write.
-	Sent Uptime `json:"sent"`
 	// Writes counts the writes of the holder, so that others see that it lives.
-	Writes uint64              `json:"writes"`
-	Rows   map[ident.OrgID]Row `json:"rows,omitempty"`
+	Writes uint64 `json:"writes"`
+	// Wall is the VM's time of day at the write in Unix milliseconds.
+	Wall int64               `json:"wall_ms"`
+	Rows map[ident.OrgID]Row `json:"rows,omitempty"`
 }
 
 // Ledger is the stored object.
@@ -127,38 +130,49 @@
 	return n
 }
 
-// CloseEarlier ends the holders of earlier processes of a VM and returns them. Started is the uptime at which the
-// present process started, by which the earlier ones had ended.
-func (l *Ledger) CloseEarlier(vm ident.VMID, self ident.RouterID, started Uptime, lease time.Duration) []ident.RouterID {
-	var closed []ident.RouterID
+// Earlier returns the holders of earlier processes of a VM, ordered.
+func (l *Ledger) Earlier(vm ident.VMID, self ident.RouterID) []ident.RouterID {
+	var ids []ident.RouterID
 	for _, id := range slices.Sorted(maps.Keys(l.Holders)) {
-		h := l.Holders[id]
-		if h.VM != vm || id == self {
-			continue
+		if l.Holders[id].VM == vm && id != self {
+			ids = append(ids, id)
 		}
-		l.close(id, h.endedWithin(started, lease))
-		closed = append(closed, id)
 	}
-	return closed
+	return ids
 }
 
-// endedWithin reports whether the holder ended within the lease after its last write.
-func (h *Holder) endedWithin(by Uptime, lease time.Duration) bool {
-	age := by.Time - h.Sent.Time
-	return h.Sent.Boot != "" && h.Sent.Boot == by.Boot && age >= 0 && age < lease
+// Ended tells what became of the tokens of a holder that has ended.
+type Ended struct {
+	// Age is the longest time that the holder can have lived after its last write, and Known whether it is known.
+	Age   time.Duration
+	Known bool
+	// Spent is what the holder has reported, Used what it counts as having spent, and Returned what it was granted
+	// beyond, of all organisations.
+	Spent, Used, Returned ident.Tokens
 }
 
-func (l *Ledger) close(id ident.RouterID, armedOnly bool) {
+// End closes the rows of a holder that had ended when its successor on the same VM started. Arms are its last ones, or
+// nil.
+func (l *Ledger) End(id ident.RouterID, arms *Arms, started Moment, clocks []ClockReading) Ended {
+	var e Ended
+	if arms != nil {
+		e.Age, e.Known = arms.age(l.Holders[id].VM, started, clocks)
+	}
 	for org, row := range l.Holders[id].Rows {
 		used := row.Granted
-		if armedOnly {
-			used = row.Armed
+		if e.Known {
+			used = min(used, arms.Rows[org].bound(e.Age, arms.Quiet))
 		}
+		used = max(used, row.Spent)
+		e.Spent += row.Spent
+		e.Used += used
+		e.Returned += row.Granted - used
 		if used > 0 {
 			l.Closed[org] += used
 		}
 	}
 	delete(l.Holders, id)
+	return e
 }
 
 // Leave ends the holder of a process that stops with nothing running: only what it has spent stays taken.
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -10,38 +12,39 @@
 const (
 	// rateHalfLife is the time in which the average demand follows a change by half.
 	rateHalfLife = 3 * time.Second
-	// peakHalfLife is the time in which the largest recent request counts half.
-	peakHalfLife = 10 * time.Second
-	// idlePart is the part of an organisation's tokens that a router without demand takes, so that its first requests
-	// need not wait for the store.
-	idlePart = 0.01
-	// freePart is the part of an organisation's rest that stays unallotted, for routers that start.
-	freePart = 0.05
+	// freePart is the part of an organisation's rest that stays unallotted, for single requests and for routers that
+	// start.
+	freePart = 0.15
+	// growthMargin is the growth as a part of the demand. Callers that were refused meanwhile come back.
+	growthMargin = 1.6
+	// sizeGrowth is the time in which an organisation without steady demand can spend one more request.
+	sizeGrowth = 3 * time.Second
+	// grantedRequests is the least number of average requests that a router's grant covers.
+	grantedRequests = 2
 )
 
-// Plan writes this router's next rows into a ledger that was just read. Until Commit or Abort the router spends only
-// what both the present and the planned rows allow. A plan whose write got no answer is followed by another Plan.
-func (a *Accounts) Plan(l *Ledger, now Uptime) {
+// PlanGrants writes this router's next rows into a ledger that was just read. Until CommitGrants the router spends
+// only what both the present and the planned rows allow. A plan whose write got no answer is followed by another one.
+func (a *Accounts) PlanGrants(l *Ledger, at Moment) {
+	now := at.Uptime
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.observe(l, now.Time)
-	elapsed := now.Time - a.planned
-	a.planned = now.Time
-	h := &Holder{VM: a.cfg.VM, Sent: now, Writes: a.writes + 1, Rows: make(map[ident.OrgID]Row)}
+	a.observe(l, now)
+	a.follow(now)
 	a.writes++
+	h := &Holder{VM: a.cfg.VM, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
 	old := l.Holders[a.cfg.Self]
 	for _, id := range a.ids() {
 		acc := a.orgs[id]
-		acc.follow(elapsed)
 		var had Row
 		if old != nil {
 			had = old.Rows[id]
 		}
-		row := a.row(l, id, acc, had, now.Time)
-		acc.proposed = row
+		row := a.row(l, id, acc, had, now)
+		acc.nextGranted = row.Granted
 		acc.granted = min(acc.granted, row.Granted)
-		acc.armed = min(acc.armed, row.Armed)
 		acc.elsewhere = l.Spent(id) - had.Spent
+		acc.free = acc.total - l.Granted(id) + had.Granted - row.Granted
 		if row != (Row{}) {
 			h.Rows[id] = row
 		}
@@ -49,34 +52,58 @@
 	l.Holders[a.cfg.Self] = h
 }
 
-// Sending records that the planned write is sent. It may take effect from then on.
-func (a *Accounts) Sending(now Uptime) {
+// CommitGrants applies the planned rows after their write was confirmed. No earlier write can take effect any more.
+func (a *Accounts) CommitGrants() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.before, a.sent = a.sent, now.Time
+	for _, acc := range a.orgs {
+		acc.granted = acc.nextGranted
+	}
+}
+
+// PlanArms returns this router's next arms and records that they are sent. Until CommitArms the router spends only what
+// both the present and the planned arms allow.
+func (a *Accounts) PlanArms(now Moment) *Arms {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.follow(now.Uptime)
+	arms := &Arms{
+		Format: Format, Sent: now, Quiet: a.cfg.Quiet, Clocks: a.clocks(now.Uptime), Rows: make(map[ident.OrgID]Arm),
+	}
+	for _, id := range a.ids() {
+		acc := a.orgs[id]
+		acc.nextArm = a.arm(acc)
+		acc.arm.Armed = min(acc.arm.Armed, acc.nextArm.Armed)
+		acc.arm.Growth = min(acc.arm.Growth, acc.nextArm.Growth)
+		if acc.nextArm != (Arm{}) {
+			arms.Rows[id] = acc.nextArm
+		}
+	}
+	a.before, a.sent = a.sent, now.Uptime
 	a.everSent = true
+	return arms
 }
 
-// Refused records that the store has refused the write under way, so that it has no effect.
-func (a *Accounts) Refused() {
+// RefusedArms records that the store has refused the arms, so that they have no effect.
+func (a *Accounts) RefusedArms() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sent = a.before
 }
 
-// Commit applies the planned rows after their write was confirmed. No earlier write can take effect any more.
-func (a *Accounts) Commit() {
+// CommitArms applies the planned arms after their write was confirmed.
+func (a *Accounts) CommitArms() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, acc := range a.orgs {
-		acc.granted = acc.proposed.Granted
-		acc.armed = acc.proposed.Armed
+		acc.arm = acc.nextArm
 		acc.want = 0
 	}
 }
 
-// observe notes which holders are alive.
+// observe notes which holders are alive and what their clocks show.
 func (a *Accounts) observe(l *Ledger, now time.Duration) {
+	again := a.observed > 0
 	for id := range a.seen {
 		if l.Holders[id] == nil {
 			delete(a.seen, id)
@@ -84,42 +111,81 @@
 	}
 	for id, h := range l.Holders {
 		if s, ok := a.seen[id]; id != a.cfg.Self && (!ok || s.writes != h.Writes) {
-			a.seen[id] = sighting{h.Writes, now}
+			a.seen[id] = sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: a.observed, fresh: again}
 		}
 	}
+	a.observed = now
+}
+
+// Clocks returns what the clocks of other VMs can have shown at most at an earlier uptime, as far as their holders have
+// written since the first reading of the ledger.
+func (a *Accounts) Clocks(at time.Duration) []ClockReading {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var clocks []ClockReading
+	for _, s := range a.seen {
+		if s.fresh {
+			// The clock showed s.wall after s.after.
+			clocks = append(clocks, ClockReading{VM: s.vm, Wall: s.wall - (s.after - at).Milliseconds()})
+		}
+	}
+	return clocks
+}
+
+// clocks returns the times of day of some other VMs, as last seen.
+func (a *Accounts) clocks(now time.Duration) map[ident.VMID]int64 {
+	const most = 9 // more clocks make the median no safer
+	out := make(map[ident.VMID]int64)
+	for _, id := range slices.Sorted(maps.Keys(a.seen)) {
+		s := a.seen[id]
+		if now-s.at < a.cfg.Alive && len(out) < most {
+			out[s.vm] = s.wall
+		}
+	}
+	return out
 }
 
 // follow updates the averages of the demand.
-func (acc *account) follow(elapsed time.Duration) {
+func (a *Accounts) follow(now time.Duration) {
+	elapsed := now - a.planned
 	if elapsed <= 0 {
 		return
 	}
+	a.planned = now
 	keep := math.Exp2(-float64(elapsed) / float64(rateHalfLife))
-	acc.rate = acc.rate*keep + float64(max(acc.asked, 0))/elapsed.Seconds()*(1-keep)
-	acc.asked = 0
-	acc.peak = ident.Tokens(float64(acc.peak) * math.Exp2(-float64(elapsed)/float64(peakHalfLife)))
+	for _, acc := range a.orgs {
+		acc.rate = acc.rate*keep + float64(max(acc.asked, 0))/elapsed.Seconds()*(1-keep)
+		acc.asked = 0
+	}
+}
+
+// arm returns the next arm, which never falls below what the router has spent and holds.
+func (a *Accounts) arm(acc *account) Arm {
+	used := acc.spent + acc.held
+	armed := used + acc.want + max(acc.cover(a.cfg.ArmedFor), ident.Tokens(acc.size))
+	idle := float64(acc.total) * a.cfg.Idle / a.cfg.GrantedFor.Seconds()
+	growth := max(acc.rate*growthMargin, acc.size/sizeGrowth.Seconds(), idle)
+	return Arm{Armed: max(min(armed, acc.granted), used), Growth: ident.Tokens(growth)}
 }
 
-// row returns the next row of an organisation. The row never falls below what the router has spent and holds.
+// row returns the next row of an organisation, which never falls below what the router has spent and holds.
 func (a *Accounts) row(l *Ledger, id ident.OrgID, acc *account, had Row, now time.Duration) Row {
 	used := acc.spent + acc.held
 	free := acc.total - l.Granted(id)
 	rest := max(acc.total-l.Spent(id), 0)
 	share, wanted := a.share(l, id, acc, rest, now)
-	idle := ident.Tokens(float64(acc.total) * idlePart)
-	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), acc.peak, idle)
+	idle := ident.Tokens(float64(acc.total) * a.cfg.Idle)
+	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), ident.Tokens(grantedRequests*acc.size), idle)
 	granted = min(granted, max(acc.spent+share, used+acc.want))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
-		granted = min(granted, used+acc.want+acc.cover(a.cfg.ArmedFor)/4)
+		granted = min(granted, used+acc.want+acc.cover(a.cfg.ArmedFor)/2)
 	}
 	granted = max(granted, used)
 	if granted > had.Granted {
 		granted = had.Granted + max(min(granted-had.Granted, free), 0)
 	}
-	armed := used + acc.want + max(acc.cover(a.cfg.ArmedFor), acc.peak, idle)
-	armed = min(armed, granted)
-	return Row{Granted: granted, Armed: armed, Spent: acc.spent, Rate: ident.Tokens(acc.rate), Want: acc.want}
+	return Row{Granted: granted, Spent: acc.spent, Rate: ident.Tokens(acc.rate), Want: acc.want}
 }
 
 // cover returns the tokens that the present demand uses in a time.
@@ -127,18 +193,25 @@
 	return ident.Tokens(acc.rate * d.Seconds())
 }
 
-// share returns this router's part of the rest by demand, and what waiting requests of others lack.
+// share returns this router's part of the rest, and what waiting requests of others lack. Most is divided by demand and
+// the remainder equally, because demand moves between routers.
 func (a *Accounts) share(l *Ledger, id ident.OrgID, acc *account, rest ident.Tokens, now time.Duration) (share, wanted ident.Tokens) {
-	const base = 1 // tokens per second that count for a router without demand
-	own := acc.rate + base
+	const equal = 0.25
+	own := acc.rate
 	sum := own
+	n := 1
 	for other, s := range a.seen {
 		if now-s.at >= a.cfg.Alive {
 			continue
 		}
 		row := l.Holders[other].Rows[id]
-		sum += float64(row.Rate) + base
+		n++
+		sum += float64(row.Rate)
 		wanted += row.Want
 	}
-	return ident.Tokens(float64(rest) * (1 - freePart) * own / sum), wanted
+	part := equal / float64(n)
+	if sum > 0 {
+		part += (1 - equal) * own / sum
+	}
+	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted
 }
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -69,7 +69,7 @@
 		Clock:   clockwork.NewRealClock(),
 		Log:     out.Logger(level),
 		Store:   newPlatformStore(cfg.Store),
-		Uptime:  edge.NewBootClock(),
+		VM:      edge.NewKernelClock(),
 		Metrics: edge.NewMetrics(),
 	})
 	return s.Run(ctx)
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -21,6 +21,9 @@
 	defaultTimeout = 30 * time.Second
 	// tokenWait bounds the wait for tokens from the ledger. A write takes some milliseconds.
 	tokenWait = 400 * time.Millisecond
+	// shortAfterLeast and shortAfterMost bound the time after which a caller may come back for tokens.
+	shortAfterLeast = 200 * time.Millisecond
+	shortAfterMost  = 3 * time.Second
 	// tokenWaitPart is the part of the remaining time that a request may wait for tokens.
 	tokenWaitPart = 4
 	// writeMargin is the time after the deadline of a request in which its answer may still be written.
@@ -183,25 +186,52 @@
 	limit := from.Add(min(tokenWait, x.deadline.Sub(from)/tokenWaitPart))
 	for {
 		freed := x.s.freed.wait()
-		switch x.s.accounts.Hold(x.org.ID, need, x.s.deps.Uptime.Now().Time) {
+		answer := x.s.accounts.Hold(x.org.ID, need, x.s.deps.VM.Now().Uptime)
+		switch answer.Verdict {
 		case quota.Held:
 			x.held = need
 			x.waited = x.s.deps.Clock.Since(from)
 			return refusal{}, true
 		case quota.Exhausted:
+			x.logTokens(need, answer)
 			return refuseExhausted, false
 		}
+		if no, wait := x.mayWait(answer); !wait {
+			x.logTokens(need, answer)
+			return no, false
+		}
 		x.s.askSync()
 		select {
 		case <-freed:
 		case <-x.ctx.Done():
 			return refuseLate, false
 		case <-x.s.deps.Clock.After(limit.Sub(x.s.deps.Clock.Now())):
+			x.logTokens(need, answer)
 			return refuseShort, false
 		}
 	}
 }
 
+// logTokens logs what a refusal for lack of tokens was decided on.
+func (x *exchange) logTokens(need ident.Tokens, a quota.Answer) {
+	b := x.s.accounts.Balance(x.org.ID)
+	x.s.deps.Log.Info("tokens lacking", "id", x.call.ID, "organisation", x.org.ID, "need", need, "verdict", a.Verdict,
+		"near", a.Near, "grows_ms", a.Grows.Milliseconds(), "total", b.Total, "spent", b.Spent, "held", b.Held,
+		"granted", b.Granted, "armed", b.Armed, "growth", b.Growth, "elsewhere", b.Elsewhere, "free", b.Free,
+		"arms_age_ms", x.s.accounts.Age(x.s.deps.VM.Now().Uptime).Milliseconds(), "store_away", x.s.link.isAway())
+}
+
+// mayWait decides whether a request that lacks tokens waits for them, or is refused at once with the time at which
+// they come.
+func (x *exchange) mayWait(a quota.Answer) (refusal, bool) {
+	if x.s.link.isAway() {
+		no := refuseShort
+		no.after = min(max(a.Grows, shortAfterLeast), shortAfterMost)
+		return no, false
+	}
+	return refusal{}, true
+}
+
 // settle bills what was used and releases the rest.
 func (x *exchange) settle() {
 	if x.held == 0 {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -25,13 +25,16 @@
 )
 
 const (
-	// lease is the time after the last write to the ledger from which a router may spend beyond its armed tokens. A
-	// killed router is back within it in most cases, and its successor then returns the unarmed rest.
-	lease = 4 * time.Second
+	// quiet is the time after the last write to the ledger in which a router spends only its armed tokens. A killed
+	// router is usually back within it, and its successor then returns all that was not armed.
+	quiet = 1200 * time.Millisecond
 	// armedFor and grantedFor are the times of present demand that a router's tokens cover. The first is what a crash
-	// strands, the second carries it through an outage of the store.
-	armedFor   = 3 * time.Second
-	grantedFor = 15 * time.Second
+	// strands; it has to last between two writes. The second carries the router through an outage of the store.
+	armedFor   = time.Second
+	grantedFor = 25 * time.Second
+	// idlePart is the part of an organisation's tokens that a router without demand is granted, for the first requests
+	// of an outage.
+	idlePart = 0.04
 	// aliveFor is the time for which a router without a write to the ledger counts for the division of tokens.
 	aliveFor = 4 * time.Second
 	// drainNotice is the time between SIGTERM and the end of the listener, in which the balancer sees twice that the
@@ -43,10 +46,11 @@
 
 // Deps are what a server works with.
 type Deps struct {
-	Clock  clockwork.Clock
-	Log    *slog.Logger
-	Store  store.Objects
-	Uptime UptimeClock
+	Clock clockwork.Clock
+	Log   *slog.Logger
+	Store store.Objects
+	// VM tells the time of the VM.
+	VM VMClock
 	// Metrics counts what the router does.
 	Metrics *Metrics
 }
@@ -76,7 +80,7 @@
 
 // New returns a server for the settings.
 func New(cfg platform.Settings, deps Deps) *Server {
-	started := deps.Uptime.Now()
+	started := deps.VM.Now()
 	self := ident.NewRouterID(cfg.VM, uint64(deps.Clock.Now().UnixMicro()))
 	s := &Server{
 		cfg:   cfg,
@@ -85,7 +89,7 @@
 		fleet: place.New(place.Config{Domain: ident.DomainID(cfg.Domain), Lapse: cfg.Bounds.Lapse}),
 		accounts: quota.New(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
-			Lease: lease, ArmedFor: armedFor, GrantedFor: grantedFor, Alive: aliveFor,
+			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, Idle: idlePart, Alive: aliveFor,
 		}),
 		pool:    relay.New(relay.Config{Clock: deps.Clock}),
 		idle:    newIdleConns(deps.Clock),
@@ -94,7 +98,7 @@
 		retries: make(map[ident.ServiceID]*retry.Budget),
 	}
 	s.link = newStoreLink(deps.Clock, deps.Log, s.fleet.StoreAway)
-	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain, "uptime_ms", started.Time.Milliseconds(),
+	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain, "uptime_ms", started.Uptime.Milliseconds(),
 		"boot", started.Boot, "first_start", cfg.FirstStart)
 	return s
 }
@@ -245,5 +249,5 @@
 // routers returns the number of routers that may be alive, with room for some that this one has not seen yet.
 func (s *Server) routers() int {
 	const unseen = 2
-	return s.accounts.Alive(s.deps.Uptime.Now().Time) + unseen
+	return s.accounts.Alive(s.deps.VM.Now().Uptime) + unseen
 }
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -14,43 +14,65 @@
 )
 
 const (
-	// syncInterval is the time between two writes of the ledger. It bounds how old the others' knowledge of this
-	// router's spending is.
-	syncInterval = time.Second
-	// syncPause is the least time between two writes.
-	syncPause = 60 * time.Millisecond
+	// armsInterval is the time between two writes of this router's arms, which bounds what its crash strands.
+	armsInterval = 500 * time.Millisecond
+	// grantsInterval is the time between two regular writes of the ledger. It bounds how old the others' knowledge of
+	// this router's spending is.
+	grantsInterval = 1500 * time.Millisecond
+	// syncPause is the least time between two writes, and lackPause that between two writes of the ledger for requests
+	// that lack tokens.
+	syncPause = 30 * time.Millisecond
+	lackPause = 250 * time.Millisecond
+	// clockWait is the time that other routers have to show their clocks after a start.
+	clockWait = 8 * time.Second
+	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
+	// conflict with those of the other routers.
+	slowPart = 0.1
 	// maxConflicts bounds the attempts of one write. Each conflict means that another router's write succeeded.
-	maxConflicts = 20
+	maxConflicts = 8
 )
 
 // ledgerKey is the object that divides the prepaid tokens.
 var ledgerKey = object.Key{Kind: platform.KindLedger, Name: "main"}
 
-// ledgerState is the stored ledger as this router has last seen it.
-type ledgerState struct {
+// armsKey is the object with the arms of a router.
+func armsKey(id ident.RouterID) object.Key {
+	return object.Key{Kind: platform.KindArms, Name: string(id)}
+}
+
+// stored is an object as this router has last seen it.
+type stored struct {
 	object store.Object
 	known  bool
-	// closedEarlier says that the holders of earlier processes of this VM are ended.
-	closedEarlier bool
-	// doubtful says that the last write got no answer.
-	doubtful bool
+}
+
+// ledgerTask writes this router's part of the ledger.
+type ledgerTask struct {
+	s       *Server
+	started quota.Moment
+	ledger  stored
+	arms    stored
+	// earlierEnded says that the ledger as last read has no holder of an earlier process of this VM.
+	earlierEnded bool
+	// grantedAt is when the ledger was last written, and slow how long that took.
+	grantedAt time.Time
+	slow      time.Duration
 }
 
 // keepLedger writes this router's rows until the context ends.
 func (s *Server) keepLedger(ctx context.Context) {
-	started := s.deps.Uptime.Now()
-	var st ledgerState
+	t := &ledgerTask{s: s, started: s.deps.VM.Now()}
 	failures := 0
 	for ctx.Err() == nil {
 		if s.table.Load() != nil {
-			err := s.syncLedger(ctx, &st, started)
+			err := t.sync(ctx)
 			if ctx.Err() != nil {
 				return
 			}
 			s.link.result(err)
 			s.deps.Metrics.storeCall("ledger", err)
 			if err != nil {
-				s.deps.Log.Warn("ledger not written", "error", err, "doubtful", st.doubtful)
+				s.deps.Log.Warn("ledger not written", "error", err)
 				s.link.pause(ctx, failures)
 				failures++
 				continue
@@ -64,14 +86,14 @@
 
 // waitSync waits for the next regular write or an urgent one.
 func (s *Server) waitSync(ctx context.Context) {
-	jitter := time.Duration(rand.Int64N(int64(syncInterval / 4)))
+	jitter := time.Duration(rand.Int64N(int64(armsInterval / 4)))
 	if !s.sleep(ctx, syncPause) {
 		return
 	}
 	select {
 	case <-ctx.Done():
 	case <-s.syncNow:
-	case <-s.deps.Clock.After(syncInterval - jitter):
+	case <-s.deps.Clock.After(armsInterval - jitter):
 	}
 }
 
@@ -84,7 +106,7 @@
 	}
 }
 
-// askSync makes the next write of the ledger come at once.
+// askSync makes the next write come at once.
 func (s *Server) askSync() {
 	select {
 	case s.syncNow <- struct{}{}:
@@ -92,76 +114,158 @@
 	}
 }
 
-// syncLedger writes this router's rows under the condition that nobody else wrote meanwhile.
-func (s *Server) syncLedger(ctx context.Context, st *ledgerState, started quota.Uptime) error {
-	if !st.known || st.doubtful {
-		if err := s.readLedger(ctx, st); err != nil {
+// sync writes the ledger when it is due, and the arms.
+func (t *ledgerTask) sync(ctx context.Context) error {
+	if t.grantsDue() {
+		if err := t.writeGrants(ctx); err != nil {
+			return err
+		}
+	}
+	return t.writeArms(ctx)
+}
+
+func (t *ledgerTask) grantsDue() bool {
+	if !t.ledger.known {
+		return true
+	}
+	age := t.s.deps.Clock.Since(t.grantedAt)
+	least := time.Duration(float64(t.slow) / slowPart)
+	if t.s.accounts.Lacking() {
+		return age >= max(lackPause, least)
+	}
+	return age >= max(grantsInterval, least)
+}
+
+// writeGrants writes this router's rows of the ledger under the condition that nobody else wrote meanwhile.
+func (t *ledgerTask) writeGrants(ctx context.Context) error {
+	if !t.ledger.known {
+		if err := t.read(ctx, ledgerKey, &t.ledger); err != nil {
 			return err
 		}
 	}
 	for range maxConflicts {
-		l, err := decodeLedger(st)
+		l, err := t.decodeLedger()
 		if err != nil {
 			return err
 		}
-		if !st.closedEarlier {
-			s.closeEarlier(l, started)
+		if !t.earlierEnded {
+			if err := t.endEarlier(ctx, l); err != nil {
+				return err
+			}
 		}
-		s.accounts.Plan(l, s.deps.Uptime.Now())
-		s.accounts.Sending(s.deps.Uptime.Now())
-		o, err := s.writeLedger(ctx, st, l)
+		t.s.accounts.PlanGrants(l, t.s.deps.VM.Now())
+		from := t.s.deps.Clock.Now()
+		err = t.write(ctx, ledgerKey, &t.ledger, l.Encode())
+		t.grantedAt = t.s.deps.Clock.Now()
+		t.slow = t.grantedAt.Sub(from)
 		if err == nil {
-			s.accounts.Commit()
-			st.object, st.closedEarlier, st.doubtful = o, true, false
+			t.s.accounts.CommitGrants()
 			return nil
 		}
-		st.doubtful = errors.Is(err, store.ErrUnknown)
-		if !st.doubtful {
-			s.accounts.Refused()
-		}
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
-		st.object, st.known = o, o.Version != 0
-		if !st.known {
+	}
+	// The others' writes succeed; this router's turn comes with the next one.
+	return nil
+}
+
+// writeArms writes this router's arms, which nobody else writes.
+func (t *ledgerTask) writeArms(ctx context.Context) error {
+	key := armsKey(t.s.self)
+	if !t.arms.known {
+		if err := t.read(ctx, key, &t.arms); err != nil {
 			return err
 		}
 	}
-	return store.ErrConflict
+	arms := t.s.accounts.PlanArms(t.s.deps.VM.Now())
+	err := t.write(ctx, key, &t.arms, arms.Encode())
+	if err == nil {
+		t.s.accounts.CommitArms()
+		return nil
+	}
+	if !errors.Is(err, store.ErrUnknown) {
+		t.s.accounts.RefusedArms()
+	}
+	return err
+}
+
+// endEarlier closes the rows of earlier processes of this VM. When only clocks can tell how long such a process has
+// lived, its rows stay until enough other routers have written to the ledger.
+func (t *ledgerTask) endEarlier(ctx context.Context, l *quota.Ledger) error {
+	earlier := l.Earlier(ident.VMID(t.s.cfg.VM), t.s.self)
+	t.earlierEnded = len(earlier) == 0
+	clocks := t.s.accounts.Clocks(t.started.Uptime)
+	last := t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait
+	for _, id := range earlier {
+		arms, err := t.readArms(ctx, id)
+		if err != nil {
+			return err
+		}
+		if !last && arms != nil && !arms.Dated(ident.VMID(t.s.cfg.VM), t.started, clocks) {
+			continue
+		}
+		e := l.End(id, arms, t.started, clocks)
+		t.s.deps.Log.Info("ledger rows of an earlier process close", "router", id, "age_ms", e.Age.Milliseconds(),
+			"age_known", e.Known, "clocks", len(clocks), "tokens_spent", e.Spent, "tokens_used", e.Used,
+			"tokens_returned", e.Returned)
+	}
+	return nil
 }
 
-func (s *Server) closeEarlier(l *quota.Ledger, started quota.Uptime) {
-	for _, id := range l.CloseEarlier(ident.VMID(s.cfg.VM), s.self, started, lease) {
-		s.deps.Log.Info("ledger rows of an earlier process closed", "router", id)
+// readArms returns the arms of a router, or nil if they are absent or cannot be read.
+func (t *ledgerTask) readArms(ctx context.Context, id ident.RouterID) (*quota.Arms, error) {
+	o, err := t.s.deps.Store.Get(ctx, armsKey(id))
+	if errors.Is(err, store.ErrAbsent) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	arms, err := quota.DecodeArms(o.Value)
+	if err != nil {
+		t.s.deps.Log.Warn("arms of an earlier process cannot be read; its whole grant counts as spent", "router", id,
+			"error", err)
+		return nil, nil
 	}
+	return arms, nil
 }
 
-func (s *Server) readLedger(ctx context.Context, st *ledgerState) error {
-	o, err := s.deps.Store.Get(ctx, ledgerKey)
-	switch {
-	case errors.Is(err, store.ErrAbsent):
-		st.object = store.Object{}
-	case err != nil:
+func (t *ledgerTask) read(ctx context.Context, key object.Key, o *stored) error {
+	got, err := t.s.deps.Store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return err
-	default:
-		st.object = o
 	}
-	st.known, st.doubtful = true, false
+	o.object, o.known = got, true
 	return nil
 }
 
-func decodeLedger(st *ledgerState) (*quota.Ledger, error) {
-	if st.object.Version == 0 {
-		return quota.NewLedger(), nil
+// write writes an object under the condition that it is as last seen. After an unknown result it is read again before
+// the next write.
+func (t *ledgerTask) write(ctx context.Context, key object.Key, o *stored, value []byte) error {
+	var got store.Object
+	var err error
+	if o.object.Version == 0 {
+		got, err = t.s.deps.Store.Create(ctx, key, value)
+	} else {
+		got, err = t.s.deps.Store.Replace(ctx, key, o.object.Version, value)
 	}
-	return quota.Decode(st.object.Value)
+	switch {
+	case err == nil:
+		o.object = got
+	case errors.Is(err, store.ErrConflict) && got.Version != 0:
+		o.object = got
+	case !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrLimited):
+		o.known = false
+	}
+	return err
 }
 
-func (s *Server) writeLedger(ctx context.Context, st *ledgerState, l *quota.Ledger) (store.Object, error) {
-	if st.object.Version == 0 {
-		return s.deps.Store.Create(ctx, ledgerKey, l.Encode())
+func (t *ledgerTask) decodeLedger() (*quota.Ledger, error) {
+	if t.ledger.object.Version == 0 {
+		return quota.NewLedger(), nil
 	}
-	return s.deps.Store.Replace(ctx, ledgerKey, st.object.Version, l.Encode())
+	return quota.Decode(t.ledger.object.Value)
 }
 
 // leaveLedger hands back what is unspent when the process stops.
@@ -173,24 +277,28 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
-	var st ledgerState
+	if err := s.handBack(ctx, spent); err != nil {
+		s.deps.Log.Warn("tokens may stay taken: the ledger was not written", "error", err)
+	}
+}
+
+func (s *Server) handBack(ctx context.Context, spent map[ident.OrgID]ident.Tokens) error {
+	t := &ledgerTask{s: s}
 	for range maxConflicts {
-		if err := s.readLedger(ctx, &st); err != nil {
-			s.deps.Log.Warn("tokens stay taken: ledger not read", "error", err)
-			return
+		if !t.ledger.known {
+			if err := t.read(ctx, ledgerKey, &t.ledger); err != nil {
+				return err
+			}
 		}
-		l, err := decodeLedger(&st)
+		l, err := t.decodeLedger()
 		if err != nil || l.Holders[s.self] == nil {
-			return
+			return err
 		}
 		l.Leave(s.self, spent)
-		_, err = s.writeLedger(ctx, &st, l)
-		if err == nil {
-			return
-		}
+		err = t.write(ctx, ledgerKey, &t.ledger, l.Encode())
 		if !errors.Is(err, store.ErrConflict) {
-			s.deps.Log.Warn("ledger may not show that this router has left", "error", err)
-			return
+			return err
 		}
 	}
+	return store.ErrConflict
 }
--- a/io/edge/link.go
+++ b/io/edge/link.go
@@ -55,6 +55,13 @@
 	l.log.Info("store regained", "away_ms", now.Sub(l.since).Milliseconds())
 }
 
+// isAway reports whether the store cannot be heard.
+func (l *storeLink) isAway() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.away
+}
+
 // pause waits after n failed calls in a row, and reports false at the end of the context.
 func (l *storeLink) pause(ctx context.Context, n int) bool {
 	d := min(retryFirst<<min(n, 5), retryMost)
--- a/io/edge/uptime.go
+++ b/io/edge/uptime.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -10,34 +11,42 @@
 	"geraniumsaddle/core/quota"
 )
 
-// UptimeClock tells the time since the VM was booted, including the time in which the VM was suspended.
-type UptimeClock interface {
-	Now() quota.Uptime
+// VMClock tells the time of the VM.
+type VMClock interface {
+	Now() quota.Moment
 }
 
 // bootFile names the present boot of the VM.
 const bootFile = "/proc/sys/kernel/random/boot_id"
 
-// BootClock is the clock of the kernel.
-type BootClock struct {
+// KernelClock is the clock of the kernel.
+type KernelClock struct {
 	boot string
 }
 
-// NewBootClock returns the kernel's clock. Without a name of the boot, its times cannot be compared with those of
+// NewKernelClock returns the kernel's clock. Without a name of the boot, its uptimes cannot be compared with those of
 // other processes.
-func NewBootClock() *BootClock {
+func NewKernelClock() *KernelClock {
 	b, err := os.ReadFile(bootFile)
 	if err != nil {
-		return &BootClock{}
+		return &KernelClock{}
 	}
-	return &BootClock{boot: strings.TrimSpace(string(b))}
+	uptime := bootTime()
+	// The time of the boot joins its name, because VMs that are resumed from an image may share a name.
+	booted := time.Now().Add(-uptime).Round(time.Minute).Unix()
+	return &KernelClock{boot: strings.TrimSpace(string(b)) + "@" + strconv.FormatInt(booted, 10)}
 }
 
-// Now returns the present uptime.
-func (c *BootClock) Now() quota.Uptime {
+// Now returns the present time.
+func (c *KernelClock) Now() quota.Moment {
+	return quota.Moment{Boot: c.boot, Uptime: bootTime(), Wall: time.Now().UnixMilli()}
+}
+
+// bootTime returns the time since the boot, which goes on while the VM is suspended.
+func bootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic(err) // The clock exists in every supported kernel.
 	}
-	return quota.Uptime{Boot: c.boot, Time: time.Duration(ts.Nano())}
+	return time.Duration(ts.Nano())
 }
