--- a/core/place/prompt.go
+++ b/core/place/prompt.go
@@ -34,15 +34,6 @@
 	return p.Parts[len(p.Parts)-2], true
 }
 
-// sharedTokens returns the tokens of all shared parts but the first, which nearly every engine keeps.
-func (p *Prompt) sharedTokens() ident.Tokens {
-	var n ident.Tokens
-	for i := 1; i+1 < len(p.Parts); i++ {
-		n += p.Parts[i].Tokens
-	}
-	return n
-}
-
 // rank orders the targets of a part by rendezvous hashing. The highest keeps the part.
 func rank(part string, id ident.TargetID) uint64 {
 	var b [8]byte
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -30,7 +30,9 @@
 	Quiet time.Duration
 	// ArmedFor and GrantedFor are the times of present demand that the two bounds cover.
 	ArmedFor, GrantedFor time.Duration
-	// Idle is the part of an organisation's tokens that a router without demand is granted.
+	// LowFor is the time of present demand under which a grant counts as low.
+	LowFor time.Duration
+	// Idle is the part of an organisation's tokens that all routers together are granted without demand.
 	Idle float64
 	// Alive is the time for which a holder without a write counts for the division.
 	Alive time.Duration
@@ -53,9 +55,11 @@
 	// granted and arm are the bounds that hold whichever of the writes under way takes effect.
 	granted ident.Tokens
 	arm     Arm
-	// nextGranted and nextArm are those of the writes under way.
-	nextGranted ident.Tokens
-	nextArm     Arm
+	// row is the stored row as last confirmed.
+	row Row
+	// nextRow and nextArm are those of the writes under way.
+	nextRow Row
+	nextArm Arm
 	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken.
 	elsewhere, free ident.Tokens
 	// asked is the demand since the last plan, rate its average in tokens per second, and size the average request.
@@ -81,9 +85,8 @@
 	planned  time.Duration
 	left     bool
 	seen     map[ident.RouterID]sighting
-	// observed is the uptime at which the ledger was last read, and first that of the first time.
-	observed time.Duration
-	first    time.Duration
+	// observed is the uptime at which each ledger was last read.
+	observed [Shards]time.Duration
 }
 
 // sighting is what is known of another holder's last write.
@@ -189,18 +192,6 @@
 	acc.asked -= held - min(max(used, 0), held)
 }
 
-// Lacking reports whether requests lack tokens that are not granted to this router.
-func (a *Accounts) Lacking() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, acc := range a.orgs {
-		if acc.want > 0 && acc.spent+acc.held+acc.want > acc.granted {
-			return true
-		}
-	}
-	return false
-}
-
 // Alive returns the number of holders that have written lately, this one included.
 func (a *Accounts) Alive(now time.Duration) int {
 	a.mu.Lock()
--- /dev/null
+++ b/core/quota/account_test.go
@@ -0,0 +1,160 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/ident"
+)
+
+func testAccounts() *Accounts {
+	a := New(Config{Self: "vm.1", VM: "vm", Quiet: time.Second, ArmedFor: time.Second, GrantedFor: 10 * time.Second,
+		Idle: 0.1, LowFor: time.Second, Alive: 4 * time.Second})
+	a.SetTotal(testOrg, 10_000)
+	return a
+}
+
+func at(d time.Duration) Moment {
+	return Moment{Boot: "boot", Uptime: d, Wall: d.Milliseconds()}
+}
+
+// TestUnconfirmedGrantNotSpent guards against spending a grant whose write may be lost.
+func TestUnconfirmedGrantNotSpent(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	a.PlanGrants(ShardOf(testOrg), NewLedger(), at(time.Second))
+	a.PlanArms(at(time.Second))
+	a.CommitArms()
+	is.Equal(a.Hold(testOrg, 100, 20*time.Second).Verdict, Short)
+}
+
+// TestUnconfirmedReductionBinds guards against spending tokens that a write without an answer may have given back.
+func TestUnconfirmedReductionBinds(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	l := NewLedger()
+	a.PlanGrants(ShardOf(testOrg), l, at(time.Second))
+	a.CommitGrants(ShardOf(testOrg))
+	a.PlanArms(at(time.Second))
+	a.CommitArms()
+	before := a.Balance(testOrg).Granted
+	is.True(before > 0)
+	// Another router has taken the rest and waits for more, so that the next plan gives tokens back.
+	l.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Rows: map[ident.OrgID]Row{
+		testOrg: {Granted: 10_000 - before, Want: 5000, Rate: 1000}}}
+	a.PlanGrants(ShardOf(testOrg), l, at(2*time.Second))
+	given := l.Holders["vm.1"].Rows[testOrg].Granted
+	is.True(given < before)
+	is.Equal(a.Balance(testOrg).Granted, given)
+	is.Equal(a.Hold(testOrg, given+1, time.Minute).Verdict, Short)
+}
+
+// TestBeyondArmsOnlyAfterQuietTime guards against spending more than is armed while the store can still be written.
+func TestBeyondArmsOnlyAfterQuietTime(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	is.Equal(a.Hold(testOrg, 100, time.Second).Verdict, Short)
+	a.PlanGrants(ShardOf(testOrg), NewLedger(), at(time.Second))
+	a.CommitGrants(ShardOf(testOrg))
+	a.PlanArms(at(time.Second))
+	a.CommitArms()
+	b := a.Balance(testOrg)
+	is.True(b.Armed < b.Granted)
+	is.Equal(a.Hold(testOrg, b.Armed+1, 2*time.Second).Verdict, Short)
+	is.Equal(a.Hold(testOrg, b.Granted, time.Minute).Verdict, Held)
+}
+
+// TestExhausted guards against a refusal that says the tokens are used up while others hold some.
+func TestExhausted(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	l := NewLedger()
+	l.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Rows: map[ident.OrgID]Row{testOrg: {Granted: 10_000, Spent: 9_000}}}
+	a.PlanGrants(ShardOf(testOrg), l, at(time.Second))
+	a.CommitGrants(ShardOf(testOrg))
+	is.Equal(a.Hold(testOrg, 1_000, time.Second).Verdict, Short)
+	is.Equal(a.Hold(testOrg, 1_001, time.Second).Verdict, Exhausted)
+}
+
+// TestAge guards against an age of arms that is too short, for which spent tokens would be returned.
+func TestAge(t *testing.T) {
+	arms := &Arms{Sent: Moment{Boot: "a", Uptime: 100 * time.Second, Wall: 1_000_000},
+		Clocks: map[ident.VMID]int64{"x": 1_000_000, "y": 1_000_000, "z": 1_000_000}}
+	clocks := func(ms ...int64) []ClockReading {
+		var c []ClockReading
+		for i, m := range ms {
+			c = append(c, ClockReading{VM: ident.VMID("xyz"[i : i+1]), Wall: 1_000_000 + m})
+		}
+		return c
+	}
+	cases := []struct {
+		name    string
+		started Moment
+		clocks  []ClockReading
+		age     time.Duration
+		known   bool
+	}{
+		{"same boot", Moment{Boot: "a", Uptime: 103 * time.Second}, nil, 3 * time.Second, true},
+		{"same boot, time runs back", Moment{Boot: "a", Uptime: 99 * time.Second}, nil, 0, false},
+		{"other boot without other clocks", Moment{Boot: "b", Wall: 1_003_000}, nil, 0, false},
+		{"other boot with one other clock", Moment{Boot: "b", Wall: 1_003_000}, clocks(3000), 0, false},
+		{"other boot with others", Moment{Boot: "b", Wall: 1_003_000}, clocks(3000, 3100, 2900), 3 * time.Second, true},
+		{"own clock went back", Moment{Boot: "b", Wall: 998_000}, clocks(3000, 3100, 2900), 3 * time.Second, true},
+		{"own clock went ahead", Moment{Boot: "b", Wall: 1_008_000}, clocks(3000, 3100, 2900), 8 * time.Second, true},
+		{"one other clock went back", Moment{Boot: "b", Wall: 1_003_000}, clocks(3000, -2000, 2900), 3 * time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			age, known := arms.age("vm", c.started, c.clocks)
+			is.Equal(known, c.known)
+			if known {
+				is.Equal(age, c.age)
+			}
+		})
+	}
+}
+
+// TestEndReturnsRest guards against a crash that strands the whole grant, and against one that returns spent tokens.
+func TestEndReturnsRest(t *testing.T) {
+	arms := &Arms{Sent: at(10 * time.Second), Quiet: time.Second,
+		Rows: map[ident.OrgID]Arm{testOrg: {Armed: 1_000, Growth: 500}}}
+	cases := []struct {
+		name    string
+		arms    *Arms
+		started Moment
+		closed  ident.Tokens
+	}{
+		{"within the quiet time", arms, at(11 * time.Second), 1_000},
+		{"two seconds later", arms, at(13 * time.Second), 2_000},
+		{"much later", arms, at(time.Hour), 5_000},
+		{"age unknown", arms, Moment{Boot: "other"}, 5_000},
+		{"arms unknown", nil, at(11 * time.Second), 5_000},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewLedger()
+			l.Holders["vm.1"] = &Holder{VM: "vm", Rows: map[ident.OrgID]Row{testOrg: {Granted: 5_000, Spent: 700}}}
+			l.End("vm.1", c.arms, c.started, nil)
+			is.Equal(l.Closed[testOrg], c.closed)
+			is.Equal(l.Granted(testOrg), c.closed)
+		})
+	}
+}
+
+// TestDecode guards against a program that changes a ledger of a newer format or takes garbage for an empty ledger.
+func TestDecode(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.Closed[testOrg] = 5
+	got, err := Decode(l.Encode())
+	is.NoErr(err)
+	is.Equal(got.Closed[testOrg], ident.Tokens(5))
+	for _, bad := range []string{"", "null", "[]", `{"format":2}`, `{"format":1,"holders":{"a":null}}`} {
+		_, err := Decode([]byte(bad))
+		is.True(err != nil)
+	}
+}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -1,8 +1,8 @@
 // Package quota divides the prepaid tokens of organisations between the routers of a fleet.
 //
-// The platform's store holds one Ledger, which routers change by conditional writes. Each router incarnation is a
-// holder with a row for each organisation, and never spends more than a confirmed write has granted to it. So the sum
-// of all rows bounds what the fleet can spend, in any state of the network.
+// The platform's store holds a Ledger for each shard of the organisations, which routers change by conditional writes.
+// Each router incarnation is a holder with a row for each organisation, and never spends more than a confirmed write
+// has granted to it. So the sum of all rows bounds what the fleet can spend, in any state of the network.
 //
 // Beside the ledger each holder has Arms, an object that it alone writes and more often. It may always spend up to its
 // armed tokens. Beyond them, a holder that cannot reach the store may spend more the older its arms are: nothing for
@@ -41,16 +41,35 @@
 	Wall int64 `json:"wall_ms"`
 }
 
-// Row is a holder's part of the tokens of one organisation. Granted and Spent are totals since the holder's start.
+// Row is a holder's part of the tokens of one organisation. Granted and Spent are totals since the holder's start. It
+// is stored as a list of its numbers, because a ledger has many rows and is written often.
 type Row struct {
 	// Granted is taken out of the prepaid tokens.
-	Granted ident.Tokens `json:"granted"`
+	Granted ident.Tokens
 	// Spent is what the holder has billed.
-	Spent ident.Tokens `json:"spent"`
+	Spent ident.Tokens
 	// Rate is the demand in tokens per second.
-	Rate ident.Tokens `json:"rate,omitempty"`
+	Rate ident.Tokens
 	// Want is what waiting requests lack.
-	Want ident.Tokens `json:"want,omitempty"`
+	Want ident.Tokens
+}
+
+// MarshalJSON encodes the row as [granted, spent, rate, want].
+func (r Row) MarshalJSON() ([]byte, error) {
+	return json.Marshal([...]ident.Tokens{r.Granted, r.Spent, r.Rate, r.Want})
+}
+
+// UnmarshalJSON decodes a row.
+func (r *Row) UnmarshalJSON(b []byte) error {
+	var n []ident.Tokens
+	if err := json.Unmarshal(b, &n); err != nil {
+		return err
+	}
+	if len(n) != 4 {
+		return fmt.Errorf("row has %d numbers, not 4", len(n))
+	}
+	*r = Row{Granted: n[0], Spent: n[1], Rate: n[2], Want: n[3]}
+	return nil
 }
 
 // Holder is one incarnation of a router in the ledger.
@@ -82,7 +101,7 @@
 
 // Decode decodes a stored ledger.
 func Decode(b []byte) (*Ledger, error) {
-	l := NewLedger()
+	l := &Ledger{}
 	if err := json.Unmarshal(b, l); err != nil {
 		return nil, fmt.Errorf("decode ledger: %w", err)
 	}
@@ -175,10 +194,11 @@
 	return e
 }
 
-// Leave ends the holder of a process that stops with nothing running: only what it has spent stays taken.
-func (l *Ledger) Leave(id ident.RouterID, spent map[ident.OrgID]ident.Tokens) {
+// Leave ends the holder of a process that stops with nothing running: only what it has spent of the shard's
+// organisations stays taken.
+func (l *Ledger) Leave(id ident.RouterID, shard Shard, spent map[ident.OrgID]ident.Tokens) {
 	for org, n := range spent {
-		if n > 0 {
+		if n > 0 && ShardOf(org) == shard {
 			l.Closed[org] += n
 		}
 	}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -23,25 +23,28 @@
 	grantedRequests = 2
 )
 
-// PlanGrants writes this router's next rows into a ledger that was just read. Until CommitGrants the router spends
+// PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router spends
 // only what both the present and the planned rows allow. A plan whose write got no answer is followed by another one.
-func (a *Accounts) PlanGrants(l *Ledger, at Moment) {
+func (a *Accounts) PlanGrants(shard Shard, l *Ledger, at Moment) {
 	now := at.Uptime
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.observe(l, now)
+	a.observe(shard, l, now)
 	a.follow(now)
 	a.writes++
 	h := &Holder{VM: a.cfg.VM, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
 	old := l.Holders[a.cfg.Self]
 	for _, id := range a.ids() {
+		if ShardOf(id) != shard {
+			continue
+		}
 		acc := a.orgs[id]
 		var had Row
 		if old != nil {
 			had = old.Rows[id]
 		}
 		row := a.row(l, id, acc, had, now)
-		acc.nextGranted = row.Granted
+		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
 		acc.elsewhere = l.Spent(id) - had.Spent
 		acc.free = acc.total - l.Granted(id) + had.Granted - row.Granted
@@ -53,12 +56,56 @@
 }
 
 // CommitGrants applies the planned rows after their write was confirmed. No earlier write can take effect any more.
-func (a *Accounts) CommitGrants() {
+func (a *Accounts) CommitGrants(shard Shard) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, acc := range a.orgs {
-		acc.granted = acc.nextGranted
+	for id, acc := range a.orgs {
+		if ShardOf(id) == shard {
+			acc.row = acc.nextRow
+			acc.granted = acc.row.Granted
+		}
+	}
+}
+
+// Due says how much a write of a ledger matters.
+type Due uint8
+
+// The degrees of need for a write.
+const (
+	// Settled means that the ledger shows all that matters.
+	Settled Due = iota
+	// Changed means that spending or demand has changed.
+	Changed
+	// Low means that the grant runs out soon.
+	Low
+	// Lacking means that requests lack tokens that are not granted to this router.
+	Lacking
+)
+
+// GrantsDue returns how much a write of the ledger of a shard matters.
+func (a *Accounts) GrantsDue(shard Shard) Due {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	due := Settled
+	for id, acc := range a.orgs {
+		if ShardOf(id) == shard {
+			due = max(due, a.due(acc))
+		}
 	}
+	return due
+}
+
+func (a *Accounts) due(acc *account) Due {
+	used := acc.spent + acc.held
+	switch {
+	case acc.want > 0 && used+acc.want > acc.granted:
+		return Lacking
+	case acc.free > 0 && acc.granted-used < acc.cover(a.cfg.LowFor):
+		return Low
+	case acc.spent != acc.row.Spent:
+		return Changed
+	}
+	return Settled
 }
 
 // PlanArms returns this router's next arms and records that they are sent. Until CommitArms the router spends only what
@@ -102,19 +149,19 @@
 }
 
 // observe notes which holders are alive and what their clocks show.
-func (a *Accounts) observe(l *Ledger, now time.Duration) {
-	again := a.observed > 0
-	for id := range a.seen {
-		if l.Holders[id] == nil {
-			delete(a.seen, id)
+func (a *Accounts) observe(shard Shard, l *Ledger, now time.Duration) {
+	after := a.observed[shard]
+	for id, h := range l.Holders {
+		if s, ok := a.seen[id]; id != a.cfg.Self && (!ok || h.Writes > s.writes) {
+			a.seen[id] = sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: after, fresh: after > 0}
 		}
 	}
-	for id, h := range l.Holders {
-		if s, ok := a.seen[id]; id != a.cfg.Self && (!ok || s.writes != h.Writes) {
-			a.seen[id] = sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: a.observed, fresh: again}
+	for id, s := range a.seen {
+		if l.Holders[id] == nil && now-s.at > a.cfg.Alive {
+			delete(a.seen, id)
 		}
 	}
-	a.observed = now
+	a.observed[shard] = now
 }
 
 // Clocks returns what the clocks of other VMs can have shown at most at an earlier uptime, as far as their holders have
@@ -163,7 +210,7 @@
 func (a *Accounts) arm(acc *account) Arm {
 	used := acc.spent + acc.held
 	armed := used + acc.want + max(acc.cover(a.cfg.ArmedFor), ident.Tokens(acc.size))
-	idle := float64(acc.total) * a.cfg.Idle / a.cfg.GrantedFor.Seconds()
+	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds()
 	growth := max(acc.rate*growthMargin, acc.size/sizeGrowth.Seconds(), idle)
 	return Arm{Armed: max(min(armed, acc.granted), used), Growth: ident.Tokens(growth)}
 }
@@ -174,8 +221,7 @@
 	free := acc.total - l.Granted(id)
 	rest := max(acc.total-l.Spent(id), 0)
 	share, wanted := a.share(l, id, acc, rest, now)
-	idle := ident.Tokens(float64(acc.total) * a.cfg.Idle)
-	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), ident.Tokens(grantedRequests*acc.size), idle)
+	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), ident.Tokens(grantedRequests*acc.size), a.idle(acc))
 	granted = min(granted, max(acc.spent+share, used+acc.want))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
@@ -188,6 +234,11 @@
 	return Row{Granted: granted, Spent: acc.spent, Rate: ident.Tokens(acc.rate), Want: acc.want}
 }
 
+// idle returns what a router without demand is granted.
+func (a *Accounts) idle(acc *account) ident.Tokens {
+	return ident.Tokens(float64(acc.total) * a.cfg.Idle / float64(len(a.seen)+1))
+}
+
 // cover returns the tokens that the present demand uses in a time.
 func (acc *account) cover(d time.Duration) ident.Tokens {
 	return ident.Tokens(acc.rate * d.Seconds())
@@ -204,8 +255,11 @@
 		if now-s.at >= a.cfg.Alive {
 			continue
 		}
-		row := l.Holders[other].Rows[id]
 		n++
+		if l.Holders[other] == nil {
+			continue
+		}
+		row := l.Holders[other].Rows[id]
 		sum += float64(row.Rate)
 		wanted += row.Want
 	}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,72 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var testConfig = Config{Window: 10 * time.Second, Ratio: 0.2, Allowance: 54, Fresh: true}
+
+// TestFleetBound guards against repeats of several routers that exceed the fleet's bound in some window.
+func TestFleetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "routers")
+		start := time.Unix(1000, 0)
+		now := start
+		budgets := make([]*Budget, n)
+		for i := range budgets {
+			budgets[i] = New(testConfig, now)
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "router")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			if b.Allow(now, n) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			from := end.Add(-testConfig.Window)
+			limit := testConfig.Ratio*float64(within(requests, from, end)) + testConfig.Allowance
+			if got := within(repeats, from, end); float64(got) > limit {
+				t.Fatalf("%d repeats in a window, limit %.1f", got, limit)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range times {
+		if t.After(from) && !t.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRestartHasNoAllowance guards against a router that crashes in a loop and uses its allowance each time.
+func TestRestartHasNoAllowance(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig
+	cfg.Fresh = false
+	now := time.Unix(1000, 0)
+	b := New(cfg, now)
+	is.True(!b.Allow(now, 1))
+	for range 10 {
+		b.Request(now)
+	}
+	now = now.Add(time.Second)
+	is.True(b.Allow(now, 1))
+	is.True(b.Allow(now, 1))
+	is.True(!b.Allow(now, 1))
+	is.True(b.Allow(now.Add(cfg.Window), 1))
+}
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -23,9 +23,9 @@
 	memoryPart = 0.5
 	// gcPercent trades processor time for memory, which is the scarcer of the two on entry VMs.
 	gcPercent = 50
-	// storeWait is the time after which the store answers a watch without changes. A silent connection is noticed
-	// after it.
-	storeWait = 3 * time.Second
+	// storeWait is the time after which the store answers a watch without changes. A silent connection is noticed by
+	// its keep-alive probes before.
+	storeWait = 10 * time.Second
 	// storeTimeout bounds a call of the store, which usually takes some milliseconds.
 	storeTimeout = time.Second
 )
@@ -72,6 +72,9 @@
 		VM:      edge.NewKernelClock(),
 		Metrics: edge.NewMetrics(),
 	})
+	if err := s.Listen(); err != nil {
+		return err
+	}
 	return s.Run(ctx)
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -32,11 +32,13 @@
 	// strands; it has to last between two writes. The second carries the router through an outage of the store.
 	armedFor   = time.Second
 	grantedFor = 25 * time.Second
-	// idlePart is the part of an organisation's tokens that a router without demand is granted, for the first requests
-	// of an outage.
-	idlePart = 0.04
+	// lowFor is the time of present demand under which a grant is renewed.
+	lowFor = 10 * time.Second
+	// idlePart is the part of an organisation's tokens that all routers together are granted without demand, for the
+	// first requests of an outage.
+	idlePart = 0.3
 	// aliveFor is the time for which a router without a write to the ledger counts for the division of tokens.
-	aliveFor = 4 * time.Second
+	aliveFor = 6 * time.Second
 	// drainNotice is the time between SIGTERM and the end of the listener, in which the balancer sees twice that the
 	// router is not ready.
 	drainNotice = 2500 * time.Millisecond
@@ -72,7 +74,8 @@
 	syncNow  chan struct{}
 	draining atomic.Bool
 	running  atomic.Int64
-	synced   atomic.Bool
+
+	callers, checks net.Listener
 
 	mu      sync.Mutex
 	retries map[ident.ServiceID]*retry.Budget
@@ -89,7 +92,7 @@
 		fleet: place.New(place.Config{Domain: ident.DomainID(cfg.Domain), Lapse: cfg.Bounds.Lapse}),
 		accounts: quota.New(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
-			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, Idle: idlePart, Alive: aliveFor,
+			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
 		}),
 		pool:    relay.New(relay.Config{Clock: deps.Clock}),
 		idle:    newIdleConns(deps.Clock),
@@ -103,10 +106,8 @@
 	return s
 }
 
-// Run serves until the context ends, and then stops within the grace period: no new callers, running requests finish.
-func (s *Server) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
+// Listen opens the addresses for callers and for readiness checks. It comes before Run.
+func (s *Server) Listen() error {
 	callers, err := net.Listen("tcp", s.cfg.CallerAddr)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers")
@@ -115,11 +116,25 @@
 	if err != nil {
 		return trace.NewAggregate(trace.Wrap(err, "listen for readiness checks"), callers.Close())
 	}
+	s.callers, s.checks = callers, checks
+	return nil
+}
+
+// CallerAddr returns the address for callers after Listen.
+func (s *Server) CallerAddr() string { return s.callers.Addr().String() }
+
+// ReadyAddr returns the address for readiness checks after Listen.
+func (s *Server) ReadyAddr() string { return s.checks.Addr().String() }
+
+// Run serves until the context ends, and then stops within the grace period: no new callers, running requests finish.
+func (s *Server) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
 	edge := s.callerServer()
 	ready := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
 	failed := make(chan error, 2)
-	go func() { failed <- edge.Serve(callers) }()
-	go func() { failed <- ready.Serve(checks) }()
+	go func() { failed <- edge.Serve(s.callers) }()
+	go func() { failed <- ready.Serve(s.checks) }()
 	var tasks sync.WaitGroup
 	s.start(work, &tasks)
 	select {
--- /dev/null
+++ b/io/edge/harness_test.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/platform"
+	"geraniumsaddle/platform/stand"
+)
+
+// patience bounds a wait for a condition. It is far above what any of them takes.
+const patience = 30 * time.Second
+
+// world is one router with a store and targets.
+type world struct {
+	t       *testing.T
+	store   *stand.Store
+	server  *Server
+	engines map[string]*stand.Engine
+	stop    func()
+	client  *http.Client
+	next    int
+}
+
+const worldConfig = `{"version":%d,"routes":[
+ {"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":%d,"priority":1,"service":"llm","max_attempts":2,"sticky":true},
+ {"name":"resume","host":"h.example","path_prefix":"/resume/","kind":"streaming","timeout_ms":20000,"priority":1,"service":"llm","max_attempts":3,"sticky":true,"resumable":true},
+ {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":%d,"service":"desk","max_attempts":2},
+ {"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":20000,"service":"desk","max_attempts":3,"public":true}],
+"services":[{"name":"llm","health_path":"/h","max_connections":100,"engine":{"slots":8,"kv_capacity_tokens":100000,"stride":4}},
+ {"name":"desk","health_path":"/h","max_connections":100}],
+"limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"org1","api_keys":["key1"],"prepaid":%d},{"name":"org2","api_keys":["key2"],"prepaid":10}]}`
+
+// newWorld starts a router before one engine of each service.
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: stand.NewStore(2), engines: make(map[string]*stand.Engine)}
+	srv := httptest.NewServer(w.store)
+	t.Cleanup(func() {
+		w.store.Close()
+		srv.Close()
+	})
+	w.configure(1, 20_000, 1_000_000)
+	w.engine("llm-1", "llm")
+	w.engine("desk-1", "desk")
+	cfg := platform.Settings{
+		VM: "vm-1", Domain: "a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", FirstStart: true,
+		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 1600 * time.Millisecond, Lapse: 200 * time.Millisecond,
+			RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
+	}
+	w.server = New(cfg, Deps{
+		Clock: clockwork.NewRealClock(),
+		Log:   slog.New(slog.DiscardHandler),
+		Store: platform.NewStore(platform.StoreConfig{
+			Addr: srv.Listener.Addr().String(), Wait: 300 * time.Millisecond, Timeout: 2 * time.Second,
+			Transport: &http.Transport{},
+		}),
+		VM:      NewKernelClock(),
+		Metrics: NewMetrics(),
+	})
+	if err := w.server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.server.Run(ctx) }()
+	stopped := false
+	w.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	t.Cleanup(w.stop)
+	w.client = &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}
+	w.await("readiness", w.isReady)
+	w.await("targets", func() bool { return w.server.fleet.Len("llm") > 0 && w.server.fleet.Len("desk") > 0 })
+	w.await("tokens", func() bool { return w.server.accounts.Balance("org1").Growth > 0 })
+	return w
+}
+
+func (w *world) configure(version, timeoutMS, prepaid int) {
+	w.store.Put("config", "main", fmt.Sprintf(worldConfig, version, timeoutMS, timeoutMS, prepaid))
+}
+
+func (w *world) engine(id, service string) *stand.Engine {
+	e, err := stand.NewEngine(id)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(e.Close)
+	w.engines[id] = e
+	w.store.Put("servers", id, e.Entry(service, "a", "ready"))
+	return e
+}
+
+func (w *world) isReady() bool {
+	resp, err := w.client.Get("http://" + w.server.ReadyAddr() + "/readyz")
+	if err != nil {
+		return false
+	}
+	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
+
+// await polls a condition.
+func (w *world) await(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !ok(); {
+		if time.Now().After(end) {
+			w.t.Fatalf("no %s", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// answer is what a caller gets. Err is set when the answer is not complete.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	id     string
+}
+
+// ask describes a request of a caller.
+type ask struct {
+	method, path, key, body string
+	// prompt makes it a request of a model engine with this many tokens in and out.
+	in, out int
+	header  http.Header
+	// deadline in milliseconds; zero leaves it out.
+	deadline int
+}
+
+func (w *world) request(ctx context.Context, a ask) (*http.Request, string) {
+	w.next++
+	id := fmt.Sprintf("attempt-%d", w.next)
+	method := a.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+w.server.CallerAddr()+a.path, strings.NewReader(a.body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("Attempt-Id", id)
+	if a.key != "" {
+		r.Header.Set("Authorization", "Token "+a.key)
+	}
+	if a.in > 0 {
+		r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", a.in, a.out))
+		r.Header.Set("Model", "m")
+	}
+	if a.deadline > 0 {
+		r.Header.Set("Deadline-Ms", fmt.Sprint(a.deadline))
+	}
+	for k, v := range a.header {
+		r.Header[k] = v
+	}
+	return r, id
+}
+
+func (w *world) ask(a ask) answer {
+	r, id := w.request(context.Background(), a)
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return answer{err: err, id: id}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err, id}
+}
+
+var (
+	chat   = ask{path: "/chat/1", key: "key1", in: 100, out: 40, body: "prompt"}
+	resume = ask{path: "/resume/1", key: "key1", in: 100, out: 40, body: "prompt"}
+	book   = ask{path: "/book/1?shelf=2", key: "key1", body: "reserve"}
+	look   = ask{method: http.MethodGet, path: "/look/1"}
+)
+
+func events(id string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(stand.Event(id, i))
+	}
+	return b.String()
+}
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -16,13 +17,8 @@
 const (
 	// armsInterval is the time between two writes of this router's arms, which bounds what its crash strands.
 	armsInterval = 500 * time.Millisecond
-	// grantsInterval is the time between two regular writes of the ledger. It bounds how old the others' knowledge of
-	// this router's spending is.
-	grantsInterval = 1500 * time.Millisecond
-	// syncPause is the least time between two writes, and lackPause that between two writes of the ledger for requests
-	// that lack tokens.
+	// syncPause is the least time between two writes.
 	syncPause = 30 * time.Millisecond
-	lackPause = 250 * time.Millisecond
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
 	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
@@ -32,8 +28,19 @@
 	maxConflicts = 8
 )
 
-// ledgerKey is the object that divides the prepaid tokens.
-var ledgerKey = object.Key{Kind: platform.KindLedger, Name: "main"}
+// grantIntervals are the times between two writes of a ledger, by how much they matter. The longest bounds how old the
+// others' knowledge of this router is.
+var grantIntervals = map[quota.Due]time.Duration{
+	quota.Settled: 4 * time.Second,
+	quota.Changed: 2 * time.Second,
+	quota.Low:     time.Second,
+	quota.Lacking: 250 * time.Millisecond,
+}
+
+// ledgerKey is the object that divides the prepaid tokens of a shard.
+func ledgerKey(n quota.Shard) object.Key {
+	return object.Key{Kind: platform.KindLedger, Name: strconv.Itoa(int(n))}
+}
 
 // armsKey is the object with the arms of a router.
 func armsKey(id ident.RouterID) object.Key {
@@ -46,16 +53,21 @@
 	known  bool
 }
 
-// ledgerTask writes this router's part of the ledger.
+// ledgerTask writes this router's part of the ledgers.
 type ledgerTask struct {
 	s       *Server
 	started quota.Moment
-	ledger  stored
+	shards  [quota.Shards]shardState
 	arms    stored
+}
+
+// shardState is one ledger as this router knows it.
+type shardState struct {
+	stored
 	// earlierEnded says that the ledger as last read has no holder of an earlier process of this VM.
 	earlierEnded bool
-	// grantedAt is when the ledger was last written, and slow how long that took.
-	grantedAt time.Time
+	// writtenAt is when the ledger was last written, and slow how long that took.
+	writtenAt time.Time
 	slow      time.Duration
 }
 
@@ -114,52 +126,51 @@
 	}
 }
 
-// sync writes the ledger when it is due, and the arms.
+// sync writes the ledgers that are due, and the arms.
 func (t *ledgerTask) sync(ctx context.Context) error {
-	if t.grantsDue() {
-		if err := t.writeGrants(ctx); err != nil {
+	for n := range quota.Shard(quota.Shards) {
+		if !t.grantsDue(n) {
+			continue
+		}
+		if err := t.writeGrants(ctx, n); err != nil {
 			return err
 		}
 	}
 	return t.writeArms(ctx)
 }
 
-func (t *ledgerTask) grantsDue() bool {
-	if !t.ledger.known {
+func (t *ledgerTask) grantsDue(n quota.Shard) bool {
+	st := &t.shards[n]
+	if !st.known || !st.earlierEnded {
 		return true
 	}
-	age := t.s.deps.Clock.Since(t.grantedAt)
-	least := time.Duration(float64(t.slow) / slowPart)
-	if t.s.accounts.Lacking() {
-		return age >= max(lackPause, least)
-	}
-	return age >= max(grantsInterval, least)
+	least := time.Duration(float64(st.slow) / slowPart)
+	return t.s.deps.Clock.Since(st.writtenAt) >= max(grantIntervals[t.s.accounts.GrantsDue(n)], least)
 }
 
-// writeGrants writes this router's rows of the ledger under the condition that nobody else wrote meanwhile.
-func (t *ledgerTask) writeGrants(ctx context.Context) error {
-	if !t.ledger.known {
-		if err := t.read(ctx, ledgerKey, &t.ledger); err != nil {
+// writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
+func (t *ledgerTask) writeGrants(ctx context.Context, n quota.Shard) error {
+	st := &t.shards[n]
+	if !st.known {
+		if err := t.read(ctx, ledgerKey(n), &st.stored); err != nil {
 			return err
 		}
 	}
 	for range maxConflicts {
-		l, err := t.decodeLedger()
+		l, err := st.decode()
 		if err != nil {
 			return err
 		}
-		if !t.earlierEnded {
-			if err := t.endEarlier(ctx, l); err != nil {
-				return err
-			}
+		if err := t.endEarlier(ctx, st, l); err != nil {
+			return err
 		}
-		t.s.accounts.PlanGrants(l, t.s.deps.VM.Now())
+		t.s.accounts.PlanGrants(n, l, t.s.deps.VM.Now())
 		from := t.s.deps.Clock.Now()
-		err = t.write(ctx, ledgerKey, &t.ledger, l.Encode())
-		t.grantedAt = t.s.deps.Clock.Now()
-		t.slow = t.grantedAt.Sub(from)
+		err = t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
+		st.writtenAt = t.s.deps.Clock.Now()
+		st.slow = st.writtenAt.Sub(from)
 		if err == nil {
-			t.s.accounts.CommitGrants()
+			t.s.accounts.CommitGrants(n)
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
@@ -192,9 +203,9 @@
 
 // endEarlier closes the rows of earlier processes of this VM. When only clocks can tell how long such a process has
 // lived, its rows stay until enough other routers have written to the ledger.
-func (t *ledgerTask) endEarlier(ctx context.Context, l *quota.Ledger) error {
+func (t *ledgerTask) endEarlier(ctx context.Context, st *shardState, l *quota.Ledger) error {
 	earlier := l.Earlier(ident.VMID(t.s.cfg.VM), t.s.self)
-	t.earlierEnded = len(earlier) == 0
+	st.earlierEnded = len(earlier) == 0
 	clocks := t.s.accounts.Clocks(t.started.Uptime)
 	last := t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait
 	for _, id := range earlier {
@@ -261,11 +272,11 @@
 	return err
 }
 
-func (t *ledgerTask) decodeLedger() (*quota.Ledger, error) {
-	if t.ledger.object.Version == 0 {
+func (st *stored) decode() (*quota.Ledger, error) {
+	if st.object.Version == 0 {
 		return quota.NewLedger(), nil
 	}
-	return quota.Decode(t.ledger.object.Value)
+	return quota.Decode(st.object.Value)
 }
 
 // leaveLedger hands back what is unspent when the process stops.
@@ -284,18 +295,28 @@
 
 func (s *Server) handBack(ctx context.Context, spent map[ident.OrgID]ident.Tokens) error {
 	t := &ledgerTask{s: s}
+	for n := range quota.Shard(quota.Shards) {
+		if err := t.leaveShard(ctx, n, spent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *ledgerTask) leaveShard(ctx context.Context, n quota.Shard, spent map[ident.OrgID]ident.Tokens) error {
+	st := &t.shards[n]
 	for range maxConflicts {
-		if !t.ledger.known {
-			if err := t.read(ctx, ledgerKey, &t.ledger); err != nil {
+		if !st.known {
+			if err := t.read(ctx, ledgerKey(n), &st.stored); err != nil {
 				return err
 			}
 		}
-		l, err := t.decodeLedger()
-		if err != nil || l.Holders[s.self] == nil {
+		l, err := st.decode()
+		if err != nil || l.Holders[t.s.self] == nil {
 			return err
 		}
-		l.Leave(s.self, spent)
-		err = t.write(ctx, ledgerKey, &t.ledger, l.Encode())
+		l.Leave(t.s.self, n, spent)
+		err = t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
@@ -16,9 +15,6 @@
 // maxTries bounds the targets that a request is offered to, also those that refuse it without running it.
 const maxTries = 4
 
-// minLeft is the remaining time under which a request is not sent any more.
-const minLeft = 5 * time.Millisecond
-
 // errLeaving means that the chosen target left between the choice and the send.
 var errLeaving = errors.New("target is leaving")
 
--- /dev/null
+++ b/io/logs/logs_test.go
@@ -0,0 +1,67 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestFullPipeDoesNotBlock guards against a router that stands still because nobody reads its output.
+func TestFullPipeDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	r, out, err := os.Pipe()
+	is.NoErr(err)
+	w := New(out, 8)
+	log := w.Logger(slog.LevelInfo)
+	const lines = 5000
+	for range lines {
+		log.Info("decision", "filler", strings.Repeat("x", 200))
+	}
+	is.True(w.Dropped() > 0)
+	// Once the output drains, a line tells how many were lost.
+	read := make(chan []byte)
+	go func() {
+		b, err := io.ReadAll(r)
+		is.NoErr(err)
+		read <- b
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	w.Close(ctx)
+	is.NoErr(out.Close())
+	got := <-read
+	is.True(bytes.Contains(got, []byte("log lines dropped")))
+	is.True(bytes.Count(got, []byte("\n")) < lines)
+}
+
+// TestLinesInOrder guards against lines that are lost or mixed while the output drains.
+func TestLinesInOrder(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out, 16)
+	log := w.Logger(slog.LevelInfo)
+	log.Info("first")
+	log.Debug("left out")
+	log.Info("second")
+	w.Close(context.Background())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "first"))
+	is.True(strings.Contains(lines[1], "second"))
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := New(io.Discard, DefaultQueue)
+	log := w.Logger(slog.LevelInfo)
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("request", "id", "9c41d07be2a35f68", "route", "r-1", "status", 200, "total_ms", 123)
+	}
+}
