--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -23,11 +23,10 @@
 	memoryPart = 0.5
 	// gcPercent trades processor time for memory, which is the scarcer of the two on entry VMs.
 	gcPercent = 50
-	// storeWait is the time after which the store answers a watch without changes. A silent connection is noticed by
-	// its keep-alive probes before.
-	storeWait = 10 * time.Second
 	// storeTimeout bounds a call of the store, which usually takes some milliseconds.
 	storeTimeout = time.Second
+	// watchGrace bounds the answer to a watch after its wait.
+	watchGrace = 500 * time.Millisecond
 )
 
 func newEdge() *cobra.Command {
@@ -83,8 +82,8 @@
 	dialer := net.Dialer{Timeout: storeTimeout, KeepAliveConfig: keepAlive}
 	return platform.NewStore(platform.StoreConfig{
 		Addr:    cfg.Addr,
-		Wait:    storeWait,
 		Timeout: storeTimeout,
+		Grace:   watchGrace,
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: 4,
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -55,13 +55,16 @@
 	VM VMClock
 	// Metrics counts what the router does.
 	Metrics *Metrics
+	// Waits are those of the watches; nil takes the defaults.
+	Waits Waits
 }
 
 // Server is one router process.
 type Server struct {
-	cfg  platform.Settings
-	deps Deps
-	self ident.RouterID
+	cfg   platform.Settings
+	deps  Deps
+	self  ident.RouterID
+	waits Waits
 
 	table    atomic.Pointer[route.Table]
 	fleet    *place.Fleet
@@ -70,6 +73,8 @@
 	idle     *idleConns
 	link     *storeLink
 	freed    *broadcast
+	// renew makes all watches start again from a list.
+	renew *broadcast
 	// syncNow asks for a write to the ledger before the next regular one.
 	syncNow  chan struct{}
 	draining atomic.Bool
@@ -97,9 +102,13 @@
 		pool:    relay.New(relay.Config{Clock: deps.Clock}),
 		idle:    newIdleConns(deps.Clock),
 		freed:   newBroadcast(),
+		renew:   newBroadcast(),
 		syncNow: make(chan struct{}, 1),
 		retries: make(map[ident.ServiceID]*retry.Budget),
 	}
+	if s.waits == nil {
+		s.waits = defaultWaits
+	}
 	s.link = newStoreLink(deps.Clock, deps.Log, s.fleet.StoreAway)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain, "uptime_ms", started.Uptime.Milliseconds(),
 		"boot", started.Boot, "first_start", cfg.FirstStart)
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -42,7 +42,9 @@
 "tenants":[{"name":"org1","api_keys":["key1"],"prepaid":%d},{"name":"org2","api_keys":["key2"],"prepaid":10}]}`
 
 // newWorld starts a router before one engine of each service.
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newWorldWaits(t, nil) }
+
+func newWorldWaits(t *testing.T, waits Waits) *world {
 	w := &world{t: t, store: stand.NewStore(2), engines: make(map[string]*stand.Engine)}
 	srv := httptest.NewServer(w.store)
 	t.Cleanup(func() {
@@ -61,10 +63,11 @@
 		Clock: clockwork.NewRealClock(),
 		Log:   slog.New(slog.DiscardHandler),
 		Store: platform.NewStore(platform.StoreConfig{
-			Addr: srv.Listener.Addr().String(), Wait: 300 * time.Millisecond, Timeout: 2 * time.Second,
+			Addr: srv.Listener.Addr().String(), Timeout: 2 * time.Second, Grace: 2 * time.Second,
 			Transport: &http.Transport{},
 		}),
 		VM:      NewKernelClock(),
+		Waits:   waits,
 		Metrics: NewMetrics(),
 	})
 	if err := w.server.Listen(); err != nil {
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
+	"geraniumsaddle/platform"
 	"geraniumsaddle/platform/stand"
 )
 
@@ -319,6 +321,19 @@
 	}
 }
 
+// TestLostHistory guards against a change that is missed until a long watch ends, because the history was dropped while
+// the watch waited.
+func TestLostHistory(t *testing.T) {
+	t.Parallel()
+	w := newWorldWaits(t, Waits{platform.KindConfig: 100 * time.Millisecond, platform.KindTarget: time.Hour,
+		platform.KindRelease: time.Hour})
+	w.store.Compact()
+	w.store.Delete("servers", "desk-1")
+	w.configure(9, 20_000, 1_000_000)
+	w.await("the new configuration", func() bool { return w.server.table.Load().Version() == 9 })
+	w.await("the departure", func() bool { return w.server.fleet.Len("desk") == 0 })
+}
+
 // TestShutdown guards against a request that a graceful stop cuts, and against tokens that it strands.
 func TestShutdown(t *testing.T) {
 	t.Parallel()
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
@@ -18,8 +19,23 @@
 	apply(e store.Event)
 }
 
+// Waits are the times after which the store answers a watch without changes, by kind.
+type Waits map[object.Kind]time.Duration
+
+// defaultWaits is for a store some milliseconds away. A watch can end without notice
+// when the history is dropped, and a change of the configuration has to be known within 2 s, so that the watch of the
+// configuration is short and its failure renews the others.
+var defaultWaits = Waits{
+	platform.KindConfig:  2 * time.Second,
+	platform.KindTarget:  4 * time.Second,
+	platform.KindRelease: 10 * time.Second,
+}
+
+// errRenewed means that a watch was given up because another one has failed.
+var errRenewed = errors.New("watch was renewed")
+
 // follow feeds the follower until the context ends: all objects first, then their changes, and all objects again when
-// the history of changes is lost.
+// changes may have been missed.
 func (s *Server) follow(ctx context.Context, kind object.Kind, f follower) {
 	var from ident.ObjectVersion
 	failures := 0
@@ -33,6 +49,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errRenewed) {
+			continue
+		}
 		s.link.result(err)
 		s.deps.Metrics.storeCall("watch "+string(kind), err)
 		if err == nil {
@@ -70,12 +89,28 @@
 }
 
 func (s *Server) pollOnce(ctx context.Context, kind object.Kind, from ident.ObjectVersion, f follower) (ident.ObjectVersion, error) {
-	ev, err := s.deps.Store.Poll(ctx, kind, from)
-	if errors.Is(err, store.ErrCompacted) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	renew := s.renew.wait()
+	go func() {
+		select {
+		case <-renew:
+			cancel(errRenewed)
+		case <-ctx.Done():
+		}
+	}()
+	ev, err := s.deps.Store.Poll(ctx, kind, from, s.waits[kind])
+	switch {
+	case errors.Is(context.Cause(ctx), errRenewed):
+		return 0, errRenewed
+	case errors.Is(err, store.ErrCompacted):
 		s.deps.Log.Info("history of changes is gone; listing again", "kind", kind, "from", from)
+		s.renew.send()
 		return 0, nil
-	}
-	if err != nil {
+	case errors.Is(err, context.DeadlineExceeded):
+		s.renew.send()
+		return 0, err
+	case err != nil:
 		return from, err
 	}
 	if ev.Unreadable > 0 {
--- a/io/store/poll.go
+++ b/io/store/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
@@ -22,8 +23,8 @@
 	Get(ctx context.Context, key object.Key) (Object, error)
 	// List returns a page of the objects of a kind whose names follow after.
 	List(ctx context.Context, kind object.Kind, after string) (Page, error)
-	// Poll waits for changes after a version. The error is ErrCompacted when they are no longer kept.
-	Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion) (Events, error)
+	// Poll waits for changes after a version, up to a time. The error is ErrCompacted when they are no longer kept.
+	Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (Events, error)
 	// Create stores a new object. On ErrConflict it returns the stored object.
 	Create(ctx context.Context, key object.Key, value []byte) (Object, error)
 	// Replace stores the value of an object of the given version. On ErrConflict it returns the stored object.
