--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -95,6 +95,18 @@
 	return due
 }
 
+// ArmsShort reports whether requests wait for tokens that are granted and only have to be armed.
+func (a *Accounts) ArmsShort() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, acc := range a.orgs {
+		if acc.want > 0 && acc.spent+acc.held+acc.want <= acc.granted {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Accounts) due(acc *account) Due {
 	used := acc.spent + acc.held
 	switch {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -94,6 +94,7 @@
 		cfg:   cfg,
 		deps:  deps,
 		self:  self,
+		waits: deps.Waits,
 		fleet: place.New(place.Config{Domain: ident.DomainID(cfg.Domain), Lapse: cfg.Bounds.Lapse}),
 		accounts: quota.New(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -31,10 +31,10 @@
 // grantIntervals are the times between two writes of a ledger, by how much they matter. The longest bounds how old the
 // others' knowledge of this router is.
 var grantIntervals = map[quota.Due]time.Duration{
-	quota.Settled: 4 * time.Second,
-	quota.Changed: 2 * time.Second,
+	quota.Settled: 5 * time.Second,
+	quota.Changed: 3 * time.Second,
 	quota.Low:     time.Second,
-	quota.Lacking: 250 * time.Millisecond,
+	quota.Lacking: 300 * time.Millisecond,
 }
 
 // ledgerKey is the object that divides the prepaid tokens of a shard.
@@ -92,21 +92,42 @@
 			failures = 0
 			s.freed.send()
 		}
-		s.waitSync(ctx)
+		t.wait(ctx)
 	}
 }
 
-// waitSync waits for the next regular write or an urgent one.
-func (s *Server) waitSync(ctx context.Context) {
+// wait waits for the next regular write, or for an urgent one that brings waiting requests their tokens.
+func (t *ledgerTask) wait(ctx context.Context) {
 	jitter := time.Duration(rand.Int64N(int64(armsInterval / 4)))
-	if !s.sleep(ctx, syncPause) {
+	regular := t.s.deps.Clock.After(armsInterval - jitter)
+	if !t.s.sleep(ctx, syncPause) {
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-s.syncNow:
-	case <-s.deps.Clock.After(armsInterval - jitter):
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-regular:
+			return
+		case <-t.s.syncNow:
+			if t.urgent() {
+				return
+			}
+		}
+	}
+}
+
+// urgent reports whether a write helps requests that wait for tokens.
+func (t *ledgerTask) urgent() bool {
+	if t.s.accounts.ArmsShort() {
+		return true
+	}
+	for n := range quota.Shard(quota.Shards) {
+		if t.grantsDue(n) {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *Server) sleep(ctx context.Context, d time.Duration) bool {
