--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -13,7 +11,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
+	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/edge"
+	"geraniumsaddle/io/flags"
 	"geraniumsaddle/io/logs"
 	"geraniumsaddle/platform"
 )
@@ -30,29 +30,26 @@
 )
 
 func newEdge() *cobra.Command {
-	var path, level string
+	var cfg flags.Edge
 	cmd := &cobra.Command{
 		Use:   "edge",
 		Short: "Run a router on the users' platform until it is interrupted",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			var l slog.Level
-			if err := l.UnmarshalText([]byte(level)); err != nil {
-				return fmt.Errorf("log level: %w", err)
+			if err := load(cmd, &cfg); err != nil {
+				return err
 			}
-			return runEdge(cmd.Context(), path, l)
+			return runEdge(cmd.Context(), cfg)
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable),
-		"settings file of the platform, also from "+platform.SettingsVariable)
-	cmd.Flags().StringVar(&level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	flags.BindEdge(cmd.Flags(), &cfg)
 	return cmd
 }
 
-func runEdge(ctx context.Context, path string, level slog.Level) error {
-	cfg, err := platform.ReadSettings(path)
+func runEdge(ctx context.Context, settings flags.Edge) error {
+	cfg, err := platform.ReadSettings(settings.Settings)
 	if err != nil {
-		return err
+		return &settingsError{object.Faults{{Path: "settings", Message: err.Error()}}}
 	}
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryBytes > 0 {
@@ -66,7 +63,7 @@
 	}()
 	s := edge.New(cfg, edge.Deps{
 		Clock:   clockwork.NewRealClock(),
-		Log:     out.Logger(level),
+		Log:     out.Logger(settings.Level()),
 		Store:   newPlatformStore(cfg.Store),
 		VM:      edge.NewKernelClock(),
 		Metrics: edge.NewMetrics(),
--- /dev/null
+++ b/io/cmds/trace_test.go
@@ -0,0 +1,32 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	traceFirst  = `vm-2 {"time":"2026-12-04T06:00:01Z","msg":"send failed","id":"r1","target":"t1"}`
+	traceSecond = `{"time":"2026-12-04T06:00:02Z","msg":"request","id":"r1","status":502}`
+	traceOther  = `{"time":"2026-12-04T06:00:00Z","msg":"request","id":"r2","reason":"like r1"}`
+)
+
+// TestTrace guards against lines of other requests, against a wrong order and against a crash on other text.
+func TestTrace(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	is.NoErr(os.WriteFile(a, []byte(traceSecond+"\n"+traceOther+"\nnot json r1 {\n"), 0o600))
+	is.NoErr(os.WriteFile(b, []byte(traceFirst+"\n"), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r1", a, b}, &out, &errOut), exitOK)
+	is.Equal(out.String(), traceFirst+"\n"+traceSecond+"\n")
+	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r9", a, b}, &out, &errOut), exitFailure)
+	is.True(strings.Contains(errOut.String(), "no log line names request r9"))
+}
