--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -27,7 +27,19 @@
 	Prompt *Prompt
 	// Exclude lists the targets that have had the request.
 	Exclude []ident.TargetID
-	Now     time.Time
+	// Versions restricts the versions that may take the request.
+	Versions Versions
+	Now      time.Time
+}
+
+// Versions restricts the versions of targets. The zero value allows all.
+type Versions struct {
+	// Only and Not are left out when empty.
+	Only, Not ident.VersionID
+}
+
+func (v Versions) allow(id ident.VersionID) bool {
+	return (v.Only == "" || id == v.Only) && (v.Not == "" || id != v.Not)
 }
 
 // Choice is a target with one request counted to it. The owner calls Done once.
@@ -84,8 +96,7 @@
 	if m.State != Serving || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
-	only := f.only[m.Service]
-	return only == nil || only(m.Version)
+	return r.Versions.allow(m.Version)
 }
 
 // homeOf returns the target that keeps the deepest shared part of the prompt.
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -30,7 +30,6 @@
 	mu      sync.Mutex
 	targets map[ident.TargetID]*member
 	pools   map[ident.ServiceID][]*member // ordered by id
-	only    map[ident.ServiceID]func(ident.VersionID) bool
 	// away says that the store cannot be heard, and backAt when it was heard again.
 	away   bool
 	backAt time.Time
@@ -42,7 +41,6 @@
 		cfg:     cfg,
 		targets: make(map[ident.TargetID]*member),
 		pools:   make(map[ident.ServiceID][]*member),
-		only:    make(map[ident.ServiceID]func(ident.VersionID) bool),
 	}
 }
 
@@ -145,17 +143,6 @@
 	}
 }
 
-// Restrict sets which versions of a service may take requests; nil allows all.
-func (f *Fleet) Restrict(s ident.ServiceID, allowed func(ident.VersionID) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if allowed == nil {
-		delete(f.only, s)
-		return
-	}
-	f.only[s] = allowed
-}
-
 // Versions returns the number of serving targets of each version of a service.
 func (f *Fleet) Versions(s ident.ServiceID) map[ident.VersionID]int {
 	f.mu.Lock()
@@ -178,6 +165,19 @@
 	return n
 }
 
+// RunningBeside returns the number of this router's requests at targets of other versions.
+func (f *Fleet) RunningBeside(s ident.ServiceID, v ident.VersionID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, m := range f.pools[s] {
+		if m.Version != v {
+			n += m.running
+		}
+	}
+	return n
+}
+
 // Usable reports whether a target may still get a request. It is asked again just before each send, because the
 // choice may be old after a pause of the process.
 func (f *Fleet) Usable(t Target) bool {
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -46,6 +46,8 @@
 	call    platform.Call
 	body    []byte
 	service ident.ServiceID
+	// versions restricts the versions of targets while a release runs.
+	versions place.Versions
 
 	// held is what is reserved of the organisation's tokens, and output what was delivered.
 	held   ident.Tokens
@@ -118,6 +120,7 @@
 		}
 	}
 	x.service = x.route.Pick(rand.Uint64())
+	x.versions = x.s.releases.versions(x.service, x.started)
 	x.s.countRequest(x.service)
 	x.deadline = x.started.Add(x.patience())
 	return x.readBody(limits.Body)
@@ -263,7 +266,7 @@
 		version = x.table.Version()
 	}
 	x.s.deps.Log.Info("request", "id", x.call.ID, "route", routeName, "config", version, "organisation", org,
-		"status", x.status, "reason", x.reason, "targets", x.tried, "home", x.home, "cost_ms", int(x.cost),
+		"status", x.status, "reason", x.reason, "targets", x.tried, "version", x.version, "home", x.home, "cost_ms", int(x.cost),
 		"busy", int(x.busy), "tokens_held", x.held, "output", x.output, "token_wait_ms", x.waited.Milliseconds(),
 		"first_ms", x.first.Milliseconds(), "total_ms", total.Milliseconds())
 }
@@ -280,15 +283,20 @@
 	return min(p, platform.MaxUrgency)
 }
 
-// choose picks the next target.
+// choose picks the next target. A version that the traffic moves to and that has no target leaves the request to the
+// others.
 func (x *exchange) choose() (*place.Choice, error) {
-	prompt := x.call.Prompt
-	if !x.route.Model {
-		prompt = nil
+	r := place.Request{
+		Service: x.service, Exclude: x.tried, Now: x.s.deps.Clock.Now(), Versions: x.versions,
+	}
+	if x.route.Model {
+		r.Prompt = x.call.Prompt
+	}
+	c, err := x.s.fleet.Choose(r)
+	if errors.Is(err, place.ErrNoTarget) && r.Versions.Only != "" {
+		r.Versions = place.Versions{}
+		c, err = x.s.fleet.Choose(r)
 	}
-	c, err := x.s.fleet.Choose(place.Request{
-		Service: x.service, Prompt: prompt, Exclude: x.tried, Now: x.s.deps.Clock.Now(),
-	})
 	if err != nil {
 		return nil, err
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -72,6 +72,7 @@
 	pool     *relay.Pool
 	idle     *idleConns
 	link     *storeLink
+	releases *releases
 	freed    *broadcast
 	// renew makes all watches start again from a list.
 	renew *broadcast
@@ -100,12 +101,13 @@
 			Self: self, VM: ident.VMID(cfg.VM),
 			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
 		}),
-		pool:    relay.New(relay.Config{Clock: deps.Clock}),
-		idle:    newIdleConns(deps.Clock),
-		freed:   newBroadcast(),
-		renew:   newBroadcast(),
-		syncNow: make(chan struct{}, 1),
-		retries: make(map[ident.ServiceID]*retry.Budget),
+		pool:     relay.New(relay.Config{Clock: deps.Clock}),
+		idle:     newIdleConns(deps.Clock),
+		releases: newReleases(),
+		freed:    newBroadcast(),
+		renew:    newBroadcast(),
+		syncNow:  make(chan struct{}, 1),
+		retries:  make(map[ident.ServiceID]*retry.Budget),
 	}
 	if s.waits == nil {
 		s.waits = defaultWaits
@@ -165,7 +167,7 @@
 
 // start starts the goroutines that follow the store.
 func (s *Server) start(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.keepLedger, s.sweep} {
+	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.sweep} {
 		tasks.Go(func() { task(ctx) })
 	}
 }
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -80,7 +80,7 @@
 func (x *exchange) end(s *sent, r place.Result) {
 	s.answer.Close(s.head.IdleTimeout)
 	s.choice.Done(r, x.s.deps.Clock.Now())
-	x.s.deps.Metrics.send(x.service, resultNames[r])
+	x.judge(s.choice, r)
 }
 
 // fail records a send that got no answer.
@@ -93,11 +93,25 @@
 		r = place.Unreachable
 	}
 	c.Done(r, x.s.deps.Clock.Now())
-	x.s.deps.Metrics.send(x.service, resultNames[r])
+	x.judge(c, r)
 	x.s.deps.Log.Info("send failed", "id", x.call.ID, "target", c.Target.ID, "addr", c.Target.Addr, "result",
 		resultNames[r], "error", err)
 }
 
+// judge counts a result for the metrics and for the release of the target's version.
+func (x *exchange) judge(c *place.Choice, r place.Result) {
+	x.s.deps.Metrics.send(x.service, resultNames[r])
+	switch r {
+	case place.OK, place.Failed:
+		latency := x.first
+		if latency == 0 {
+			latency = x.s.deps.Clock.Since(x.started)
+		}
+		slow := x.route.Target > 0 && latency > x.route.Target
+		x.s.releases.record(x.service, c.Target.Version, r == place.Failed, slow)
+	}
+}
+
 var resultNames = map[place.Result]string{
 	place.Neutral: "neutral", place.OK: "ok", place.Full: "full", place.Failed: "failed", place.Unreachable: "unreachable",
 }
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -335,6 +335,32 @@
 	w.await("the departure", func() bool { return w.server.fleet.Len("desk") == 0 })
 }
 
+// TestBadRelease guards against a version that gets requests after it was taken back, and against an outcome that is not
+// recorded.
+func TestBadRelease(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	e, err := stand.NewEngine("desk-2")
+	is.NoErr(err)
+	t.Cleanup(e.Close)
+	e.Version = "v2"
+	e.SetMode(stand.Fail)
+	w.store.Put("rollouts", "desk", `{"service":"desk","target":"v2","duration_s":2}`)
+	w.await("the order", func() bool { return len(w.server.releases.running()) == 1 })
+	w.store.Put("servers", "desk-2", e.Entry("desk", "a", "ready"))
+	w.await("the outcome", func() bool {
+		w.ask(book)
+		_, status, _ := w.store.Get("rollouts", "desk")
+		return status == `{"state":"rolled_back","target":"v2"}`
+	})
+	seen := e.Seen()
+	for range 50 {
+		is.Equal(w.ask(book).status, http.StatusOK)
+	}
+	is.Equal(e.Seen(), seen)
+}
+
 // TestShutdown guards against a request that a graceful stop cuts, and against tokens that it strands.
 func TestShutdown(t *testing.T) {
 	t.Parallel()
