--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -41,10 +41,10 @@
 // Answer is the answer to a request for tokens.
 type Answer struct {
 	Verdict Verdict
-	// Near says that the next write of the ledger can bring the tokens, and Grows after which time they can be spent if
-	// the store stays away, or zero.
-	Near  bool
-	Grows time.Duration
+	// Granted says that the tokens are granted and only have to be armed. Near says that the next write of the ledger can
+	// bring them, and Grows after which time they can be spent if the store stays away, or zero.
+	Granted, Near bool
+	Grows         time.Duration
 }
 
 // account is this router's part of one organisation's tokens.
@@ -139,8 +139,12 @@
 		return Answer{Verdict: Exhausted}
 	}
 	acc.want = max(acc.want, n)
-	near := used+n <= acc.granted+max(acc.free, 0)
-	return Answer{Verdict: Short, Near: near, Grows: a.grows(acc, used+n, now)}
+	return Answer{
+		Verdict: Short,
+		Granted: used+n <= acc.granted,
+		Near:    used+n <= acc.granted+max(acc.free, 0),
+		Grows:   a.grows(acc, used+n, now),
+	}
 }
 
 // meet follows the size of requests.
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -20,7 +20,11 @@
 	// sizeGrowth is the time in which an organisation without steady demand can spend one more request.
 	sizeGrowth = 3 * time.Second
 	// grantedRequests is the least number of average requests that a router's grant covers.
-	grantedRequests = 2
+	grantedRequests = 4
+	// scarcePart is the part of the rest that has to be unallotted for a router to take more than its share, and
+	// ampleSteps the number of writes that use up what is unallotted beyond it.
+	scarcePart = 0.3
+	ampleSteps = 4
 )
 
 // PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router spends
@@ -95,18 +99,6 @@
 	return due
 }
 
-// ArmsShort reports whether requests wait for tokens that are granted and only have to be armed.
-func (a *Accounts) ArmsShort() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, acc := range a.orgs {
-		if acc.want > 0 && acc.spent+acc.held+acc.want <= acc.granted {
-			return true
-		}
-	}
-	return false
-}
-
 func (a *Accounts) due(acc *account) Due {
 	used := acc.spent + acc.held
 	switch {
@@ -198,7 +190,8 @@
 	for _, id := range slices.Sorted(maps.Keys(a.seen)) {
 		s := a.seen[id]
 		if now-s.at < a.cfg.Alive && len(out) < most {
-			out[s.vm] = s.wall
+			// The clock has gone on since it was seen.
+			out[s.vm] = s.wall + (now - s.at).Milliseconds()
 		}
 	}
 	return out
@@ -234,7 +227,9 @@
 	rest := max(acc.total-l.Spent(id), 0)
 	share, wanted := a.share(l, id, acc, rest, now)
 	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), ident.Tokens(grantedRequests*acc.size), a.idle(acc))
-	granted = min(granted, max(acc.spent+share, used+acc.want))
+	// While much is unallotted the share of the rest is no bound.
+	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
+	granted = min(granted, max(acc.spent+share, used+acc.want, ample))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
 		granted = min(granted, used+acc.want+acc.cover(a.cfg.ArmedFor)/2)
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -199,22 +199,44 @@
 			x.logTokens(need, answer)
 			return refuseExhausted, false
 		}
-		if no, wait := x.mayWait(answer); !wait {
+		wait, ok := x.tokenWait(answer, limit)
+		if !ok {
 			x.logTokens(need, answer)
-			return no, false
+			return shortFor(answer), false
+		}
+		if answer.Granted {
+			trigger(x.s.armsNow)
+		} else {
+			trigger(x.s.grantsNow)
 		}
-		x.s.askSync()
 		select {
 		case <-freed:
 		case <-x.ctx.Done():
 			return refuseLate, false
-		case <-x.s.deps.Clock.After(limit.Sub(x.s.deps.Clock.Now())):
-			x.logTokens(need, answer)
-			return refuseShort, false
+		case <-x.s.deps.Clock.After(wait):
 		}
 	}
 }
 
+// tokenWait returns how long a request that lacks tokens waits before it asks again, or false if it is refused at once.
+// While the store is away only time brings tokens.
+func (x *exchange) tokenWait(a quota.Answer, limit time.Time) (time.Duration, bool) {
+	left := limit.Sub(x.s.deps.Clock.Now())
+	if !x.s.link.isAway() {
+		return left, left > 0
+	}
+	return a.Grows, a.Grows > 0 && a.Grows <= left
+}
+
+// shortFor returns the refusal of a request that lacks tokens, with the time at which they come.
+func shortFor(a quota.Answer) refusal {
+	no := refuseShort
+	if a.Grows > 0 {
+		no.after = min(max(a.Grows, shortAfterLeast), shortAfterMost)
+	}
+	return no
+}
+
 // logTokens logs what a refusal for lack of tokens was decided on.
 func (x *exchange) logTokens(need ident.Tokens, a quota.Answer) {
 	b := x.s.accounts.Balance(x.org.ID)
@@ -224,17 +246,6 @@
 		"arms_age_ms", x.s.accounts.Age(x.s.deps.VM.Now().Uptime).Milliseconds(), "store_away", x.s.link.isAway())
 }
 
-// mayWait decides whether a request that lacks tokens waits for them, or is refused at once with the time at which
-// they come.
-func (x *exchange) mayWait(a quota.Answer) (refusal, bool) {
-	if x.s.link.isAway() {
-		no := refuseShort
-		no.after = min(max(a.Grows, shortAfterLeast), shortAfterMost)
-		return no, false
-	}
-	return refusal{}, true
-}
-
 // settle bills what was used and releases the rest.
 func (x *exchange) settle() {
 	if x.held == 0 {
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -17,7 +17,7 @@
 		}
 	}
 	s.table.Store(route.New(cfg))
-	s.askSync()
+	trigger(s.grantsNow)
 	s.deps.Log.Info("configuration in force", "version", cfg.Version, "revision", revision, "routes", len(cfg.Routes),
 		"organisations", len(cfg.Orgs))
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -36,9 +36,9 @@
 	lowFor = 10 * time.Second
 	// idlePart is the part of an organisation's tokens that all routers together are granted without demand, for the
 	// first requests of an outage.
-	idlePart = 0.3
+	idlePart = 0.4
 	// aliveFor is the time for which a router without a write to the ledger counts for the division of tokens.
-	aliveFor = 6 * time.Second
+	aliveFor = 15 * time.Second
 	// drainNotice is the time between SIGTERM and the end of the listener, in which the balancer sees twice that the
 	// router is not ready.
 	drainNotice = 2500 * time.Millisecond
@@ -76,10 +76,10 @@
 	freed    *broadcast
 	// renew makes all watches start again from a list.
 	renew *broadcast
-	// syncNow asks for a write to the ledger before the next regular one.
-	syncNow  chan struct{}
-	draining atomic.Bool
-	running  atomic.Int64
+	// grantsNow and armsNow ask for a write of the ledgers or of the arms before the next regular one.
+	grantsNow, armsNow chan struct{}
+	draining           atomic.Bool
+	running            atomic.Int64
 
 	callers, checks net.Listener
 
@@ -101,13 +101,14 @@
 			Self: self, VM: ident.VMID(cfg.VM),
 			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
 		}),
-		pool:     relay.New(relay.Config{Clock: deps.Clock}),
-		idle:     newIdleConns(deps.Clock),
-		releases: newReleases(),
-		freed:    newBroadcast(),
-		renew:    newBroadcast(),
-		syncNow:  make(chan struct{}, 1),
-		retries:  make(map[ident.ServiceID]*retry.Budget),
+		pool:      relay.New(relay.Config{Clock: deps.Clock}),
+		idle:      newIdleConns(deps.Clock),
+		releases:  newReleases(),
+		freed:     newBroadcast(),
+		renew:     newBroadcast(),
+		grantsNow: make(chan struct{}, 1),
+		armsNow:   make(chan struct{}, 1),
+		retries:   make(map[ident.ServiceID]*retry.Budget),
 	}
 	if s.waits == nil {
 		s.waits = defaultWaits
@@ -167,7 +168,7 @@
 
 // start starts the goroutines that follow the store.
 func (s *Server) start(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.sweep} {
+	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.keepArms, s.sweep} {
 		tasks.Go(func() { task(ctx) })
 	}
 }
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -17,6 +17,10 @@
 const (
 	// armsInterval is the time between two writes of this router's arms, which bounds what its crash strands.
 	armsInterval = 500 * time.Millisecond
+	// maxArmsCrowd bounds how much a large fleet stretches armsInterval.
+	maxArmsCrowd = 2
+	// grantsCheck is the time between two looks at whether a ledger has to be written.
+	grantsCheck = 300 * time.Millisecond
 	// syncPause is the least time between two writes.
 	syncPause = 30 * time.Millisecond
 	// clockWait is the time that other routers have to show their clocks after a start.
@@ -71,63 +75,60 @@
 	slow      time.Duration
 }
 
-// keepLedger writes this router's rows until the context ends.
+// keepLedger writes this router's rows of the ledgers until the context ends.
 func (s *Server) keepLedger(ctx context.Context) {
 	t := &ledgerTask{s: s, started: s.deps.VM.Now()}
+	s.keep(ctx, "ledger", s.grantsNow, func() time.Duration { return grantsCheck }, t.syncGrants)
+}
+
+// keepArms writes this router's arms until the context ends.
+func (s *Server) keepArms(ctx context.Context) {
+	t := &ledgerTask{s: s}
+	s.keep(ctx, "arms", s.armsNow, s.armsInterval, t.writeArms)
+}
+
+// keep runs a write at an interval and when it is triggered, and wakes the requests that wait for tokens. The write
+// reports whether it called the store.
+func (s *Server) keep(ctx context.Context, name string, now <-chan struct{}, interval func() time.Duration,
+	write func(context.Context) (bool, error)) {
 	failures := 0
 	for ctx.Err() == nil {
 		if s.table.Load() != nil {
-			err := t.sync(ctx)
+			called, err := write(ctx)
 			if ctx.Err() != nil {
 				return
 			}
-			s.link.result(err)
-			s.deps.Metrics.storeCall("ledger", err)
 			if err != nil {
-				s.deps.Log.Warn("ledger not written", "error", err)
+				s.wrote(name, err)
 				s.link.pause(ctx, failures)
 				failures++
 				continue
 			}
 			failures = 0
-			s.freed.send()
+			if called {
+				s.wrote(name, nil)
+				s.freed.send()
+			}
 		}
-		t.wait(ctx)
-	}
-}
-
-// wait waits for the next regular write, or for an urgent one that brings waiting requests their tokens.
-func (t *ledgerTask) wait(ctx context.Context) {
-	jitter := time.Duration(rand.Int64N(int64(armsInterval / 4)))
-	regular := t.s.deps.Clock.After(armsInterval - jitter)
-	if !t.s.sleep(ctx, syncPause) {
-		return
-	}
-	for {
+		if !s.sleep(ctx, syncPause) {
+			return
+		}
+		wait := interval()
 		select {
 		case <-ctx.Done():
-			return
-		case <-regular:
-			return
-		case <-t.s.syncNow:
-			if t.urgent() {
-				return
-			}
+		case <-now:
+		case <-s.deps.Clock.After(wait - time.Duration(rand.Int64N(int64(wait/4)))):
 		}
 	}
 }
 
-// urgent reports whether a write helps requests that wait for tokens.
-func (t *ledgerTask) urgent() bool {
-	if t.s.accounts.ArmsShort() {
-		return true
-	}
-	for n := range quota.Shard(quota.Shards) {
-		if t.grantsDue(n) {
-			return true
-		}
+// wrote notes the result of a write.
+func (s *Server) wrote(name string, err error) {
+	s.link.result(err)
+	s.deps.Metrics.storeCall(name, err)
+	if err != nil {
+		s.deps.Log.Warn("tokens not written", "object", name, "error", err)
 	}
-	return false
 }
 
 func (s *Server) sleep(ctx context.Context, d time.Duration) bool {
@@ -139,25 +140,41 @@
 	}
 }
 
-// askSync makes the next write come at once.
-func (s *Server) askSync() {
+// trigger makes a write come at once.
+func trigger(now chan<- struct{}) {
 	select {
-	case s.syncNow <- struct{}{}:
+	case now <- struct{}{}:
 	default:
 	}
 }
 
-// sync writes the ledgers that are due, and the arms.
-func (t *ledgerTask) sync(ctx context.Context) error {
+// crowd is the number of times that the fleet is larger than the one that the intervals are made for, at least 1. A
+// larger fleet writes less often, because its writes conflict and each of them is paid for.
+func (s *Server) crowd() float64 {
+	const usual = 16 // routers
+	return max(float64(s.accounts.Alive(s.deps.VM.Now().Uptime))/usual, 1)
+}
+
+func (s *Server) armsInterval() time.Duration {
+	return time.Duration(float64(armsInterval) * min(s.crowd(), maxArmsCrowd))
+}
+
+// syncGrants writes the ledgers that are due.
+func (t *ledgerTask) syncGrants(ctx context.Context) (called bool, err error) {
 	for n := range quota.Shard(quota.Shards) {
 		if !t.grantsDue(n) {
 			continue
 		}
+		lacking := t.s.accounts.GrantsDue(n) == quota.Lacking
 		if err := t.writeGrants(ctx, n); err != nil {
-			return err
+			return true, err
+		}
+		called = true
+		if lacking {
+			trigger(t.s.armsNow)
 		}
 	}
-	return t.writeArms(ctx)
+	return called, nil
 }
 
 func (t *ledgerTask) grantsDue(n quota.Shard) bool {
@@ -166,7 +183,12 @@
 		return true
 	}
 	least := time.Duration(float64(st.slow) / slowPart)
-	return t.s.deps.Clock.Since(st.writtenAt) >= max(grantIntervals[t.s.accounts.GrantsDue(n)], least)
+	due := t.s.accounts.GrantsDue(n)
+	interval := grantIntervals[due]
+	if due != quota.Lacking {
+		interval = time.Duration(float64(interval) * t.s.crowd())
+	}
+	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
 }
 
 // writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
@@ -203,23 +225,23 @@
 }
 
 // writeArms writes this router's arms, which nobody else writes.
-func (t *ledgerTask) writeArms(ctx context.Context) error {
+func (t *ledgerTask) writeArms(ctx context.Context) (bool, error) {
 	key := armsKey(t.s.self)
 	if !t.arms.known {
 		if err := t.read(ctx, key, &t.arms); err != nil {
-			return err
+			return true, err
 		}
 	}
 	arms := t.s.accounts.PlanArms(t.s.deps.VM.Now())
 	err := t.write(ctx, key, &t.arms, arms.Encode())
 	if err == nil {
 		t.s.accounts.CommitArms()
-		return nil
+		return true, nil
 	}
 	if !errors.Is(err, store.ErrUnknown) {
 		t.s.accounts.RefusedArms()
 	}
-	return err
+	return true, err
 }
 
 // endEarlier closes the rows of earlier processes of this VM. When only clocks can tell how long such a process has
