--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -183,7 +183,7 @@
 		return 0
 	}
 	seconds := float64(total-acc.arm.Armed) / float64(acc.arm.Growth)
-	return max(a.cfg.Quiet+time.Duration(seconds*float64(time.Second))-a.age(now), 0)
+	return max(a.cfg.Quiet+grownAfter(seconds)-a.age(now), time.Millisecond)
 }
 
 // Settle ends a hold, of which used tokens are billed.
--- a/core/quota/arms.go
+++ b/core/quota/arms.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -23,7 +24,8 @@
 // Arm is what a holder may spend of one organisation's tokens, in total since its start.
 type Arm struct {
 	Armed ident.Tokens `json:"armed"`
-	// Growth is how much more the holder may spend in each second after the Quiet time.
+	// Growth is how much more the holder may spend in the first second after the Quiet time. In each further second it
+	// is twice as much.
 	Growth ident.Tokens `json:"growth,omitempty"`
 }
 
@@ -50,5 +52,27 @@
 
 // bound returns up to which total a holder may have spent at an age of its arms.
 func (a Arm) bound(age, quiet time.Duration) ident.Tokens {
-	return a.Armed + ident.Tokens(float64(a.Growth)*max(age-quiet, 0).Seconds())
+	return a.Armed + ident.Tokens(float64(a.Growth)*grown(age-quiet))
+}
+
+// grown returns how many seconds of the growth have come at a time after the quiet time. The growth starts slowly,
+// because most crashed routers are back in the first second, and doubles its rate for those that were cut off.
+func grown(d time.Duration) float64 {
+	switch x := d.Seconds(); {
+	case x <= 0:
+		return 0
+	case x <= 1:
+		return x * x
+	default:
+		return 2*x - 1
+	}
+}
+
+// grownAfter is the inverse of grown.
+func grownAfter(seconds float64) time.Duration {
+	x := (seconds + 1) / 2
+	if seconds < 1 {
+		x = math.Sqrt(max(seconds, 0))
+	}
+	return time.Duration(x * float64(time.Second))
 }
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -6,7 +6,7 @@
 //
 // Beside the ledger each holder has Arms, an object that it alone writes and more often. It may always spend up to its
 // armed tokens. Beyond them, a holder that cannot reach the store may spend more the older its arms are: nothing for
-// the Quiet time, then tokens at the rate Growth, up to what is granted. A successor on the same VM knows how long its
+// the Quiet time, then a Growth that becomes faster, up to what is granted. A successor on the same VM knows how long its
 // predecessor can have lived after its last write, and returns what it cannot have spent. Without that knowledge all
 // that was granted counts as spent.
 //
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -15,16 +15,16 @@
 	// freePart is the part of an organisation's rest that stays unallotted, for single requests and for routers that
 	// start.
 	freePart = 0.15
-	// growthMargin is the growth as a part of the demand. Callers that were refused meanwhile come back.
-	growthMargin = 1.6
 	// sizeGrowth is the time in which an organisation without steady demand can spend one more request.
-	sizeGrowth = 3 * time.Second
+	sizeGrowth = 4 * time.Second
 	// grantedRequests is the least number of average requests that a router's grant covers.
 	grantedRequests = 4
 	// scarcePart is the part of the rest that has to be unallotted for a router to take more than its share, and
 	// ampleSteps the number of writes that use up what is unallotted beyond it.
 	scarcePart = 0.3
 	ampleSteps = 4
+	// leastPlenty bounds how little a router arms.
+	leastPlenty = 0.2
 )
 
 // PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router spends
@@ -214,12 +214,20 @@
 // arm returns the next arm, which never falls below what the router has spent and holds.
 func (a *Accounts) arm(acc *account) Arm {
 	used := acc.spent + acc.held
-	armed := used + acc.want + max(acc.cover(a.cfg.ArmedFor), ident.Tokens(acc.size))
-	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds()
-	growth := max(acc.rate*growthMargin, acc.size/sizeGrowth.Seconds(), idle)
+	spare := float64(max(acc.cover(a.cfg.ArmedFor), ident.Tokens(acc.size)))
+	armed := used + acc.want + ident.Tokens(spare*acc.plenty())
+	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds() / 2
+	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
 	return Arm{Armed: max(min(armed, acc.granted), used), Growth: ident.Tokens(growth)}
 }
 
+// plenty returns, from leastPlenty to 1, how much of the usual spare tokens a router arms. Towards the end of an
+// organisation's tokens a crash may strand less, and a request may wait for a write instead.
+func (acc *account) plenty() float64 {
+	rest := float64(acc.total - acc.spent - acc.elsewhere)
+	return min(max(rest/(scarcePart*float64(max(acc.total, 1))), leastPlenty), 1)
+}
+
 // row returns the next row of an organisation, which never falls below what the router has spent and holds.
 func (a *Accounts) row(l *Ledger, id ident.OrgID, acc *account, had Row, now time.Duration) Row {
 	used := acc.spent + acc.held
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -52,8 +52,9 @@
 	// held is what is reserved of the organisation's tokens, and output what was delivered.
 	held   ident.Tokens
 	output ident.Tokens
-	// maybeRun says that a target may have run the request.
-	maybeRun bool
+	// maybeRun says that a target may have run the request, and billable that it may have produced a token: an event
+	// came, or the connection failed while the caller still waited.
+	maybeRun, billable bool
 	// tried lists the targets that were sent the request, and sends counts those that may have run it.
 	tried []ident.TargetID
 	sends int
@@ -246,13 +247,14 @@
 		"arms_age_ms", x.s.accounts.Age(x.s.deps.VM.Now().Uptime).Milliseconds(), "store_away", x.s.link.isAway())
 }
 
-// settle bills what was used and releases the rest.
+// settle bills what was used and releases the rest. A request that the router itself ended before its first event has
+// produced nothing: a request starts to run with its first token.
 func (x *exchange) settle() {
 	if x.held == 0 {
 		return
 	}
 	var used ident.Tokens
-	if x.maybeRun {
+	if x.billable {
 		used = x.call.Prompt.Input + min(x.output, x.call.Prompt.MaxOutput)
 	}
 	x.s.accounts.Settle(x.org.ID, x.held, used)
@@ -278,7 +280,7 @@
 	}
 	x.s.deps.Log.Info("request", "id", x.call.ID, "route", routeName, "config", version, "organisation", org,
 		"status", x.status, "reason", x.reason, "targets", x.tried, "version", x.version, "home", x.home, "cost_ms", int(x.cost),
-		"busy", int(x.busy), "tokens_held", x.held, "output", x.output, "token_wait_ms", x.waited.Milliseconds(),
+		"busy", int(x.busy), "tokens_held", x.held, "input", x.input(), "output", x.output, "token_wait_ms", x.waited.Milliseconds(),
 		"first_ms", x.first.Milliseconds(), "total_ms", total.Milliseconds())
 }
 
@@ -314,3 +316,11 @@
 	x.cost, x.busy, x.home, x.version = c.Cost, c.Busy, c.Home, c.Target.Version
 	return c, nil
 }
+
+// input returns the number of prompt tokens, or zero for a request without a prompt.
+func (x *exchange) input() ident.Tokens {
+	if x.call.Prompt == nil {
+		return 0
+	}
+	return x.call.Prompt.Input
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -27,10 +27,10 @@
 const (
 	// quiet is the time after the last write to the ledger in which a router spends only its armed tokens. A killed
 	// router is usually back within it, and its successor then returns all that was not armed.
-	quiet = 1200 * time.Millisecond
+	quiet = 1300 * time.Millisecond
 	// armedFor and grantedFor are the times of present demand that a router's tokens cover. The first is what a crash
 	// strands; it has to last between two writes. The second carries the router through an outage of the store.
-	armedFor   = time.Second
+	armedFor   = 800 * time.Millisecond
 	grantedFor = 25 * time.Second
 	// lowFor is the time of present demand under which a grant is renewed.
 	lowFor = 10 * time.Second
--- a/io/edge/plain.go
+++ b/io/edge/plain.go
@@ -86,6 +86,7 @@
 		x.fail(c, err)
 		return nil, true, err
 	}
+	x.billable = true
 	a = &whole{s.answer.Status, s.answer.Header, body}
 	if a.status >= http.StatusInternalServerError {
 		x.end(s, place.Failed)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -56,6 +56,7 @@
 		if !errors.Is(err, reach.ErrNotSent) {
 			x.sends++
 			x.maybeRun = true
+			x.billable = x.billable || x.ctx.Err() == nil
 		}
 		return nil, err
 	}
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -256,6 +256,18 @@
 	is.True(<-done != nil)
 	w.await("the end of the run", func() bool { return e.Abandoned() == 1 })
 	w.await("the release of the hold", func() bool { return w.server.accounts.Balance("org1").Held == 0 })
+	is.Equal(w.server.accounts.Balance("org1").Spent, ident.Tokens(0))
+}
+
+// TestLostAnswerIsBilled guards against tokens that are used and not billed: an answer that is lost on the way may have
+// been produced.
+func TestLostAnswerIsBilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	w.engines["llm-1"].SetMode(stand.Drop)
+	is.Equal(w.ask(chat).status, http.StatusBadGateway)
+	is.Equal(w.server.accounts.Balance("org1").Spent, ident.Tokens(chat.in))
 }
 
 // TestConfigChange guards against an older configuration that replaces a newer one.
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -66,6 +66,7 @@
 		return f.other(s)
 	}
 	err = f.events(s)
+	x.billable = x.billable || x.ctx.Err() == nil
 	if err == nil {
 		x.end(s, place.OK)
 		f.finish(s.answer)
@@ -85,6 +86,7 @@
 		x.fail(s.choice, err)
 		return false, true, nil, err
 	}
+	x.billable = true
 	a := &whole{s.answer.Status, s.answer.Header, body}
 	if !retryable(a) && !f.started {
 		x.end(s, place.OK)
@@ -108,6 +110,7 @@
 		if err != nil {
 			return err
 		}
+		x.billable = true
 		pass, err := f.inOrder(e)
 		if err != nil {
 			return err
