--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -234,7 +234,7 @@
 	free := acc.total - l.Granted(id)
 	rest := max(acc.total-l.Spent(id), 0)
 	share, wanted := a.share(l, id, acc, rest, now)
-	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), ident.Tokens(grantedRequests*acc.size), a.idle(acc))
+	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), a.fewRequests(acc, rest), a.idle(acc))
 	// While much is unallotted the share of the rest is no bound.
 	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
 	granted = min(granted, max(acc.spent+share, used+acc.want, ample))
@@ -249,6 +249,13 @@
 	return Row{Granted: granted, Spent: acc.spent, Rate: ident.Tokens(acc.rate), Want: acc.want}
 }
 
+// fewRequests returns the tokens of some requests, for an organisation without steady demand. All routers together keep
+// no more than a part of the rest for this.
+func (a *Accounts) fewRequests(acc *account, rest ident.Tokens) ident.Tokens {
+	part := scarcePart * float64(rest) / float64(len(a.seen)+1)
+	return ident.Tokens(max(min(grantedRequests*acc.size, part), acc.size))
+}
+
 // idle returns what a router without demand is granted.
 func (a *Accounts) idle(acc *account) ident.Tokens {
 	return ident.Tokens(float64(acc.total) * a.cfg.Idle / float64(len(a.seen)+1))
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -17,12 +17,12 @@
 const (
 	// armsInterval is the time between two writes of this router's arms, which bounds what its crash strands.
 	armsInterval = 500 * time.Millisecond
-	// maxArmsCrowd bounds how much a large fleet stretches armsInterval.
-	maxArmsCrowd = 2
+	// maxCrowd bounds how much a large fleet stretches the times for which requests wait.
+	maxCrowd = 2
 	// grantsCheck is the time between two looks at whether a ledger has to be written.
 	grantsCheck = 300 * time.Millisecond
 	// syncPause is the least time between two writes.
-	syncPause = 30 * time.Millisecond
+	syncPause = 50 * time.Millisecond
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
 	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
@@ -110,7 +110,7 @@
 				s.freed.send()
 			}
 		}
-		if !s.sleep(ctx, syncPause) {
+		if !s.sleep(ctx, time.Duration(float64(syncPause)*min(s.crowd(), maxCrowd))) {
 			return
 		}
 		wait := interval()
@@ -156,7 +156,7 @@
 }
 
 func (s *Server) armsInterval() time.Duration {
-	return time.Duration(float64(armsInterval) * min(s.crowd(), maxArmsCrowd))
+	return time.Duration(float64(armsInterval) * min(s.crowd(), maxCrowd))
 }
 
 // syncGrants writes the ledgers that are due.
@@ -187,6 +187,8 @@
 	interval := grantIntervals[due]
 	if due != quota.Lacking {
 		interval = time.Duration(float64(interval) * t.s.crowd())
+	} else {
+		interval = time.Duration(float64(interval) * min(t.s.crowd(), maxCrowd))
 	}
 	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
 }
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -31,6 +31,10 @@
 	platform.KindRelease: 10 * time.Second,
 }
 
+// gatherFor is the time after the answer to a watch in which further changes gather, so that many changes take few
+// calls. It adds to the time until a change is known.
+const gatherFor = 200 * time.Millisecond
+
 // errRenewed means that a watch was given up because another one has failed.
 var errRenewed = errors.New("watch was renewed")
 
@@ -56,6 +60,7 @@
 		s.deps.Metrics.storeCall("watch "+string(kind), err)
 		if err == nil {
 			failures = 0
+			s.sleep(ctx, gatherFor)
 			continue
 		}
 		s.deps.Log.Debug("store call failed", "kind", kind, "error", err)
