--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -23,6 +23,8 @@
 	// ampleSteps the number of writes that use up what is unallotted beyond it.
 	scarcePart = 0.3
 	ampleSteps = 4
+	// freeSteps is the number of routers that can take some requests' tokens before nothing is unallotted.
+	freeSteps = 16
 	// leastPlenty bounds how little a router arms.
 	leastPlenty = 0.2
 )
@@ -237,7 +239,12 @@
 	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), a.fewRequests(acc, rest), a.idle(acc))
 	// While much is unallotted the share of the rest is no bound.
 	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
-	granted = min(granted, max(acc.spent+share, used+acc.want, ample))
+	wanting := used + acc.want
+	if acc.want > 0 {
+		// One write serves some further requests too.
+		wanting += min(ident.Tokens(grantedRequests*acc.size), max(free, 0)/freeSteps)
+	}
+	granted = min(granted, max(acc.spent+share, wanting, ample))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
 		granted = min(granted, used+acc.want+acc.cover(a.cfg.ArmedFor)/2)
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -29,7 +29,10 @@
 	// conflict with those of the other routers.
 	slowPart = 0.1
 	// maxConflicts bounds the attempts of one write. Each conflict means that another router's write succeeded.
-	maxConflicts = 8
+	maxConflicts = 5
+	// conflictPause is the longest pause after the first conflict. It grows with each further one, so that the writes of
+	// a large fleet come apart.
+	conflictPause = 30 * time.Millisecond
 )
 
 // grantIntervals are the times between two writes of a ledger, by how much they matter. The longest bounds how old the
@@ -194,14 +197,17 @@
 }
 
 // writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
-func (t *ledgerTask) writeGrants(ctx context.Context, n quota.Shard) error {
-	st := &t.shards[n]
+func (t *ledgerTask) writeGrants(ctx context.Context, shard quota.Shard) error {
+	st := &t.shards[shard]
 	if !st.known {
-		if err := t.read(ctx, ledgerKey(n), &st.stored); err != nil {
+		if err := t.read(ctx, ledgerKey(shard), &st.stored); err != nil {
 			return err
 		}
 	}
-	for range maxConflicts {
+	for n := range maxConflicts {
+		if n > 0 && !t.s.sleep(ctx, rand.N(time.Duration(n)*conflictPause)) {
+			return ctx.Err()
+		}
 		l, err := st.decode()
 		if err != nil {
 			return err
@@ -209,13 +215,13 @@
 		if err := t.endEarlier(ctx, st, l); err != nil {
 			return err
 		}
-		t.s.accounts.PlanGrants(n, l, t.s.deps.VM.Now())
+		t.s.accounts.PlanGrants(shard, l, t.s.deps.VM.Now())
 		from := t.s.deps.Clock.Now()
-		err = t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
+		err = t.write(ctx, ledgerKey(shard), &st.stored, l.Encode())
 		st.writtenAt = t.s.deps.Clock.Now()
 		st.slow = st.writtenAt.Sub(from)
 		if err == nil {
-			t.s.accounts.CommitGrants(n)
+			t.s.accounts.CommitGrants(shard)
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
