--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -76,6 +76,7 @@
 
 	mu     sync.Mutex
 	orgs   map[ident.OrgID]*account
+	fleet  int
 	writes uint64
 	// sent is the uptime at which the last arms were sent that may have taken effect, and before that of the one
 	// before it.
@@ -86,7 +87,8 @@
 	left     bool
 	seen     map[ident.RouterID]sighting
 	// observed is the uptime at which each ledger was last read.
-	observed [Shards]time.Duration
+	observed map[Shard]time.Duration
+	layout   Layout
 }
 
 // sighting is what is known of another holder's last write.
@@ -102,7 +104,13 @@
 
 // New returns accounts without tokens.
 func New(cfg Config) *Accounts {
-	return &Accounts{cfg: cfg, orgs: make(map[ident.OrgID]*account), seen: make(map[ident.RouterID]sighting)}
+	return &Accounts{
+		cfg:      cfg,
+		orgs:     make(map[ident.OrgID]*account),
+		seen:     make(map[ident.RouterID]sighting),
+		observed: make(map[Shard]time.Duration),
+		layout:   Layout{Format: Format, Shards: 1},
+	}
 }
 
 // SetTotal sets what an organisation has paid for in all.
@@ -196,19 +204,41 @@
 	acc.asked -= held - min(max(used, 0), held)
 }
 
-// Alive returns the number of holders that have written lately, this one included.
-func (a *Accounts) Alive(now time.Duration) int {
+// SetLayout sets the layout of the ledgers. It comes before the first plan.
+func (a *Accounts) SetLayout(l Layout) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := 1
-	for _, s := range a.seen {
-		if now-s.at < a.cfg.Alive {
-			n++
-		}
+	a.layout = l
+}
+
+// Shards returns the ledgers of the known organisations, ordered.
+func (a *Accounts) Shards() []Shard {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var shards []Shard
+	for id := range a.orgs {
+		shards = append(shards, a.layout.Of(id))
 	}
-	return n
+	slices.Sort(shards)
+	return slices.Compact(shards)
 }
 
+// SetFleet sets the number of routers that may be alive, this one included.
+func (a *Accounts) SetFleet(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fleet = max(n, 1)
+}
+
+// Fleet returns the number of routers that may be alive: as set, or as seen in the ledgers if that is more.
+func (a *Accounts) Fleet() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.routers()
+}
+
+func (a *Accounts) routers() int { return max(a.fleet, len(a.seen)+1) }
+
 // Balance is what a router knows of one organisation's tokens.
 type Balance struct {
 	Total, Spent, Held, Granted, Armed, Growth, Elsewhere, Free ident.Tokens
--- a/core/quota/account_test.go
+++ b/core/quota/account_test.go
@@ -24,7 +24,7 @@
 func TestUnconfirmedGrantNotSpent(t *testing.T) {
 	is := is.New(t)
 	a := testAccounts()
-	a.PlanGrants(ShardOf(testOrg), NewLedger(), at(time.Second))
+	a.PlanGrants(0, NewLedger(), at(time.Second))
 	a.PlanArms(at(time.Second))
 	a.CommitArms()
 	is.Equal(a.Hold(testOrg, 100, 20*time.Second).Verdict, Short)
@@ -35,8 +35,8 @@
 	is := is.New(t)
 	a := testAccounts()
 	l := NewLedger()
-	a.PlanGrants(ShardOf(testOrg), l, at(time.Second))
-	a.CommitGrants(ShardOf(testOrg))
+	a.PlanGrants(0, l, at(time.Second))
+	a.CommitGrants(0)
 	a.PlanArms(at(time.Second))
 	a.CommitArms()
 	before := a.Balance(testOrg).Granted
@@ -44,7 +44,7 @@
 	// Another router has taken the rest and waits for more, so that the next plan gives tokens back.
 	l.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Rows: map[ident.OrgID]Row{
 		testOrg: {Granted: 10_000 - before, Want: 5000, Rate: 1000}}}
-	a.PlanGrants(ShardOf(testOrg), l, at(2*time.Second))
+	a.PlanGrants(0, l, at(2*time.Second))
 	given := l.Holders["vm.1"].Rows[testOrg].Granted
 	is.True(given < before)
 	is.Equal(a.Balance(testOrg).Granted, given)
@@ -56,8 +56,8 @@
 	is := is.New(t)
 	a := testAccounts()
 	is.Equal(a.Hold(testOrg, 100, time.Second).Verdict, Short)
-	a.PlanGrants(ShardOf(testOrg), NewLedger(), at(time.Second))
-	a.CommitGrants(ShardOf(testOrg))
+	a.PlanGrants(0, NewLedger(), at(time.Second))
+	a.CommitGrants(0)
 	a.PlanArms(at(time.Second))
 	a.CommitArms()
 	b := a.Balance(testOrg)
@@ -72,8 +72,8 @@
 	a := testAccounts()
 	l := NewLedger()
 	l.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Rows: map[ident.OrgID]Row{testOrg: {Granted: 10_000, Spent: 9_000}}}
-	a.PlanGrants(ShardOf(testOrg), l, at(time.Second))
-	a.CommitGrants(ShardOf(testOrg))
+	a.PlanGrants(0, l, at(time.Second))
+	a.CommitGrants(0)
 	is.Equal(a.Hold(testOrg, 1_000, time.Second).Verdict, Short)
 	is.Equal(a.Hold(testOrg, 1_001, time.Second).Verdict, Exhausted)
 }
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -144,9 +144,9 @@
 		arms := f.readArms(id)
 		l.End(id, arms, r.started, clocks)
 	}
-	r.accounts.PlanGrants(ShardOf(testOrg), l, v.now(f.clock))
+	r.accounts.PlanGrants(0, l, v.now(f.clock))
 	if ok, _ := f.write("ledger", from, l.Encode()); ok {
-		r.accounts.CommitGrants(ShardOf(testOrg))
+		r.accounts.CommitGrants(0)
 	}
 }
 
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -194,11 +194,11 @@
 	return e
 }
 
-// Leave ends the holder of a process that stops with nothing running: only what it has spent of the shard's
-// organisations stays taken.
-func (l *Ledger) Leave(id ident.RouterID, shard Shard, spent map[ident.OrgID]ident.Tokens) {
-	for org, n := range spent {
-		if n > 0 && ShardOf(org) == shard {
+// Leave ends the holder of a process that stops with nothing running: only what it has spent of the organisations that
+// it has rows of stays taken.
+func (l *Ledger) Leave(id ident.RouterID, spent map[ident.OrgID]ident.Tokens) {
+	for org := range l.Holders[id].Rows {
+		if n := spent[org]; n > 0 {
 			l.Closed[org] += n
 		}
 	}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -41,7 +41,7 @@
 	h := &Holder{VM: a.cfg.VM, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
 	old := l.Holders[a.cfg.Self]
 	for _, id := range a.ids() {
-		if ShardOf(id) != shard {
+		if a.layout.Of(id) != shard {
 			continue
 		}
 		acc := a.orgs[id]
@@ -66,7 +66,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, acc := range a.orgs {
-		if ShardOf(id) == shard {
+		if a.layout.Of(id) == shard {
 			acc.row = acc.nextRow
 			acc.granted = acc.row.Granted
 		}
@@ -94,7 +94,7 @@
 	defer a.mu.Unlock()
 	due := Settled
 	for id, acc := range a.orgs {
-		if ShardOf(id) == shard {
+		if a.layout.Of(id) == shard {
 			due = max(due, a.due(acc))
 		}
 	}
@@ -259,13 +259,13 @@
 // fewRequests returns the tokens of some requests, for an organisation without steady demand. All routers together keep
 // no more than a part of the rest for this.
 func (a *Accounts) fewRequests(acc *account, rest ident.Tokens) ident.Tokens {
-	part := scarcePart * float64(rest) / float64(len(a.seen)+1)
+	part := scarcePart * float64(rest) / float64(a.routers())
 	return ident.Tokens(max(min(grantedRequests*acc.size, part), acc.size))
 }
 
 // idle returns what a router without demand is granted.
 func (a *Accounts) idle(acc *account) ident.Tokens {
-	return ident.Tokens(float64(acc.total) * a.cfg.Idle / float64(len(a.seen)+1))
+	return ident.Tokens(float64(acc.total) * a.cfg.Idle / float64(a.routers()))
 }
 
 // cover returns the tokens that the present demand uses in a time.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -277,5 +277,5 @@
 // routers returns the number of routers that may be alive, with room for some that this one has not seen yet.
 func (s *Server) routers() int {
 	const unseen = 2
-	return s.accounts.Alive(s.deps.VM.Now().Uptime) + unseen
+	return s.accounts.Fleet() + unseen
 }
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -91,7 +91,10 @@
 	w.client = &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}
 	w.await("readiness", w.isReady)
 	w.await("targets", func() bool { return w.server.fleet.Len("llm") > 0 && w.server.fleet.Len("desk") > 0 })
-	w.await("tokens", func() bool { return w.server.accounts.Balance("org1").Growth > 0 })
+	w.await("tokens", func() bool {
+		b := w.server.accounts.Balance("org1")
+		return b.Granted > 0 && b.Growth > 0
+	})
 	return w
 }
 
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -23,6 +23,8 @@
 	grantsCheck = 300 * time.Millisecond
 	// syncPause is the least time between two writes.
 	syncPause = 50 * time.Millisecond
+	// fleetStart is the time in which the routers of a fleet that starts write their arms.
+	fleetStart = time.Second
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
 	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
@@ -44,6 +46,12 @@
 	quota.Lacking: 300 * time.Millisecond,
 }
 
+// armsName names the writes of arms. They begin before a configuration is known.
+const armsName = "arms"
+
+// layoutKey is the object that says how the organisations are spread over the ledgers.
+var layoutKey = object.Key{Kind: platform.KindLayout, Name: "main"}
+
 // ledgerKey is the object that divides the prepaid tokens of a shard.
 func ledgerKey(n quota.Shard) object.Key {
 	return object.Key{Kind: platform.KindLedger, Name: strconv.Itoa(int(n))}
@@ -64,7 +72,7 @@
 type ledgerTask struct {
 	s       *Server
 	started quota.Moment
-	shards  [quota.Shards]shardState
+	shards  map[quota.Shard]*shardState
 	arms    stored
 }
 
@@ -78,16 +86,34 @@
 	slow      time.Duration
 }
 
+func newLedgerTask(s *Server) *ledgerTask {
+	return &ledgerTask{s: s, shards: make(map[quota.Shard]*shardState)}
+}
+
+// shard returns the state of a ledger.
+func (t *ledgerTask) shard(n quota.Shard) *shardState {
+	st := t.shards[n]
+	if st == nil {
+		st = &shardState{}
+		t.shards[n] = st
+	}
+	return st
+}
+
 // keepLedger writes this router's rows of the ledgers until the context ends.
 func (s *Server) keepLedger(ctx context.Context) {
-	t := &ledgerTask{s: s, started: s.deps.VM.Now()}
+	t := newLedgerTask(s)
+	t.started = s.deps.VM.Now()
+	if !t.lay(ctx) {
+		return
+	}
 	s.keep(ctx, "ledger", s.grantsNow, func() time.Duration { return grantsCheck }, t.syncGrants)
 }
 
 // keepArms writes this router's arms until the context ends.
 func (s *Server) keepArms(ctx context.Context) {
-	t := &ledgerTask{s: s}
-	s.keep(ctx, "arms", s.armsNow, s.armsInterval, t.writeArms)
+	t := newLedgerTask(s)
+	s.keep(ctx, armsName, s.armsNow, s.armsInterval, t.writeArms)
 }
 
 // keep runs a write at an interval and when it is triggered, and wakes the requests that wait for tokens. The write
@@ -96,7 +122,7 @@
 	write func(context.Context) (bool, error)) {
 	failures := 0
 	for ctx.Err() == nil {
-		if s.table.Load() != nil {
+		if name == armsName || s.table.Load() != nil {
 			called, err := write(ctx)
 			if ctx.Err() != nil {
 				return
@@ -155,16 +181,79 @@
 // larger fleet writes less often, because its writes conflict and each of them is paid for.
 func (s *Server) crowd() float64 {
 	const usual = 16 // routers
-	return max(float64(s.accounts.Alive(s.deps.VM.Now().Uptime))/usual, 1)
+	return max(float64(s.accounts.Fleet())/usual, 1)
 }
 
 func (s *Server) armsInterval() time.Duration {
 	return time.Duration(float64(armsInterval) * min(s.crowd(), maxCrowd))
 }
 
+// lay learns the number of routers and the layout of the ledgers, which the first router stores. It returns false at
+// the end of the context.
+func (t *ledgerTask) lay(ctx context.Context) bool {
+	if !t.s.sleep(ctx, fleetStart) {
+		return false
+	}
+	for failures := 0; ; failures++ {
+		err := t.learnLayout(ctx)
+		if err == nil {
+			return true
+		}
+		t.s.wrote("layout", err)
+		if !t.s.link.pause(ctx, failures) {
+			return false
+		}
+	}
+}
+
+func (t *ledgerTask) learnLayout(ctx context.Context) error {
+	routers, err := t.countRouters(ctx)
+	if err != nil {
+		return err
+	}
+	t.s.accounts.SetFleet(routers)
+	var o store.Object
+	if t.s.cfg.FirstStart {
+		o, err = t.s.deps.Store.Create(ctx, layoutKey, quota.LayoutFor(routers).Encode())
+	} else {
+		o, err = t.s.deps.Store.Get(ctx, layoutKey)
+	}
+	if errors.Is(err, store.ErrAbsent) {
+		o, err = t.s.deps.Store.Create(ctx, layoutKey, quota.LayoutFor(routers).Encode())
+	}
+	if err != nil && !(errors.Is(err, store.ErrConflict) && o.Version != 0) {
+		return err
+	}
+	layout, err := quota.DecodeLayout(o.Value)
+	if err != nil {
+		return err
+	}
+	t.s.accounts.SetLayout(layout)
+	t.s.deps.Log.Info("layout of the ledgers known", "routers", routers, "shards", layout.Shards)
+	return nil
+}
+
+// countRouters counts the VMs by the arms that each router writes when it starts.
+func (t *ledgerTask) countRouters(ctx context.Context) (int, error) {
+	vms := make(map[string]bool)
+	after := ""
+	for {
+		p, err := t.s.deps.Store.List(ctx, platform.KindArms, after)
+		if err != nil {
+			return 0, err
+		}
+		for _, o := range p.Objects {
+			vms[ident.RouterID(o.Key.Name).Name()] = true
+		}
+		if after = p.Next; after == "" {
+			return len(vms), nil
+		}
+	}
+}
+
 // syncGrants writes the ledgers that are due.
 func (t *ledgerTask) syncGrants(ctx context.Context) (called bool, err error) {
-	for n := range quota.Shard(quota.Shards) {
+	for _, n := range t.s.accounts.Shards() {
 		if !t.grantsDue(n) {
 			continue
 		}
@@ -181,12 +270,16 @@
 }
 
 func (t *ledgerTask) grantsDue(n quota.Shard) bool {
-	st := &t.shards[n]
+	st := t.shard(n)
+	due := t.s.accounts.GrantsDue(n)
+	if !st.known && t.s.cfg.FirstStart && due == quota.Settled && t.s.crowd() > 1 {
+		// No earlier process has a row, and a large fleet keeps no tokens without demand.
+		return false
+	}
 	if !st.known || !st.earlierEnded {
 		return true
 	}
 	least := time.Duration(float64(st.slow) / slowPart)
-	due := t.s.accounts.GrantsDue(n)
 	interval := grantIntervals[due]
 	if due != quota.Lacking {
 		interval = time.Duration(float64(interval) * t.s.crowd())
@@ -198,7 +291,7 @@
 
 // writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
 func (t *ledgerTask) writeGrants(ctx context.Context, shard quota.Shard) error {
-	st := &t.shards[shard]
+	st := t.shard(shard)
 	if !st.known {
 		if err := t.read(ctx, ledgerKey(shard), &st.stored); err != nil {
 			return err
@@ -345,8 +438,8 @@
 }
 
 func (s *Server) handBack(ctx context.Context, spent map[ident.OrgID]ident.Tokens) error {
-	t := &ledgerTask{s: s}
-	for n := range quota.Shard(quota.Shards) {
+	t := newLedgerTask(s)
+	for _, n := range s.accounts.Shards() {
 		if err := t.leaveShard(ctx, n, spent); err != nil {
 			return err
 		}
@@ -355,7 +448,7 @@
 }
 
 func (t *ledgerTask) leaveShard(ctx context.Context, n quota.Shard, spent map[ident.OrgID]ident.Tokens) error {
-	st := &t.shards[n]
+	st := t.shard(n)
 	for range maxConflicts {
 		if !st.known {
 			if err := t.read(ctx, ledgerKey(n), &st.stored); err != nil {
@@ -366,7 +459,7 @@
 		if err != nil || l.Holders[t.s.self] == nil {
 			return err
 		}
-		l.Leave(t.s.self, n, spent)
+		l.Leave(t.s.self, spent)
 		err = t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
 		if !errors.Is(err, store.ErrConflict) {
 			return err
--- a/io/edge/release.go
+++ b/io/edge/release.go
@@ -173,7 +173,7 @@
 // exchangeEvidence writes this router's evidence and reads that of the others.
 func (s *Server) exchangeEvidence(ctx context.Context, rel *release) error {
 	key := object.Key{Kind: platform.KindTrial, Name: string(rel.order.Service)}
-	t := &ledgerTask{s: s}
+	t := newLedgerTask(s)
 	for range maxConflicts {
 		if !rel.evidence.known {
 			if err := t.read(ctx, key, &rel.evidence); err != nil {
