--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -55,8 +55,9 @@
 	// granted and arm are the bounds that hold whichever of the writes under way takes effect.
 	granted ident.Tokens
 	arm     Arm
-	// row is the stored row as last confirmed.
-	row Row
+	// row is the stored row as last confirmed, and spare what was granted beyond use then.
+	row   Row
+	spare ident.Tokens
 	// nextRow and nextArm are those of the writes under way.
 	nextRow Row
 	nextArm Arm
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -69,6 +69,7 @@
 		if a.layout.Of(id) == shard {
 			acc.row = acc.nextRow
 			acc.granted = acc.row.Granted
+			acc.spare = acc.granted - acc.spent - acc.held
 		}
 	}
 }
@@ -102,11 +103,12 @@
 }
 
 func (a *Accounts) due(acc *account) Due {
-	used := acc.spent + acc.held
+	spare := acc.granted - acc.spent - acc.held
 	switch {
-	case acc.want > 0 && used+acc.want > acc.granted:
+	case acc.want > spare:
 		return Lacking
-	case acc.free > 0 && acc.granted-used < acc.cover(a.cfg.LowFor):
+	case acc.free > 0 && spare < acc.cover(a.cfg.LowFor) && spare < acc.spare/2:
+		// A grant that the last write could not raise further counts as low again only when half of it is used.
 		return Low
 	case acc.spent != acc.row.Spent:
 		return Changed
@@ -216,13 +218,19 @@
 // arm returns the next arm, which never falls below what the router has spent and holds.
 func (a *Accounts) arm(acc *account) Arm {
 	used := acc.spent + acc.held
-	spare := float64(max(acc.cover(a.cfg.ArmedFor), ident.Tokens(acc.size)))
+	spare := float64(max(acc.cover(a.armedFor()), ident.Tokens(acc.size)))
 	armed := used + acc.want + ident.Tokens(spare*acc.plenty())
 	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds() / 2
 	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
 	return Arm{Armed: max(min(armed, acc.granted), used), Growth: ident.Tokens(growth)}
 }
 
+// armedFor returns the time of present demand that the arms cover. A large fleet writes them less often.
+func (a *Accounts) armedFor() time.Duration {
+	stretch := min(max(float64(a.routers())/smallFleet, 1), 2)
+	return time.Duration(float64(a.cfg.ArmedFor) * stretch)
+}
+
 // plenty returns, from leastPlenty to 1, how much of the usual spare tokens a router arms. Towards the end of an
 // organisation's tokens a crash may strand less, and a request may wait for a write instead.
 func (acc *account) plenty() float64 {
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -203,7 +203,7 @@
 		wait, ok := x.tokenWait(answer, limit)
 		if !ok {
 			x.logTokens(need, answer)
-			return shortFor(answer), false
+			return x.shortFor(answer), false
 		}
 		if answer.Granted {
 			trigger(x.s.armsNow)
@@ -229,11 +229,15 @@
 	return a.Grows, a.Grows > 0 && a.Grows <= left
 }
 
-// shortFor returns the refusal of a request that lacks tokens, with the time at which they come.
-func shortFor(a quota.Answer) refusal {
+// shortFor returns the refusal of a request that lacks tokens, with the time at which they come. When only the return of
+// the store brings them the caller is asked to wait as long as it can.
+func (x *exchange) shortFor(a quota.Answer) refusal {
 	no := refuseShort
-	if a.Grows > 0 {
+	switch {
+	case a.Grows > 0:
 		no.after = min(max(a.Grows, shortAfterLeast), shortAfterMost)
+	case x.s.link.isAway():
+		no.after = shortAfterMost
 	}
 	return no
 }
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -281,14 +281,24 @@
 	}
 	least := time.Duration(float64(st.slow) / slowPart)
 	interval := grantIntervals[due]
-	if due != quota.Lacking {
-		interval = time.Duration(float64(interval) * t.s.crowd())
-	} else {
-		interval = time.Duration(float64(interval) * min(t.s.crowd(), maxCrowd))
-	}
+	interval = time.Duration(float64(interval) * t.stretch(due))
 	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
 }
 
+// stretch returns by how much a large fleet, and for what is not urgent also a large number of ledgers, stretches the
+// time between two writes.
+func (t *ledgerTask) stretch(due quota.Due) float64 {
+	const usualLedgers = 8
+	switch due {
+	case quota.Lacking:
+		return min(t.s.crowd(), maxCrowd)
+	case quota.Low:
+		return t.s.crowd()
+	default:
+		return t.s.crowd() * max(float64(len(t.shards))/usualLedgers, 1)
+	}
+}
+
 // writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
 func (t *ledgerTask) writeGrants(ctx context.Context, shard quota.Shard) error {
 	st := t.shard(shard)
