--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -18,7 +18,7 @@
 	// sizeGrowth is the time in which an organisation without steady demand can spend one more request.
 	sizeGrowth = 4 * time.Second
 	// grantedRequests is the least number of average requests that a router's grant covers.
-	grantedRequests = 4
+	grantedRequests = 8
 	// scarcePart is the part of the rest that has to be unallotted for a router to take more than its share, and
 	// ampleSteps the number of writes that use up what is unallotted beyond it.
 	scarcePart = 0.3
