--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -25,8 +25,6 @@
 	syncPause = 50 * time.Millisecond
 	// fleetStart is the time in which the routers of a fleet that starts write their arms.
 	fleetStart = time.Second
-	// freshFor is the time in which a ledger has probably not been written by another router.
-	freshFor = 200 * time.Millisecond
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
 	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
@@ -309,7 +307,6 @@
 			return err
 		}
 	}
-	t.refresh(ctx, ledgerKey(shard), st)
 	for n := range maxConflicts {
 		if n > 0 && !t.s.sleep(ctx, rand.N(time.Duration(n)*conflictPause)) {
 			return ctx.Err()
@@ -338,22 +335,6 @@
 	return nil
 }
 
-// refresh looks cheaply whether others have written a ledger, because a write on an old state only meets a conflict. What
-// it gets may be old as well; the condition of the write decides.
-func (t *ledgerTask) refresh(ctx context.Context, key object.Key, st *shardState) {
-	if st.object.Version == 0 || t.s.deps.Clock.Since(st.writtenAt) < freshFor {
-		return
-	}
-	o, err := t.s.deps.Store.Peek(ctx, key)
-	if err != nil {
-		t.s.deps.Log.Debug("ledger not looked at", "error", err)
-		return
-	}
-	if o.Version > st.object.Version {
-		st.object = o
-	}
-}
-
 // writeArms writes this router's arms, which nobody else writes.
 func (t *ledgerTask) writeArms(ctx context.Context) (bool, error) {
 	key := armsKey(t.s.self)
--- a/io/store/poll.go
+++ b/io/store/poll.go
@@ -21,8 +21,6 @@
 type Objects interface {
 	// Get returns an object, or ErrAbsent.
 	Get(ctx context.Context, key object.Key) (Object, error)
-	// Peek returns an object as it was some time ago, for a part of the price of Get, or ErrAbsent.
-	Peek(ctx context.Context, key object.Key) (Object, error)
 	// List returns a page of the objects of a kind whose names follow after.
 	List(ctx context.Context, kind object.Kind, after string) (Page, error)
 	// Poll waits for changes after a version, up to a time. The error is ErrCompacted when they are no longer kept.
