--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -17,7 +17,6 @@
 	routers  []*Release
 	exposed  int
 	total    int
-	afterBad int
 }
 
 const window = 12 * time.Second
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -221,7 +221,7 @@
 	if errors.Is(err, store.ErrAbsent) {
 		o, err = t.s.deps.Store.Create(ctx, layoutKey, quota.LayoutFor(routers).Encode())
 	}
-	if err != nil && !(errors.Is(err, store.ErrConflict) && o.Version != 0) {
+	if exists := errors.Is(err, store.ErrConflict) && o.Version != 0; err != nil && !exists {
 		return err
 	}
 	layout, err := quota.DecodeLayout(o.Value)
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -122,7 +122,7 @@
 func (p *Pool) read(c *conn, r Request) (*Answer, error) {
 	method := &http.Request{Method: r.Method}
 	for range maxStray {
-		resp, err := http.ReadResponse(c.r, method)
+		resp, err := http.ReadResponse(c.r, method) //nolint:bodyclose // Answer.Close ends the body with the connection.
 		if err != nil {
 			return nil, err
 		}
