--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -131,7 +131,7 @@
 
 func (f *Fleet) cost(m *member, r Request, home bool) float64 {
 	cost := failCost * m.failRate(r.Now)
-	if r.Now.Before(m.backoffUntil) {
+	if r.Now.Before(m.backoffUntil) || f.suspect(m.Domain, r.Now) {
 		cost += failCost
 	}
 	if m.Domain != f.cfg.Domain {
@@ -165,4 +165,5 @@
 	c.member.prefill -= c.prefill
 	c.prefill = 0
 	c.member.record(r, now)
+	c.fleet.recordReach(c.Target, r, now)
 }
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	targets map[ident.TargetID]*member
 	pools   map[ident.ServiceID][]*member // ordered by id
+	domains map[ident.DomainID]*reach
 	// away says that the store cannot be heard, and backAt when it was heard again.
 	away   bool
 	backAt time.Time
@@ -41,6 +42,7 @@
 		cfg:     cfg,
 		targets: make(map[ident.TargetID]*member),
 		pools:   make(map[ident.ServiceID][]*member),
+		domains: make(map[ident.DomainID]*reach),
 	}
 }
 
--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -198,3 +198,34 @@
 	_, err = f.Choose(Request{Service: "llm", Now: testStart.Add(fullPause)})
 	is.NoErr(err)
 }
+
+// TestCutDomain guards against requests that try one target after the other of a failure domain that is cut off, and
+// against a domain that is left for good.
+func TestCutDomain(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{Domain: "a", Lapse: time.Second})
+	for i := range 6 {
+		target := engine(fmt.Sprint(i))
+		if i >= 2 {
+			target.Domain = "b"
+		}
+		f.Put(target)
+	}
+	others := func(skip ...ident.TargetID) *Choice {
+		c, err := f.Choose(Request{Service: "llm", Now: testStart, Exclude: append(skip, "0", "1")})
+		is.NoErr(err)
+		return c
+	}
+	first := others()
+	first.Done(Unreachable, testStart)
+	second := others(first.Target.ID)
+	second.Done(Unreachable, testStart)
+	for range 50 {
+		c, err := f.Choose(request(nil))
+		is.NoErr(err)
+		is.Equal(c.Target.Domain, ident.DomainID("a"))
+	}
+	c := others(first.Target.ID, second.Target.ID)
+	c.Done(OK, testStart)
+	is.True(!f.suspect("b", testStart))
+}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -67,8 +67,12 @@
 	// failWeight is the part of the failure rate that the newest result decides.
 	failWeight = 0.3
 	// backoffFirst and backoffMost bound the time in which an unreachable target gets no request.
-	backoffFirst = 300 * time.Millisecond
-	backoffMost  = 2 * time.Second
+	backoffFirst = 500 * time.Millisecond
+	backoffMost  = 4 * time.Second
+	// suspectAfter is the number of targets of one failure domain that cannot be reached before all of them count as cut
+	// off, and suspectFor how long that holds without a further one.
+	suspectAfter = 2
+	suspectFor   = time.Second
 	// loadAge is the age from which a load report says nothing any more. Requests of engines last seconds.
 	loadAge = 1500 * time.Millisecond
 	// fullPause is the time in which a target that refused a request as full is left alone.
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -11,7 +11,8 @@
 
 // Config bounds the connections. Zero fields take the defaults named at each field.
 type Config struct {
-	// DialTimeout bounds the opening of a connection; 400 ms. Targets are a few milliseconds away.
+	// DialTimeout bounds the opening of a connection; 150 ms. Targets are a few milliseconds away, and a request can
+	// still go to another one in time.
 	DialTimeout time.Duration
 	// IdleTimeout closes a connection that waits for a request; 4 s, less than the usual timeout of targets, because
 	// a request that meets the target's close has an unknown fate.
@@ -34,7 +35,7 @@
 // New returns a pool without connections.
 func New(cfg Config) *Pool {
 	if cfg.DialTimeout <= 0 {
-		cfg.DialTimeout = 400 * time.Millisecond
+		cfg.DialTimeout = 150 * time.Millisecond
 	}
 	if cfg.IdleTimeout <= 0 {
 		cfg.IdleTimeout = 4 * time.Second
