--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -101,6 +101,10 @@
 	// yet. Fresh says that there was such a reading.
 	at, after time.Duration
 	fresh     bool
+	// ahead is the time of day less this VM's uptime, from the sighting that was least delayed of the last ones, and
+	// aheadAt the uptime of that sighting.
+	ahead   int64
+	aheadAt time.Duration
 }
 
 // New returns accounts without tokens.
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -12,6 +12,9 @@
 const (
 	// rateHalfLife is the time in which the average demand follows a change by half.
 	rateHalfLife = 3 * time.Second
+	// aheadFor is the time for which the least delayed sighting of another clock counts. A clock that jumps is read
+	// wrongly no longer than that.
+	aheadFor = 10 * time.Second
 	// freePart is the part of an organisation's rest that stays unallotted, for single requests and for routers that
 	// start.
 	freePart = 0.15
@@ -107,8 +110,9 @@
 	switch {
 	case acc.want > spare:
 		return Lacking
-	case acc.free > 0 && spare < acc.cover(a.cfg.LowFor) && spare < acc.spare/2:
-		// A grant that the last write could not raise further counts as low again only when half of it is used.
+	case acc.free > 0 && spare < acc.cover(a.cfg.LowFor) && (a.routers() <= smallFleet || spare < acc.spare/2):
+		// In a large fleet, where writes are dear, a grant that the last write could not raise further counts as low
+		// again only when half of it is used.
 		return Low
 	case acc.spent != acc.row.Spent:
 		return Changed
@@ -160,9 +164,16 @@
 func (a *Accounts) observe(shard Shard, l *Ledger, now time.Duration) {
 	after := a.observed[shard]
 	for id, h := range l.Holders {
-		if s, ok := a.seen[id]; id != a.cfg.Self && (!ok || h.Writes > s.writes) {
-			a.seen[id] = sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: after, fresh: after > 0}
+		old, ok := a.seen[id]
+		if id == a.cfg.Self || ok && h.Writes <= old.writes {
+			continue
+		}
+		s := sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: after, fresh: after > 0}
+		s.ahead, s.aheadAt = h.Wall-now.Milliseconds(), now
+		if ok && old.ahead > s.ahead && now-old.aheadAt < aheadFor {
+			s.ahead, s.aheadAt = old.ahead, old.aheadAt
 		}
+		a.seen[id] = s
 	}
 	for id, s := range a.seen {
 		if l.Holders[id] == nil && now-s.at > a.cfg.Alive {
@@ -195,7 +206,7 @@
 		s := a.seen[id]
 		if now-s.at < a.cfg.Alive && len(out) < most {
 			// The clock has gone on since it was seen.
-			out[s.vm] = s.wall + (now - s.at).Milliseconds()
+			out[s.vm] = s.ahead + now.Milliseconds()
 		}
 	}
 	return out
