--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -35,6 +35,14 @@
 	return &Budget{cfg: cfg, start: now}
 }
 
+// Configure changes the bounds and keeps what was counted. Another window is refused, because the counts are of the
+// present one.
+func (b *Budget) Configure(cfg Config) {
+	if cfg.Window == b.cfg.Window {
+		b.cfg = cfg
+	}
+}
+
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -71,9 +74,37 @@
 	if err := s.Listen(); err != nil {
 		return err
 	}
+	done := make(chan struct{})
+	defer close(done)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reloadOn(hangups, done, settings.Settings, s, out.Logger(settings.Level()))
 	return s.Run(ctx)
 }
 
+// reloader takes changed settings.
+type reloader interface {
+	Reload(platform.Settings)
+}
+
+// reloadOn reads the settings file again at each signal. An unreadable file changes nothing.
+func reloadOn(hangups <-chan os.Signal, done <-chan struct{}, path string, s reloader, log *slog.Logger) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-hangups:
+		}
+		cfg, err := platform.ReadSettings(path)
+		if err != nil {
+			log.Error("settings cannot be read; the present ones stay", "error", err)
+			continue
+		}
+		s.Reload(cfg)
+	}
+}
+
 func newPlatformStore(cfg platform.StoreSettings) *platform.Store {
 	keepAlive := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 	dialer := net.Dialer{Timeout: storeTimeout, KeepAliveConfig: keepAlive}
--- /dev/null
+++ b/io/cmds/edge_test.go
@@ -0,0 +1,88 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/io/flags"
+	"geraniumsaddle/platform"
+	"geraniumsaddle/platform/stand"
+)
+
+// freeAddr returns an address on which nothing listens at the moment.
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// TestHangup guards against a router that ends at SIGHUP, which tells of changed settings and ends a process that does
+// not expect it.
+func TestHangup(t *testing.T) {
+	is := is.New(t)
+	store := stand.NewStore(10)
+	srv := httptest.NewServer(store)
+	defer srv.Close()
+	defer store.Close()
+	store.Put("config", "main", `{"version":1}`)
+	ready := freeAddr(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(graceS float64) {
+		text := fmt.Sprintf(`{"node":"vm-1","listen":{"front":"127.0.0.1:0","ready":%q},"provider":{"address":%q},
+			"bounds":{"grace_s":%g,"budget_window_s":10}}`, ready, srv.Listener.Addr().String(), graceS)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	}
+	write(60)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- runEdge(ctx, flags.Edge{Settings: path, LogLevel: "error"}) }()
+	isReady := func() bool {
+		resp, err := http.Get("http://" + ready + "/readyz")
+		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+	}
+	for !isReady() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	write(0.8)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	is.True(isReady())
+	cancel()
+	is.NoErr(<-done)
+}
+
+// reloads records what it is told.
+type reloads chan platform.Settings
+
+func (r reloads) Reload(cfg platform.Settings) { r <- cfg }
+
+// TestReload guards against changed settings that are not read, and against unreadable ones that replace the present.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	got := make(reloads, 1)
+	hangups := make(chan os.Signal)
+	done := make(chan struct{})
+	defer close(done)
+	go reloadOn(hangups, done, path, got, discardLog())
+	is.NoErr(os.WriteFile(path, []byte("garbled"), 0o600))
+	hangups <- syscall.SIGHUP
+	is.NoErr(os.WriteFile(path, []byte(`{"node":"a","listen":{"front":"b","ready":"c"},"provider":{"address":"d"}}`), 0o600))
+	hangups <- syscall.SIGHUP
+	is.Equal((<-got).VM, "a")
+}
+
+func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -83,7 +83,9 @@
 
 	callers, checks net.Listener
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// bounds are those of the newest settings.
+	bounds  platform.Bounds
 	retries map[ident.ServiceID]*retry.Budget
 }
 
@@ -109,6 +111,7 @@
 		grantsNow: make(chan struct{}, 1),
 		armsNow:   make(chan struct{}, 1),
 		retries:   make(map[ident.ServiceID]*retry.Budget),
+		bounds:    cfg.Bounds,
 	}
 	if s.waits == nil {
 		s.waits = defaultWaits
@@ -166,6 +169,28 @@
 	return nil
 }
 
+// Reload takes the settings of a file that has changed. The bounds come into force at once; addresses, the VM's name and
+// the store only at the next start.
+func (s *Server) Reload(cfg platform.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.bounds
+	s.bounds = cfg.Bounds
+	for _, b := range s.retries {
+		b.Configure(s.retryConfig())
+	}
+	s.deps.Log.Info("settings reloaded", "bounds_changed", old != cfg.Bounds,
+		"needs_restart", cfg.CallerAddr != s.cfg.CallerAddr || cfg.ReadyAddr != s.cfg.ReadyAddr ||
+			cfg.Store.Addr != s.cfg.Store.Addr || cfg.VM != s.cfg.VM)
+}
+
+// grace returns the time between SIGTERM and SIGKILL.
+func (s *Server) grace() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bounds.Grace
+}
+
 // start starts the goroutines that follow the store.
 func (s *Server) start(ctx context.Context, tasks *sync.WaitGroup) {
 	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.keepArms, s.sweep} {
@@ -199,8 +224,9 @@
 func (s *Server) shutdown(edge *http.Server) {
 	s.deps.Log.Info("router leaves", "router", s.self, "running", s.running.Load())
 	s.draining.Store(true)
-	end := s.deps.Clock.Now().Add(s.cfg.Bounds.Grace - stopMargin)
-	s.deps.Clock.Sleep(min(drainNotice, s.cfg.Bounds.Grace/2))
+	grace := s.grace()
+	end := s.deps.Clock.Now().Add(grace - stopMargin)
+	s.deps.Clock.Sleep(min(drainNotice, grace/2))
 	ctx, cancel := clockwork.WithDeadline(context.Background(), s.deps.Clock, end)
 	defer cancel()
 	err := edge.Shutdown(ctx)
@@ -263,17 +289,21 @@
 func (s *Server) budget(id ident.ServiceID) *retry.Budget {
 	b := s.retries[id]
 	if b == nil {
-		b = retry.New(retry.Config{
-			Window:    s.cfg.Bounds.RetryWindow,
-			Ratio:     s.cfg.Bounds.RetryRatio,
-			Allowance: s.cfg.Bounds.RetryAllowance,
-			Fresh:     s.cfg.FirstStart,
-		}, s.deps.Clock.Now())
+		b = retry.New(s.retryConfig(), s.deps.Clock.Now())
 		s.retries[id] = b
 	}
 	return b
 }
 
+func (s *Server) retryConfig() retry.Config {
+	return retry.Config{
+		Window:    s.bounds.RetryWindow,
+		Ratio:     s.bounds.RetryRatio,
+		Allowance: s.bounds.RetryAllowance,
+		Fresh:     s.cfg.FirstStart,
+	}
+}
+
 // routers returns the number of routers that may be alive, with room for some that this one has not seen yet.
 func (s *Server) routers() int {
 	const unseen = 2
