--- /dev/null
+++ b/io/edge/grants.go
@@ -0,0 +1,184 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/quota"
+	"geraniumsaddle/io/store"
+	"geraniumsaddle/platform"
+)
+
+// grantIntervals are the times between two writes of a ledger, by how much they matter. The longest bounds how old the
+// others' knowledge of this router is.
+var grantIntervals = map[quota.Due]time.Duration{
+	quota.Settled: 5 * time.Second,
+	quota.Changed: 3 * time.Second,
+	quota.Low:     time.Second,
+	quota.Lacking: 300 * time.Millisecond,
+}
+
+// ledgerKey is the object that divides the prepaid tokens of a shard.
+func ledgerKey(n quota.Shard) object.Key {
+	return object.Key{Kind: platform.KindLedger, Name: strconv.Itoa(int(n))}
+}
+
+// shardState is one ledger as this router knows it.
+type shardState struct {
+	stored
+	// earlierEnded says that the ledger as last read has no holder of an earlier process of this VM.
+	earlierEnded bool
+	// writtenAt is when the ledger was last written, and slow how long that took.
+	writtenAt time.Time
+	slow      time.Duration
+}
+
+// shard returns the state of a ledger.
+func (t *ledgerTask) shard(n quota.Shard) *shardState {
+	st := t.shards[n]
+	if st == nil {
+		st = &shardState{}
+		t.shards[n] = st
+	}
+	return st
+}
+
+// keepLedger writes this router's rows of the ledgers until the context ends.
+func (s *Server) keepLedger(ctx context.Context) {
+	t := newLedgerTask(s)
+	t.started = s.deps.VM.Now()
+	if !t.lay(ctx) {
+		return
+	}
+	s.keep(ctx, "ledger", s.grantsNow, func() time.Duration { return grantsCheck }, t.syncGrants)
+}
+
+// syncGrants writes the ledgers that are due.
+func (t *ledgerTask) syncGrants(ctx context.Context) (called bool, err error) {
+	for _, n := range t.s.accounts.Shards() {
+		if !t.grantsDue(n) {
+			continue
+		}
+		lacking := t.s.accounts.GrantsDue(n) == quota.Lacking
+		if err := t.writeGrants(ctx, n); err != nil {
+			return true, err
+		}
+		called = true
+		if lacking {
+			trigger(t.s.armsNow)
+		}
+	}
+	return called, nil
+}
+
+func (t *ledgerTask) grantsDue(n quota.Shard) bool {
+	st := t.shard(n)
+	due := t.s.accounts.GrantsDue(n)
+	if !st.known && t.s.cfg.FirstStart && due == quota.Settled && t.s.crowd() > 1 {
+		// No earlier process has a row, and a large fleet keeps no tokens without demand.
+		return false
+	}
+	if !st.known || !st.earlierEnded {
+		return true
+	}
+	least := time.Duration(float64(st.slow) / slowPart)
+	interval := grantIntervals[due]
+	interval = time.Duration(float64(interval) * t.stretch(due))
+	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
+}
+
+// stretch returns by how much a large fleet, and for what is not urgent also a large number of ledgers, stretches the
+// time between two writes.
+func (t *ledgerTask) stretch(due quota.Due) float64 {
+	const usualLedgers = 8
+	switch due {
+	case quota.Lacking:
+		return min(t.s.crowd(), maxCrowd)
+	case quota.Low:
+		return t.s.crowd()
+	default:
+		return t.s.crowd() * max(float64(len(t.shards))/usualLedgers, 1)
+	}
+}
+
+// writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
+func (t *ledgerTask) writeGrants(ctx context.Context, shard quota.Shard) error {
+	st := t.shard(shard)
+	if !st.known {
+		if err := t.read(ctx, ledgerKey(shard), &st.stored); err != nil {
+			return err
+		}
+	}
+	for n := range maxConflicts {
+		if n > 0 && !t.s.sleep(ctx, rand.N(time.Duration(n)*conflictPause)) {
+			return ctx.Err()
+		}
+		l, err := st.decode()
+		if err != nil {
+			return err
+		}
+		if err := t.endEarlier(ctx, st, l); err != nil {
+			return err
+		}
+		t.s.accounts.PlanGrants(shard, l, t.s.deps.VM.Now())
+		from := t.s.deps.Clock.Now()
+		err = t.write(ctx, ledgerKey(shard), &st.stored, l.Encode())
+		st.writtenAt = t.s.deps.Clock.Now()
+		st.slow = st.writtenAt.Sub(from)
+		if err == nil {
+			t.s.accounts.CommitGrants(shard)
+			return nil
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	// The others' writes succeed; this router's turn comes with the next one.
+	return nil
+}
+
+// endEarlier closes the rows of earlier processes of this VM. When only clocks can tell how long such a process has
+// lived, its rows stay until enough other routers have written to the ledger.
+func (t *ledgerTask) endEarlier(ctx context.Context, st *shardState, l *quota.Ledger) error {
+	earlier := l.Earlier(ident.VMID(t.s.cfg.VM), t.s.self)
+	st.earlierEnded = len(earlier) == 0
+	clocks := t.s.accounts.Clocks(t.started.Uptime)
+	last := t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait
+	for _, id := range earlier {
+		arms, err := t.readArms(ctx, id)
+		if err != nil {
+			return err
+		}
+		if !last && arms != nil && !arms.Dated(ident.VMID(t.s.cfg.VM), t.started, clocks) {
+			continue
+		}
+		e := l.End(id, arms, t.started, clocks)
+		t.s.deps.Log.Info("ledger rows of an earlier process close", "router", id, "age_ms", e.Age.Milliseconds(),
+			"age_known", e.Known, "clocks", len(clocks), "tokens_spent", e.Spent, "tokens_used", e.Used,
+			"tokens_returned", e.Returned)
+	}
+	return nil
+}
+
+// readArms returns the arms of a router, or nil if they are absent or cannot be read.
+func (t *ledgerTask) readArms(ctx context.Context, id ident.RouterID) (*quota.Arms, error) {
+	o, err := t.s.deps.Store.Get(ctx, armsKey(id))
+	if errors.Is(err, store.ErrAbsent) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	arms, err := quota.DecodeArms(o.Value)
+	if err != nil {
+		t.s.deps.Log.Warn("arms of an earlier process cannot be read; its whole grant counts as spent", "router", id,
+			"error", err)
+		return nil, nil
+	}
+	return arms, nil
+}
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -31,16 +31,6 @@
 	next    int
 }
 
-const worldConfig = `{"version":%d,"routes":[
- {"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":%d,"priority":1,"service":"llm","max_attempts":2,"sticky":true},
- {"name":"resume","host":"h.example","path_prefix":"/resume/","kind":"streaming","timeout_ms":20000,"priority":1,"service":"llm","max_attempts":3,"sticky":true,"resumable":true},
- {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":%d,"service":"desk","max_attempts":2},
- {"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":20000,"service":"desk","max_attempts":3,"public":true}],
-"services":[{"name":"llm","health_path":"/h","max_connections":100,"engine":{"slots":8,"kv_capacity_tokens":100000,"stride":4}},
- {"name":"desk","health_path":"/h","max_connections":100}],
-"limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"org1","api_keys":["key1"],"prepaid":%d},{"name":"org2","api_keys":["key2"],"prepaid":10}]}`
-
 // newWorld starts a router before one engine of each service.
 func newWorld(t *testing.T) *world { return newWorldWaits(t, nil) }
 
@@ -103,7 +93,7 @@
 }
 
 func (w *world) configure(version, timeoutMS, prepaid int) {
-	w.store.Put("config", "main", fmt.Sprintf(worldConfig, version, timeoutMS, timeoutMS, prepaid))
+	w.store.Put("config", "main", stand.Config(version, timeoutMS, prepaid))
 }
 
 func (w *world) engine(id, service string) *stand.Engine {
@@ -166,21 +156,14 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	r.Host = "h.example"
-	r.Header.Set("Attempt-Id", id)
-	if a.key != "" {
-		r.Header.Set("Authorization", "Token "+a.key)
-	}
-	if a.in > 0 {
-		r.Header.Set("Token-Count", fmt.Sprintf("%d,%d", a.in, a.out))
-		r.Header.Set("Model", "m")
-	}
-	if a.deadline > 0 {
-		r.Header.Set("Deadline-Ms", fmt.Sprint(a.deadline))
-	}
+	r.Host = stand.Host
+	r.Header = stand.CallerHeader(id, a.key, a.in, a.out)
 	for k, v := range a.header {
 		r.Header[k] = v
 	}
+	if a.deadline != 0 {
+		stand.SetDeadline(r.Header, a.deadline)
+	}
 	return r, id
 }
 
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -28,7 +28,7 @@
 	is.NoErr(a.err)
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.body, w.engines["desk-1"].Body(a.id))
-	is.Equal(a.header.Get("Engine-Stamp"), "stamp.desk-1")
+	is.Equal(stand.Signed(a.header), "stamp.desk-1")
 	run := w.engines["desk-1"].Runs()[0]
 	is.Equal(run.Method+" "+run.URI+" "+run.Body, "POST /book/1?shelf=2 reserve")
 	is.Equal(run.Org, "org1")
@@ -128,7 +128,7 @@
 		return "refused"
 	case a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout:
 		return "unknown"
-	case a.status == http.StatusInternalServerError && a.header.Get("Engine-Stamp") != "":
+	case a.status == http.StatusInternalServerError && stand.Signed(a.header) != "":
 		return "failure"
 	case a.status == http.StatusOK && from.in > 0 && a.body == events(a.id, 3):
 		return "whole"
@@ -191,7 +191,7 @@
 		{"headers too large", with(book, func(a *ask) {
 			a.header = http.Header{"X-Long": {strings.Repeat("x", 5000)}}
 		}), http.StatusRequestHeaderFieldsTooLarge},
-		{"malformed deadline", with(book, func(a *ask) { a.header = http.Header{"Deadline-Ms": {"soon"}} }), http.StatusBadRequest},
+		{"malformed deadline", with(book, func(a *ask) { a.deadline = -1 }), http.StatusBadRequest},
 		{"more than is prepaid", with(chat, func(a *ask) { a.key = "key2" }), http.StatusPaymentRequired},
 	}
 	for _, c := range cases {
@@ -212,8 +212,8 @@
 	c, err := net.Dial("tcp", w.server.CallerAddr())
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
-	_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nAuthorization: Token key1\r\n"+
-		"Content-Length: 4\r\nContent-Length: 60\r\n\r\nbodyPOST /book/2 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: b\r\n\r\n")
+	_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: "+stand.Host+"\r\n"+fields(stand.CallerHeader("a", "key1", 0, 0))+
+		"Content-Length: 4\r\nContent-Length: 60\r\n\r\nbodyPOST /book/2 HTTP/1.1\r\nHost: "+stand.Host+"\r\n"+fields(stand.CallerHeader("b", "key1", 0, 0))+"\r\n")
 	is.NoErr(err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
@@ -221,6 +221,15 @@
 	is.Equal(len(w.engines["desk-1"].Runs()), 0)
 }
 
+// fields returns headers as they stand in a request.
+func fields(h http.Header) string {
+	var b strings.Builder
+	if err := h.Write(&b); err != nil {
+		panic(err) // A string builder takes every write.
+	}
+	return b.String()
+}
+
 // TestTimeout guards against a request that is held past its route's time.
 func TestTimeout(t *testing.T) {
 	t.Parallel()
