--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -26,10 +26,10 @@
 type Config struct {
 	Self ident.RouterID
 	VM   ident.VMID
-	// Quiet is the time after the last write from which a holder may spend beyond the armed bound.
-	Quiet time.Duration
-	// ArmedFor and GrantedFor are the times of present demand that the two bounds cover.
-	ArmedFor, GrantedFor time.Duration
+	// HoldOff is the time after the last write from which a holder may spend beyond the allowance.
+	HoldOff time.Duration
+	// SpareFor and GrantedFor are the times of present demand that the two bounds cover.
+	SpareFor, GrantedFor time.Duration
 	// LowFor is the time of present demand under which a grant counts as low.
 	LowFor time.Duration
 	// Idle is the part of an organisation's tokens that all routers together are granted without demand.
@@ -41,7 +41,7 @@
 // Answer is the answer to a request for tokens.
 type Answer struct {
 	Verdict Verdict
-	// Granted says that the tokens are granted and only have to be armed. Near says that the next write of the ledger can
+	// Granted says that the tokens are granted and only lack an allowance. Near says that the next write of the ledger can
 	// bring them, and Grows after which time they can be spent if the store stays away, or zero.
 	Granted, Near bool
 	Grows         time.Duration
@@ -52,15 +52,15 @@
 	total ident.Tokens
 	spent ident.Tokens
 	held  ident.Tokens
-	// granted and arm are the bounds that hold whichever of the writes under way takes effect.
-	granted ident.Tokens
-	arm     Arm
+	// granted and allowance are the bounds that hold whichever of the writes under way takes effect.
+	granted   ident.Tokens
+	allowance Allowance
 	// row is the stored row as last confirmed, and spare what was granted beyond use then.
 	row   Row
 	spare ident.Tokens
-	// nextRow and nextArm are those of the writes under way.
-	nextRow Row
-	nextArm Arm
+	// nextRow and nextAllowance are those of the writes under way.
+	nextRow       Row
+	nextAllowance Allowance
 	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken.
 	elsewhere, free ident.Tokens
 	// asked is the demand since the last plan, rate its average in tokens per second, and size the average request.
@@ -79,7 +79,7 @@
 	orgs   map[ident.OrgID]*account
 	fleet  int
 	writes uint64
-	// sent is the uptime at which the last arms were sent that may have taken effect, and before that of the one
+	// sent is the uptime at which the last allowances were sent that may have taken effect, and before that of the one
 	// before it.
 	sent     time.Duration
 	before   time.Duration
@@ -172,7 +172,7 @@
 
 // bound returns up to which total the router may spend now.
 func (a *Accounts) bound(acc *account, now time.Duration) ident.Tokens {
-	return min(acc.arm.bound(a.age(now), a.cfg.Quiet), acc.granted)
+	return min(acc.allowance.bound(a.age(now), a.cfg.HoldOff), acc.granted)
 }
 
 // age returns the age of the last write that may have taken effect.
@@ -183,7 +183,7 @@
 	return now - a.sent
 }
 
-// Age returns how old the arms are that may have taken effect last.
+// Age returns how old the allowances are that may have taken effect last.
 func (a *Accounts) Age(now time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -192,11 +192,11 @@
 
 // grows returns after which time without a write the bound reaches a total, or zero if it never does.
 func (a *Accounts) grows(acc *account, total ident.Tokens, now time.Duration) time.Duration {
-	if total > acc.granted || acc.arm.Growth <= 0 {
+	if total > acc.granted || acc.allowance.Growth <= 0 {
 		return 0
 	}
-	seconds := float64(total-acc.arm.Armed) / float64(acc.arm.Growth)
-	return max(a.cfg.Quiet+grownAfter(seconds)-a.age(now), time.Millisecond)
+	seconds := float64(total-acc.allowance.Limit) / float64(acc.allowance.Growth)
+	return max(a.cfg.HoldOff+grownAfter(seconds)-a.age(now), time.Millisecond)
 }
 
 // Settle ends a hold, of which used tokens are billed.
@@ -246,7 +246,7 @@
 
 // Balance is what a router knows of one organisation's tokens.
 type Balance struct {
-	Total, Spent, Held, Granted, Armed, Growth, Elsewhere, Free ident.Tokens
+	Total, Spent, Held, Granted, Limit, Growth, Elsewhere, Free ident.Tokens
 }
 
 // Balance returns the present figures of an organisation.
@@ -255,7 +255,7 @@
 	defer a.mu.Unlock()
 	acc := a.org(org)
 	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted,
-		Armed: acc.arm.Armed, Growth: acc.arm.Growth, Elsewhere: acc.elsewhere, Free: acc.free}
+		Limit: acc.allowance.Limit, Growth: acc.allowance.Growth, Elsewhere: acc.elsewhere, Free: acc.free}
 }
 
 // Leave makes the accounts refuse new holds for good. It returns what was spent once nothing is held, and false
--- a/core/quota/account_test.go
+++ b/core/quota/account_test.go
@@ -10,7 +10,7 @@
 )
 
 func testAccounts() *Accounts {
-	a := New(Config{Self: "vm.1", VM: "vm", Quiet: time.Second, ArmedFor: time.Second, GrantedFor: 10 * time.Second,
+	a := New(Config{Self: "vm.1", VM: "vm", HoldOff: time.Second, SpareFor: time.Second, GrantedFor: 10 * time.Second,
 		Idle: 0.1, LowFor: time.Second, Alive: 4 * time.Second})
 	a.SetTotal(testOrg, 10_000)
 	return a
@@ -25,8 +25,8 @@
 	is := is.New(t)
 	a := testAccounts()
 	a.PlanGrants(0, NewLedger(), at(time.Second))
-	a.PlanArms(at(time.Second))
-	a.CommitArms()
+	a.PlanAllowances(at(time.Second))
+	a.CommitAllowances()
 	is.Equal(a.Hold(testOrg, 100, 20*time.Second).Verdict, Short)
 }
 
@@ -37,8 +37,8 @@
 	l := NewLedger()
 	a.PlanGrants(0, l, at(time.Second))
 	a.CommitGrants(0)
-	a.PlanArms(at(time.Second))
-	a.CommitArms()
+	a.PlanAllowances(at(time.Second))
+	a.CommitAllowances()
 	before := a.Balance(testOrg).Granted
 	is.True(before > 0)
 	// Another router has taken the rest and waits for more, so that the next plan gives tokens back.
@@ -51,18 +51,18 @@
 	is.Equal(a.Hold(testOrg, given+1, time.Minute).Verdict, Short)
 }
 
-// TestBeyondArmsOnlyAfterQuietTime guards against spending more than is armed while the store can still be written.
-func TestBeyondArmsOnlyAfterQuietTime(t *testing.T) {
+// TestGrowthWaits guards against a router that spends more than its allowance while it can still write to the store.
+func TestGrowthWaits(t *testing.T) {
 	is := is.New(t)
 	a := testAccounts()
 	is.Equal(a.Hold(testOrg, 100, time.Second).Verdict, Short)
 	a.PlanGrants(0, NewLedger(), at(time.Second))
 	a.CommitGrants(0)
-	a.PlanArms(at(time.Second))
-	a.CommitArms()
+	a.PlanAllowances(at(time.Second))
+	a.CommitAllowances()
 	b := a.Balance(testOrg)
-	is.True(b.Armed < b.Granted)
-	is.Equal(a.Hold(testOrg, b.Armed+1, 2*time.Second).Verdict, Short)
+	is.True(b.Limit < b.Granted)
+	is.Equal(a.Hold(testOrg, b.Limit+1, 2*time.Second).Verdict, Short)
 	is.Equal(a.Hold(testOrg, b.Granted, time.Minute).Verdict, Held)
 }
 
@@ -78,9 +78,9 @@
 	is.Equal(a.Hold(testOrg, 1_001, time.Second).Verdict, Exhausted)
 }
 
-// TestAge guards against an age of arms that is too short, for which spent tokens would be returned.
+// TestAge guards against an age of allowances that is too short, for which spent tokens would be returned.
 func TestAge(t *testing.T) {
-	arms := &Arms{Sent: Moment{Boot: "a", Uptime: 100 * time.Second, Wall: 1_000_000},
+	allowances := &Allowances{Sent: Moment{Boot: "a", Uptime: 100 * time.Second, Wall: 1_000_000},
 		Clocks: map[ident.VMID]int64{"x": 1_000_000, "y": 1_000_000, "z": 1_000_000}}
 	clocks := func(ms ...int64) []ClockReading {
 		var c []ClockReading
@@ -108,7 +108,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			age, known := arms.age("vm", c.started, c.clocks)
+			age, known := allowances.age("vm", c.started, c.clocks)
 			is.Equal(known, c.known)
 			if known {
 				is.Equal(age, c.age)
@@ -119,27 +119,27 @@
 
 // TestEndReturnsRest guards against a crash that strands the whole grant, and against one that returns spent tokens.
 func TestEndReturnsRest(t *testing.T) {
-	arms := &Arms{Sent: at(10 * time.Second), Quiet: time.Second,
-		Rows: map[ident.OrgID]Arm{testOrg: {Armed: 1_000, Growth: 500}}}
+	allowances := &Allowances{Sent: at(10 * time.Second), HoldOff: time.Second,
+		Rows: map[ident.OrgID]Allowance{testOrg: {Limit: 1_000, Growth: 500}}}
 	cases := []struct {
-		name    string
-		arms    *Arms
-		started Moment
-		closed  ident.Tokens
+		name       string
+		allowances *Allowances
+		started    Moment
+		closed     ident.Tokens
 	}{
-		{"within the quiet time", arms, at(11 * time.Second), 1_000},
-		{"half a second later", arms, at(11500 * time.Millisecond), 1_125},
-		{"two seconds later", arms, at(13 * time.Second), 2_500},
-		{"much later", arms, at(time.Hour), 5_000},
-		{"age unknown", arms, Moment{Boot: "other"}, 5_000},
-		{"arms unknown", nil, at(11 * time.Second), 5_000},
+		{"within the hold-off time", allowances, at(11 * time.Second), 1_000},
+		{"half a second later", allowances, at(11500 * time.Millisecond), 1_125},
+		{"two seconds later", allowances, at(13 * time.Second), 2_500},
+		{"much later", allowances, at(time.Hour), 5_000},
+		{"age unknown", allowances, Moment{Boot: "other"}, 5_000},
+		{"allowances unknown", nil, at(11 * time.Second), 5_000},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			l := NewLedger()
 			l.Holders["vm.1"] = &Holder{VM: "vm", Rows: map[ident.OrgID]Row{testOrg: {Granted: 5_000, Spent: 700}}}
-			l.End("vm.1", c.arms, c.started, nil)
+			l.End("vm.1", c.allowances, c.started, nil)
 			is.Equal(l.Closed[testOrg], c.closed)
 			is.Equal(l.Granted(testOrg), c.closed)
 		})
--- a/core/quota/age.go
+++ b/core/quota/age.go
@@ -18,12 +18,12 @@
 	Wall int64
 }
 
-// age returns the longest time between the arms and the start of a later process of the VM, if it is known.
+// age returns the longest time between the allowances and the start of a later process of the VM, if it is known.
 //
 // Within one boot the uptime tells it exactly. After a loss of power only times of day remain. They may jump on some
 // VMs, so that this VM's clock counts only together with those of others: the age is the larger one of the own clock's
 // and of the median of the others'.
-func (a *Arms) age(vm ident.VMID, started Moment, clocks []ClockReading) (time.Duration, bool) {
+func (a *Allowances) age(vm ident.VMID, started Moment, clocks []ClockReading) (time.Duration, bool) {
 	if a.Sent.Boot != "" && a.Sent.Boot == started.Boot {
 		age := started.Uptime - a.Sent.Uptime
 		return age, age >= 0
@@ -43,8 +43,8 @@
 	return age, age >= 0
 }
 
-// Dated reports whether it is known how old the arms were at the start of a later process of the VM.
-func (a *Arms) Dated(vm ident.VMID, started Moment, clocks []ClockReading) bool {
+// Dated reports whether it is known how old the allowances were at the start of a later process of the VM.
+func (a *Allowances) Dated(vm ident.VMID, started Moment, clocks []ClockReading) bool {
 	_, ok := a.age(vm, started, clocks)
 	return ok
 }
--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -14,8 +14,8 @@
 	a.SetTotal(testOrg, 1<<50)
 	a.PlanGrants(0, NewLedger(), at(time.Second))
 	a.CommitGrants(0)
-	a.PlanArms(at(time.Second))
-	a.CommitArms()
+	a.PlanAllowances(at(time.Second))
+	a.CommitAllowances()
 	b.ReportAllocs()
 	for b.Loop() {
 		if a.Hold(testOrg, 100, time.Hour).Verdict == Held {
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -100,7 +100,7 @@
 func (f *testFleet) start(v *testVM) {
 	v.starts++
 	id := ident.NewRouterID(string(v.id), uint64(v.starts))
-	a := New(Config{Self: id, VM: v.id, Quiet: time.Second, ArmedFor: time.Second, GrantedFor: 10 * time.Second,
+	a := New(Config{Self: id, VM: v.id, HoldOff: time.Second, SpareFor: time.Second, GrantedFor: 10 * time.Second,
 		Idle: 0.2, LowFor: 3 * time.Second, Alive: 4 * time.Second})
 	a.SetTotal(testOrg, f.total)
 	v.router = &testRouter{accounts: a, id: id, started: v.now(f.clock)}
@@ -141,8 +141,8 @@
 	from := f.store.versions["ledger"]
 	clocks := r.accounts.Clocks(r.started.Uptime)
 	for _, id := range l.Earlier(v.id, r.id) {
-		arms := f.readArms(id)
-		l.End(id, arms, r.started, clocks)
+		allowances := f.readAllowances(id)
+		l.End(id, allowances, r.started, clocks)
 	}
 	r.accounts.PlanGrants(0, l, v.now(f.clock))
 	if ok, _ := f.write("ledger", from, l.Encode()); ok {
@@ -150,32 +150,32 @@
 	}
 }
 
-func (f *testFleet) readArms(id ident.RouterID) *Arms {
-	value := f.store.values["arms/"+string(id)]
+func (f *testFleet) readAllowances(id ident.RouterID) *Allowances {
+	value := f.store.values["allowances/"+string(id)]
 	if value == nil {
 		return nil
 	}
-	arms, err := DecodeArms(value)
+	allowances, err := DecodeAllowances(value)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	return arms
+	return allowances
 }
 
-func (f *testFleet) syncArms(v *testVM) {
+func (f *testFleet) syncAllowances(v *testVM) {
 	r := v.router
 	if r.cut {
 		return
 	}
-	name := "arms/" + string(r.id)
+	name := "allowances/" + string(r.id)
 	from := f.store.versions[name]
-	arms := r.accounts.PlanArms(v.now(f.clock))
-	ok, refused := f.write(name, from, arms.Encode())
+	allowances := r.accounts.PlanAllowances(v.now(f.clock))
+	ok, refused := f.write(name, from, allowances.Encode())
 	switch {
 	case ok:
-		r.accounts.CommitArms()
+		r.accounts.CommitAllowances()
 	case refused:
-		r.accounts.RefusedArms()
+		r.accounts.RefusedAllowances()
 	}
 }
 
@@ -184,7 +184,7 @@
 	n := rapid.SampledFrom([]ident.Tokens{100, 300, 900}).Draw(f.t, "tokens")
 	if v.router.accounts.Hold(testOrg, n, v.now(f.clock).Uptime).Verdict != Held {
 		f.syncGrants(v)
-		f.syncArms(v)
+		f.syncAllowances(v)
 		if v.router.accounts.Hold(testOrg, n, v.now(f.clock).Uptime).Verdict != Held {
 			return
 		}
@@ -248,14 +248,14 @@
 
 func (f *testFleet) actions() map[string]func() {
 	return map[string]func(){
-		"request": func() { f.request(f.vm()) },
-		"grants":  func() { f.syncGrants(f.vm()) },
-		"arms":    func() { f.syncArms(f.vm()) },
-		"time":    f.advance,
-		"late":    f.store.flush,
-		"cut":     func() { v := f.vm(); v.router.cut = !v.router.cut },
-		"kill":    func() { f.kill(f.vm(), false) },
-		"power":   func() { f.kill(f.vm(), true) },
+		"request":    func() { f.request(f.vm()) },
+		"grants":     func() { f.syncGrants(f.vm()) },
+		"allowances": func() { f.syncAllowances(f.vm()) },
+		"time":       f.advance,
+		"late":       f.store.flush,
+		"cut":        func() { v := f.vm(); v.router.cut = !v.router.cut },
+		"kill":       func() { f.kill(f.vm(), false) },
+		"power":      func() { f.kill(f.vm(), true) },
 		"settle": func() {
 			if v := f.vm(); len(v.router.holds) > 0 {
 				f.settle(v, v.router.holds[0])
@@ -267,7 +267,7 @@
 
 func (f *testFleet) run(actions map[string]func()) {
 	var names []string
-	for name, weight := range map[string]int{"request": 10, "grants": 5, "arms": 5, "time": 3, "settle": 3, "late": 1,
+	for name, weight := range map[string]int{"request": 10, "grants": 5, "allowances": 5, "time": 3, "settle": 3, "late": 1,
 		"cut": 1, "kill": 1, "power": 1} {
 		for range weight {
 			names = append(names, name)
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -4,9 +4,9 @@
 // Each router incarnation is a holder with a row for each organisation, and never spends more than a confirmed write
 // has granted to it. So the sum of all rows bounds what the fleet can spend, in any state of the network.
 //
-// Beside the ledger each holder has Arms, an object that it alone writes and more often. It may always spend up to its
-// armed tokens. Beyond them, a holder that cannot reach the store may spend more the older its arms are: nothing for
-// the Quiet time, then a Growth that becomes faster, up to what is granted. A successor on the same VM knows how long its
+// Beside the ledger each holder has Allowances, an object that it alone writes, and more often. It may always spend up
+// to its allowance. A holder that cannot reach the store may spend more the older its allowances are: nothing for the
+// hold-off time, then a Growth that becomes faster, up to what is granted. A successor on the same VM knows how long its
 // predecessor can have lived after its last write, and returns what it cannot have spent. Without that knowledge all
 // that was granted counts as spent.
 //
@@ -170,17 +170,17 @@
 	Spent, Used, Returned ident.Tokens
 }
 
-// End closes the rows of a holder that had ended when its successor on the same VM started. Arms are its last ones, or
-// nil.
-func (l *Ledger) End(id ident.RouterID, arms *Arms, started Moment, clocks []ClockReading) Ended {
+// End closes the rows of a holder that had ended when its successor on the same VM started. Allowances are its last
+// ones, or nil.
+func (l *Ledger) End(id ident.RouterID, allowances *Allowances, started Moment, clocks []ClockReading) Ended {
 	var e Ended
-	if arms != nil {
-		e.Age, e.Known = arms.age(l.Holders[id].VM, started, clocks)
+	if allowances != nil {
+		e.Age, e.Known = allowances.age(l.Holders[id].VM, started, clocks)
 	}
 	for org, row := range l.Holders[id].Rows {
 		used := row.Granted
 		if e.Known {
-			used = min(used, arms.Rows[org].bound(e.Age, arms.Quiet))
+			used = min(used, allowances.Rows[org].bound(e.Age, allowances.HoldOff))
 		}
 		used = max(used, row.Spent)
 		e.Spent += row.Spent
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -28,12 +28,13 @@
 	ampleSteps = 4
 	// freeSteps is the number of routers that can take some requests' tokens before nothing is unallotted.
 	freeSteps = 16
-	// leastPlenty bounds how little a router arms.
-	leastPlenty = 0.2
+	// leastSpareFactor bounds how little a router allowances.
+	leastSpareFactor = 0.2
 )
 
-// PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router spends
-// only what both the present and the planned rows allow. A plan whose write got no answer is followed by another one.
+// PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the
+// router spends only what both the present and the planned rows allow. A plan whose write got no answer is followed by
+// another one.
 func (a *Accounts) PlanGrants(shard Shard, l *Ledger, at Moment) {
 	now := at.Uptime
 	a.mu.Lock()
@@ -120,42 +121,43 @@
 	return Settled
 }
 
-// PlanArms returns this router's next arms and records that they are sent. Until CommitArms the router spends only what
-// both the present and the planned arms allow.
-func (a *Accounts) PlanArms(now Moment) *Arms {
+// PlanAllowances returns this router's next allowances and records that they are sent. Until CommitAllowances the router
+// spends only what both the present and the planned ones allow.
+func (a *Accounts) PlanAllowances(now Moment) *Allowances {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.follow(now.Uptime)
-	arms := &Arms{
-		Format: Format, Sent: now, Quiet: a.cfg.Quiet, Clocks: a.clocks(now.Uptime), Rows: make(map[ident.OrgID]Arm),
+	allowances := &Allowances{
+		Format: Format, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
+		Rows: make(map[ident.OrgID]Allowance),
 	}
 	for _, id := range a.ids() {
 		acc := a.orgs[id]
-		acc.nextArm = a.arm(acc)
-		acc.arm.Armed = min(acc.arm.Armed, acc.nextArm.Armed)
-		acc.arm.Growth = min(acc.arm.Growth, acc.nextArm.Growth)
-		if acc.nextArm != (Arm{}) {
-			arms.Rows[id] = acc.nextArm
+		acc.nextAllowance = a.nextAllowanceOf(acc)
+		acc.allowance.Limit = min(acc.allowance.Limit, acc.nextAllowance.Limit)
+		acc.allowance.Growth = min(acc.allowance.Growth, acc.nextAllowance.Growth)
+		if acc.nextAllowance != (Allowance{}) {
+			allowances.Rows[id] = acc.nextAllowance
 		}
 	}
 	a.before, a.sent = a.sent, now.Uptime
 	a.everSent = true
-	return arms
+	return allowances
 }
 
-// RefusedArms records that the store has refused the arms, so that they have no effect.
-func (a *Accounts) RefusedArms() {
+// RefusedAllowances records that the store has refused the allowances, so that they have no effect.
+func (a *Accounts) RefusedAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sent = a.before
 }
 
-// CommitArms applies the planned arms after their write was confirmed.
-func (a *Accounts) CommitArms() {
+// CommitAllowances applies the planned allowances after their write was confirmed.
+func (a *Accounts) CommitAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, acc := range a.orgs {
-		acc.arm = acc.nextArm
+		acc.allowance = acc.nextAllowance
 		acc.want = 0
 	}
 }
@@ -226,27 +228,27 @@
 	}
 }
 
-// arm returns the next arm, which never falls below what the router has spent and holds.
-func (a *Accounts) arm(acc *account) Arm {
+// nextAllowanceOf returns the next allowance, which never falls below what the router has spent and holds.
+func (a *Accounts) nextAllowanceOf(acc *account) Allowance {
 	used := acc.spent + acc.held
-	spare := float64(max(acc.cover(a.armedFor()), ident.Tokens(acc.size)))
-	armed := used + acc.want + ident.Tokens(spare*acc.plenty())
+	spare := float64(max(acc.cover(a.spareFor()), ident.Tokens(acc.size)))
+	limit := used + acc.want + ident.Tokens(spare*acc.spareFactor())
 	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds() / 2
 	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
-	return Arm{Armed: max(min(armed, acc.granted), used), Growth: ident.Tokens(growth)}
+	return Allowance{Limit: max(min(limit, acc.granted), used), Growth: ident.Tokens(growth)}
 }
 
-// armedFor returns the time of present demand that the arms cover. A large fleet writes them less often.
-func (a *Accounts) armedFor() time.Duration {
+// spareFor returns the time of present demand that the allowances cover. A large fleet writes them less often.
+func (a *Accounts) spareFor() time.Duration {
 	stretch := min(max(float64(a.routers())/smallFleet, 1), 2)
-	return time.Duration(float64(a.cfg.ArmedFor) * stretch)
+	return time.Duration(float64(a.cfg.SpareFor) * stretch)
 }
 
-// plenty returns, from leastPlenty to 1, how much of the usual spare tokens a router arms. Towards the end of an
-// organisation's tokens a crash may strand less, and a request may wait for a write instead.
-func (acc *account) plenty() float64 {
+// spareFactor returns, from leastSpareFactor to 1, how much of the usual spare tokens an allowance has. Towards the end
+// of an organisation's tokens a crash may strand less, and a request may wait for a write instead.
+func (acc *account) spareFactor() float64 {
 	rest := float64(acc.total - acc.spent - acc.elsewhere)
-	return min(max(rest/(scarcePart*float64(max(acc.total, 1))), leastPlenty), 1)
+	return min(max(rest/(scarcePart*float64(max(acc.total, 1))), leastSpareFactor), 1)
 }
 
 // row returns the next row of an organisation, which never falls below what the router has spent and holds.
@@ -266,7 +268,7 @@
 	granted = min(granted, max(acc.spent+share, wanting, ample))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
-		granted = min(granted, used+acc.want+acc.cover(a.cfg.ArmedFor)/2)
+		granted = min(granted, used+acc.want+acc.cover(a.cfg.SpareFor)/2)
 	}
 	granted = max(granted, used)
 	if granted > had.Granted {
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -206,7 +206,7 @@
 			return x.shortFor(answer), false
 		}
 		if answer.Granted {
-			trigger(x.s.armsNow)
+			trigger(x.s.allowancesNow)
 		} else {
 			trigger(x.s.grantsNow)
 		}
@@ -247,8 +247,8 @@
 	b := x.s.accounts.Balance(x.org.ID)
 	x.s.deps.Log.Info("tokens lacking", "id", x.call.ID, "organisation", x.org.ID, "need", need, "verdict", a.Verdict,
 		"near", a.Near, "grows_ms", a.Grows.Milliseconds(), "total", b.Total, "spent", b.Spent, "held", b.Held,
-		"granted", b.Granted, "armed", b.Armed, "growth", b.Growth, "elsewhere", b.Elsewhere, "free", b.Free,
-		"arms_age_ms", x.s.accounts.Age(x.s.deps.VM.Now().Uptime).Milliseconds(), "store_away", x.s.link.isAway())
+		"granted", b.Granted, "limit", b.Limit, "growth", b.Growth, "elsewhere", b.Elsewhere, "free", b.Free,
+		"allowance_age_ms", x.s.accounts.Age(x.s.deps.VM.Now().Uptime).Milliseconds(), "store_away", x.s.link.isAway())
 }
 
 // settle bills what was used and releases the rest. A request that the router itself ended before its first event has
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -25,12 +25,12 @@
 )
 
 const (
-	// quiet is the time after the last write to the ledger in which a router spends only its armed tokens. A killed
-	// router is usually back within it, and its successor then returns all that was not armed.
-	quiet = 1300 * time.Millisecond
-	// armedFor and grantedFor are the times of present demand that a router's tokens cover. The first is what a crash
+	// holdOff is the time after the last write to the ledger in which a router spends only its allowance. A killed
+	// router is usually back within it, and its successor then returns all beyond the allowance.
+	holdOff = 1300 * time.Millisecond
+	// spareFor and grantedFor are the times of present demand that a router's tokens cover. The first is what a crash
 	// strands; it has to last between two writes. The second carries the router through an outage of the store.
-	armedFor   = 800 * time.Millisecond
+	spareFor   = 800 * time.Millisecond
 	grantedFor = 25 * time.Second
 	// lowFor is the time of present demand under which a grant is renewed.
 	lowFor = 10 * time.Second
@@ -76,10 +76,10 @@
 	freed    *broadcast
 	// renew makes all watches start again from a list.
 	renew *broadcast
-	// grantsNow and armsNow ask for a write of the ledgers or of the arms before the next regular one.
-	grantsNow, armsNow chan struct{}
-	draining           atomic.Bool
-	running            atomic.Int64
+	// grantsNow and allowancesNow ask for a write of the ledgers or of the allowances before the next regular one.
+	grantsNow, allowancesNow chan struct{}
+	draining                 atomic.Bool
+	running                  atomic.Int64
 
 	callers, checks net.Listener
 
@@ -101,17 +101,17 @@
 		fleet: place.New(place.Config{Domain: ident.DomainID(cfg.Domain), Lapse: cfg.Bounds.Lapse}),
 		accounts: quota.New(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
-			Quiet: quiet, ArmedFor: armedFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
+			HoldOff: holdOff, SpareFor: spareFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
 		}),
-		pool:      relay.New(relay.Config{Clock: deps.Clock}),
-		idle:      newIdleConns(deps.Clock),
-		releases:  newReleases(),
-		freed:     newBroadcast(),
-		renew:     newBroadcast(),
-		grantsNow: make(chan struct{}, 1),
-		armsNow:   make(chan struct{}, 1),
-		retries:   make(map[ident.ServiceID]*retry.Budget),
-		bounds:    cfg.Bounds,
+		pool:          relay.New(relay.Config{Clock: deps.Clock}),
+		idle:          newIdleConns(deps.Clock),
+		releases:      newReleases(),
+		freed:         newBroadcast(),
+		renew:         newBroadcast(),
+		grantsNow:     make(chan struct{}, 1),
+		allowancesNow: make(chan struct{}, 1),
+		retries:       make(map[ident.ServiceID]*retry.Budget),
+		bounds:        cfg.Bounds,
 	}
 	if s.waits == nil {
 		s.waits = defaultWaits
@@ -193,7 +193,7 @@
 
 // start starts the goroutines that follow the store.
 func (s *Server) start(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.keepArms, s.sweep} {
+	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.keepAllowances, s.sweep} {
 		tasks.Go(func() { task(ctx) })
 	}
 }
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -52,7 +52,7 @@
 func (s *Server) keepLedger(ctx context.Context) {
 	t := newLedgerTask(s)
 	t.started = s.deps.VM.Now()
-	if !t.lay(ctx) {
+	if !t.waitLayout(ctx) {
 		return
 	}
 	s.keep(ctx, "ledger", s.grantsNow, func() time.Duration { return grantsCheck }, t.syncGrants)
@@ -70,7 +70,7 @@
 		}
 		called = true
 		if lacking {
-			trigger(t.s.armsNow)
+			trigger(t.s.allowancesNow)
 		}
 	}
 	return called, nil
@@ -79,7 +79,7 @@
 func (t *ledgerTask) grantsDue(n quota.Shard) bool {
 	st := t.shard(n)
 	due := t.s.accounts.GrantsDue(n)
-	if !st.known && t.s.cfg.FirstStart && due == quota.Settled && t.s.crowd() > 1 {
+	if !st.known && t.s.cfg.FirstStart && due == quota.Settled && t.s.sizeFactor() > 1 {
 		// No earlier process has a row, and a large fleet keeps no tokens without demand.
 		return false
 	}
@@ -98,11 +98,11 @@
 	const usualLedgers = 8
 	switch due {
 	case quota.Lacking:
-		return min(t.s.crowd(), maxCrowd)
+		return min(t.s.sizeFactor(), maxSizeFactor)
 	case quota.Low:
-		return t.s.crowd()
+		return t.s.sizeFactor()
 	default:
-		return t.s.crowd() * max(float64(len(t.shards))/usualLedgers, 1)
+		return t.s.sizeFactor() * max(float64(len(t.shards))/usualLedgers, 1)
 	}
 }
 
@@ -150,14 +150,14 @@
 	clocks := t.s.accounts.Clocks(t.started.Uptime)
 	last := t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait
 	for _, id := range earlier {
-		arms, err := t.readArms(ctx, id)
+		allowances, err := t.readAllowances(ctx, id)
 		if err != nil {
 			return err
 		}
-		if !last && arms != nil && !arms.Dated(ident.VMID(t.s.cfg.VM), t.started, clocks) {
+		if !last && allowances != nil && !allowances.Dated(ident.VMID(t.s.cfg.VM), t.started, clocks) {
 			continue
 		}
-		e := l.End(id, arms, t.started, clocks)
+		e := l.End(id, allowances, t.started, clocks)
 		t.s.deps.Log.Info("ledger rows of an earlier process close", "router", id, "age_ms", e.Age.Milliseconds(),
 			"age_known", e.Known, "clocks", len(clocks), "tokens_spent", e.Spent, "tokens_used", e.Used,
 			"tokens_returned", e.Returned)
@@ -165,20 +165,20 @@
 	return nil
 }
 
-// readArms returns the arms of a router, or nil if they are absent or cannot be read.
-func (t *ledgerTask) readArms(ctx context.Context, id ident.RouterID) (*quota.Arms, error) {
-	o, err := t.s.deps.Store.Get(ctx, armsKey(id))
+// readAllowances returns the allowances of a router, or nil if they are absent or cannot be read.
+func (t *ledgerTask) readAllowances(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
+	o, err := t.s.deps.Store.Get(ctx, allowancesKey(id))
 	if errors.Is(err, store.ErrAbsent) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, err
 	}
-	arms, err := quota.DecodeArms(o.Value)
+	allowances, err := quota.DecodeAllowances(o.Value)
 	if err != nil {
-		t.s.deps.Log.Warn("arms of an earlier process cannot be read; its whole grant counts as spent", "router", id,
+		t.s.deps.Log.Warn("allowances of an earlier process cannot be read; its whole grant counts as spent", "router", id,
 			"error", err)
 		return nil, nil
 	}
-	return arms, nil
+	return allowances, nil
 }
--- a/io/edge/layout.go
+++ b/io/edge/layout.go
@@ -14,9 +14,9 @@
 // layoutKey is the object that says how the organisations are spread over the ledgers.
 var layoutKey = object.Key{Kind: platform.KindLayout, Name: "main"}
 
-// lay learns the number of routers and the layout of the ledgers, which the first router stores. It returns false at
+// waitLayout learns the number of routers and the layout of the ledgers, which the first router stores. It returns false at
 // the end of the context.
-func (t *ledgerTask) lay(ctx context.Context) bool {
+func (t *ledgerTask) waitLayout(ctx context.Context) bool {
 	if !t.s.sleep(ctx, fleetStart) {
 		return false
 	}
@@ -59,12 +59,12 @@
 	return nil
 }
 
-// countRouters counts the VMs by the arms that each router writes when it starts.
+// countRouters counts the VMs by the allowances that each router writes when it starts.
 func (t *ledgerTask) countRouters(ctx context.Context) (int, error) {
 	vms := make(map[string]bool)
 	after := ""
 	for {
-		p, err := t.s.deps.Store.List(ctx, platform.KindArms, after)
+		p, err := t.s.deps.Store.List(ctx, platform.KindAllowance, after)
 		if err != nil {
 			return 0, err
 		}
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// armsInterval is the time between two writes of this router's arms, which bounds what its crash strands.
-	armsInterval = 500 * time.Millisecond
-	// maxCrowd bounds how much a large fleet stretches the times for which requests wait.
-	maxCrowd = 2
+	// allowancesInterval is the time between two writes of this router's allowances, which bounds what its crash strands.
+	allowancesInterval = 500 * time.Millisecond
+	// maxSizeFactor bounds how much a large fleet stretches the times for which requests wait.
+	maxSizeFactor = 2
 	// grantsCheck is the time between two looks at whether a ledger has to be written.
 	grantsCheck = 300 * time.Millisecond
 	// syncPause is the least time between two writes.
 	syncPause = 50 * time.Millisecond
-	// fleetStart is the time in which the routers of a fleet that starts write their arms.
+	// fleetStart is the time in which the routers of a fleet that starts write their allowances.
 	fleetStart = time.Second
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
@@ -42,10 +42,10 @@
 
 // ledgerTask writes this router's part of the ledgers.
 type ledgerTask struct {
-	s       *Server
-	started quota.Moment
-	shards  map[quota.Shard]*shardState
-	arms    stored
+	s          *Server
+	started    quota.Moment
+	shards     map[quota.Shard]*shardState
+	allowances stored
 }
 
 func newLedgerTask(s *Server) *ledgerTask {
@@ -58,7 +58,7 @@
 	write func(context.Context) (bool, error)) {
 	failures := 0
 	for ctx.Err() == nil {
-		if name == armsName || s.table.Load() != nil {
+		if name == allowancesName || s.table.Load() != nil {
 			called, err := write(ctx)
 			if ctx.Err() != nil {
 				return
@@ -75,7 +75,7 @@
 				s.freed.send()
 			}
 		}
-		if !s.sleep(ctx, time.Duration(float64(syncPause)*min(s.crowd(), maxCrowd))) {
+		if !s.sleep(ctx, time.Duration(float64(syncPause)*min(s.sizeFactor(), maxSizeFactor))) {
 			return
 		}
 		wait := interval()
@@ -113,9 +113,9 @@
 	}
 }
 
-// crowd is the number of times that the fleet is larger than the one that the intervals are made for, at least 1. A
+// sizeFactor is the number of times that the fleet is larger than the one that the intervals are made for, at least 1. A
 // larger fleet writes less often, because its writes conflict and each of them is paid for.
-func (s *Server) crowd() float64 {
+func (s *Server) sizeFactor() float64 {
 	const usual = 16 // routers
 	return max(float64(s.accounts.Fleet())/usual, 1)
 }
--- a/io/edge/lines_test.go
+++ b/io/edge/lines_test.go
@@ -27,7 +27,7 @@
 	"store lost":                  "error",
 	"store regained":              "away_ms",
 	"tokens not written":          "error object",
-	"tokens lacking":              "armed arms_age_ms elsewhere free granted grows_ms growth held id near need organisation spent store_away total verdict",
+	"tokens lacking":              "allowance_age_ms elsewhere free granted grows_ms growth held id limit near need organisation spent store_away total verdict",
 	"request":                     "busy config cost_ms first_ms home id input organisation output reason route status targets token_wait_ms tokens_held total_ms version",
 	"layout of the ledgers known": "routers shards",
 }
