--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -90,20 +90,25 @@
 			}
 			w.engines[first].SetMode(c.mode)
 			a := w.firstAnswer(c.ask, first, service, c.second)
-			runs := 0
-			for _, e := range w.engines {
-				for _, r := range e.Runs() {
-					if r.ID == a.id {
-						runs++
-					}
-				}
-			}
-			is.Equal(runs, c.runs)
+			is.Equal(w.runs(a.id), c.runs)
 			is.Equal(w.kind(a, c.ask), c.want)
 		})
 	}
 }
 
+// runs returns how often targets began to work on a request.
+func (w *world) runs(id string) int {
+	n := 0
+	for _, e := range w.engines {
+		for _, r := range e.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // firstAnswer asks until the request goes to the faulty target first, which a second one makes a matter of choice.
 func (w *world) firstAnswer(a ask, first, service string, second bool) answer {
 	if second {
@@ -138,6 +143,18 @@
 	return fmt.Sprintf("%d %q", a.status, a.body)
 }
 
+// TestResumeNeedsID guards against a stream whose events come twice, because another target begins it anew.
+func TestResumeNeedsID(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	w.engines["llm-1"].SetMode(stand.Cut)
+	w.engines["llm-1"].Unnumbered = true
+	a := w.firstAnswer(resume, "llm-1", "llm", true)
+	is.True(a.err != nil)
+	is.Equal(w.runs(a.id), 1)
+}
+
 // TestStrayAnswer guards against the second answer to one request that is taken for the answer to the next.
 func TestStrayAnswer(t *testing.T) {
 	t.Parallel()
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -43,13 +43,17 @@
 		if f.lastID != "" {
 			resume = f.lastID
 		}
-		if f.broken || !x.again(arrived) {
+		if f.broken || !f.resumable() || !x.again(arrived) {
 			f.giveUp(last, err)
 			return
 		}
 	}
 }
 
+// resumable reports whether another target can go on where the stream is. Without an id on the last event it would
+// begin anew.
+func (f *feed) resumable() bool { return !f.started || f.lastID != "" }
+
 // from passes the events of one target on. Done says that the caller has its whole answer.
 func (f *feed) from(c *place.Choice, resume string) (done, arrived bool, last *whole, err error) {
 	x := f.x
