--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -67,7 +67,8 @@
 	asked ident.Tokens
 	rate  float64
 	size  float64
-	// want is what waiting requests lack.
+	// want is what the requests need that found too few tokens since the last write of the allowances. They ask again
+	// after each write.
 	want ident.Tokens
 }
 
@@ -151,7 +152,7 @@
 	case acc.spent+acc.elsewhere+n > acc.total:
 		return Answer{Verdict: Exhausted}
 	}
-	acc.want = max(acc.want, n)
+	acc.want += n
 	return Answer{
 		Verdict: Short,
 		Granted: used+n <= acc.granted,
--- a/core/quota/account_test.go
+++ b/core/quota/account_test.go
@@ -66,6 +66,23 @@
 	is.Equal(a.Hold(testOrg, b.Granted, time.Minute).Verdict, Held)
 }
 
+// TestBurst guards against a burst of requests of which each write of the store serves a single one.
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	const n, tokens = 20, 300
+	for range n {
+		is.Equal(a.Hold(testOrg, tokens, time.Second).Verdict, Short)
+	}
+	a.PlanGrants(0, NewLedger(), at(time.Second))
+	a.CommitGrants(0)
+	a.PlanAllowances(at(time.Second))
+	a.CommitAllowances()
+	for range n {
+		is.Equal(a.Hold(testOrg, tokens, time.Second).Verdict, Held)
+	}
+}
+
 // TestExhausted guards against a refusal that says the tokens are used up while others hold some.
 func TestExhausted(t *testing.T) {
 	is := is.New(t)
--- a/io/edge/bench_test.go
+++ b/io/edge/bench_test.go
@@ -1,9 +1,14 @@
 package edge
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
+	"net"
+	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -44,6 +49,69 @@
 	})
 }
 
+// used returns the memory in use by heap and stacks.
+func used() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkMemory measures the memory of an idle connection of a caller, and of a stream that waits for its first event
+// with its connections to the caller and to the engine. The callers' and the engine's ends in this process are included.
+func BenchmarkMemory(b *testing.B) {
+	const n = 200
+	b.Run("idle_connection", func(b *testing.B) {
+		for b.Loop() {
+			w := newWorld(b)
+			before := used()
+			for range n {
+				w.open(look)
+			}
+			b.ReportMetric(float64(used()-before)/n, "B/connection")
+		}
+	})
+	b.Run("waiting_stream", func(b *testing.B) {
+		for b.Loop() {
+			w := newWorld(b)
+			e := w.engines["llm-1"]
+			e.Events, e.Pause = 2, patience
+			before := used()
+			for range n {
+				w.send(chat)
+			}
+			w.await("the runs", func() bool { return len(e.Runs()) == n })
+			b.ReportMetric(float64(used()-before)/n, "B/stream")
+		}
+	})
+}
+
+// send writes a request on a connection of its own, which stays open until the end of the test.
+func (w *world) send(a ask) net.Conn {
+	c, err := net.Dial("tcp", w.server.CallerAddr())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = c.Close() })
+	r, _ := w.request(context.Background(), a)
+	if err := r.Write(c); err != nil {
+		w.t.Fatal(err)
+	}
+	return c
+}
+
+// open makes a connection that has had one answer.
+func (w *world) open(a ask) {
+	c := w.send(a)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 // FuzzEvents guards against a stream that makes the splitter panic or lose bytes.
 func FuzzEvents(f *testing.F) {
 	f.Add(stand.Event("a", 1) + stand.Event("a", 2))
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -22,7 +22,7 @@
 
 // world is one router with a store and targets.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	store   *stand.Store
 	server  *Server
 	engines map[string]*stand.Engine
@@ -32,13 +32,13 @@
 }
 
 // newWorld starts a router before one engine of each service.
-func newWorld(t *testing.T) *world { return newWorldWaits(t, nil) }
+func newWorld(t testing.TB) *world { return newWorldWaits(t, nil) }
 
-func newWorldWaits(t *testing.T, waits Waits) *world {
+func newWorldWaits(t testing.TB, waits Waits) *world {
 	return newWorldLog(t, waits, slog.New(slog.DiscardHandler))
 }
 
-func newWorldLog(t *testing.T, waits Waits, log *slog.Logger) *world {
+func newWorldLog(t testing.TB, waits Waits, log *slog.Logger) *world {
 	w := &world{t: t, store: stand.NewStore(2), engines: make(map[string]*stand.Engine)}
 	srv := httptest.NewServer(w.store)
 	t.Cleanup(func() {
