--- a/io/edge/bench_test.go
+++ b/io/edge/bench_test.go
@@ -49,6 +49,41 @@
 	})
 }
 
+// BenchmarkPlain measures a plain request over loopback through the router, and the same request sent to the target
+// itself.
+func BenchmarkPlain(b *testing.B) {
+	w := newWorld(b)
+	target := w.engines["desk-1"]
+	ask := func(b *testing.B, addr string, expect bool) {
+		r, id := w.request(context.Background(), look)
+		r.URL.Host = addr
+		if expect {
+			stand.SetTarget(r.Header, target.ID)
+		}
+		resp, err := w.client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || string(body) != target.Body(id) {
+			b.Fatal(string(body), err)
+		}
+		_ = resp.Body.Close()
+	}
+	b.Run("router", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			ask(b, w.server.CallerAddr(), false)
+		}
+	})
+	b.Run("direct", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			ask(b, target.Addr(), true)
+		}
+	})
+}
+
 // used returns the memory in use by heap and stacks.
 func used() uint64 {
 	runtime.GC()
