--- /dev/null
+++ b/cmd/soak/fleet.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"geraniumsaddle/platform"
+	"geraniumsaddle/platform/stand"
+)
+
+const (
+	// graceS is the time in seconds between SIGTERM and SIGKILL.
+	graceS = 4
+	// prepaid is what organisation org1 may use, little enough to be used up in a run.
+	prepaid = 60_000
+)
+
+// router is one router VM: its addresses stay, its processes come and go.
+type router struct {
+	name     string
+	binary   string
+	dir      string
+	callers  string
+	ready    string
+	store    *proxy
+	settings string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+}
+
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+func newRouter(cfg config, n int, store string) (*router, error) {
+	r := &router{name: fmt.Sprint("vm-", n), binary: cfg.Binary, dir: cfg.Dir}
+	var err error
+	if r.callers, err = freeAddr(); err != nil {
+		return nil, err
+	}
+	if r.ready, err = freeAddr(); err != nil {
+		return nil, err
+	}
+	if r.store, err = newProxy(store); err != nil {
+		return nil, err
+	}
+	r.settings = filepath.Join(cfg.Dir, r.name+".json")
+	text := stand.Settings(r.name, r.callers, r.ready, r.store.addr(), graceS)
+	return r, os.WriteFile(r.settings, []byte(text), 0o600)
+}
+
+// start starts a process unless one runs.
+func (r *router) start() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(r.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(r.binary, "edge")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+r.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	r.cmd = cmd
+	go func() {
+		_ = cmd.Wait() // A killed process reports its signal as an error.
+		_ = log.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.cmd == cmd {
+			r.cmd = nil
+		}
+	}()
+	return nil
+}
+
+func (r *router) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd != nil {
+		_ = r.cmd.Process.Signal(s)
+	}
+}
+
+// gone waits until no process runs, and ends it after the grace period.
+func (r *router) gone() {
+	for end := time.Now().Add(graceS * time.Second); r.running(); {
+		if time.Now().After(end) {
+			r.signal(syscall.SIGKILL)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (r *router) running() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cmd != nil
+}
+
+func (r *router) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + r.ready + "/readyz")
+	return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
