--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -135,7 +136,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if t, ok := dst.(*net.TCPConn); ok {
 				_ = t.CloseWrite()
 			}
