--- a/io/node/slow_test.go
+++ b/io/node/slow_test.go
@@ -129,6 +129,10 @@
 	is.NoErr(err)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
+	if resp.StatusCode != http.StatusOK {
+		refusal, err := io.ReadAll(resp.Body)
+		t.Logf("refused with %d: %s %v", resp.StatusCode, refusal, err)
+	}
 	return c, resp
 }
 
