--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -50,7 +50,7 @@
 	w.engine("desk-1", "desk")
 	cfg := platform.Settings{
 		VM: "vm-1", Domain: "a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", FirstStart: true,
-		Bounds: platform.Bounds{Drain: 2 * time.Second, Grace: 1600 * time.Millisecond, Lapse: 200 * time.Millisecond,
+		Bounds: platform.Bounds{Grace: 1600 * time.Millisecond, Lapse: 200 * time.Millisecond,
 			RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
 	}
 	w.server = New(cfg, Deps{
