--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -36,23 +35,24 @@
 	cmd *exec.Cmd
 }
 
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return ln.Addr().String(), ln.Close()
+// The ports of routers. Each router has a loopback address of its own, so that no other program takes them meanwhile,
+// as happens to a free port of 127.0.0.1 between its choice and its use.
+const (
+	callerPort = 7001
+	readyPort  = 7002
+)
+
+// ownAddr returns an address of the n-th router of this process.
+func ownAddr(n, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/256%250, pid%256, n+1, port)
 }
 
 func newRouter(cfg config, n int, store string) (*router, error) {
 	r := &router{name: fmt.Sprint("vm-", n), binary: cfg.Binary, dir: cfg.Dir}
+	r.callers = ownAddr(n, callerPort)
+	r.ready = ownAddr(n, readyPort)
 	var err error
-	if r.callers, err = freeAddr(); err != nil {
-		return nil, err
-	}
-	if r.ready, err = freeAddr(); err != nil {
-		return nil, err
-	}
 	if r.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
