Send callers away from a router whose own link is full

Cause: the balancer spreads callers by a hash. Requests and answers of targets wait in that link: dials time out after 150 ms four times in a row, calls of the store time out, and requests pass their route's time.

Ruled out: targets (the same targets answer other routers), processor (1.4% of a core on average), and the store (its calls fail from this router only).

Change: core/link measures both directions over the last second. A request whose dial failed behind a full link is refused at once.

It fills again when callers come back by the hash.

--- /dev/null
+++ b/io/edge/carry.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"net"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/core/link"
+)
+
+// meteredListener counts what its connections carry.
+type meteredListener struct {
+	net.Listener
+	meter *link.Meter
+	clock clockwork.Clock
+}
+
+// Accept returns the next connection.
+func (l meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return meteredConn{c, l.meter, l.clock}, nil
+}
+
+// meteredConn counts what a connection carries.
+type meteredConn struct {
+	net.Conn
+	meter *link.Meter
+	clock clockwork.Clock
+}
+
+func (c meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.meter.Add(link.In, n, c.clock.Now())
+	return n, err
+}
+
+func (c meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.meter.Add(link.Out, n, c.clock.Now())
+	return n, err
+}
+
+// watchLink decides whether the link is full, from what it carried in the last second.
+func (s *Server) watchLink() {
+	now := s.deps.Clock.Now()
+	rate := s.carried.Rate(now)
+	if !s.shed.Observe(rate, now) {
+		return
+	}
+	if s.shed.Full() {
+		s.deps.Log.Warn("link is full; sending callers away", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
+		return
+	}
+	s.deps.Log.Info("link is clear", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -15,6 +15,7 @@
 	"github.com/justinas/alice"
 
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/link"
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/retry"
@@ -71,6 +72,9 @@
 	accounts *quota.Accounts
 	pool     *relay.Pool
 	idle     *idleConns
+	// carried measures the use of the VM's network link, and shed decides when it is full.
+	carried  *link.Meter
+	shed     *link.Shedder
 	link     *storeLink
 	releases *releases
 	freed    *broadcast
@@ -92,6 +96,7 @@
 // New returns a server for the settings.
 func New(cfg platform.Settings, deps Deps) *Server {
 	started := deps.VM.Now()
+	carried := new(link.Meter)
 	self := ident.NewRouterID(cfg.VM, uint64(deps.Clock.Now().UnixMicro()))
 	s := &Server{
 		cfg:   cfg,
@@ -103,7 +108,9 @@
 			Self: self, VM: ident.VMID(cfg.VM),
 			HoldOff: holdOff, SpareFor: spareFor, GrantedFor: grantedFor, LowFor: lowFor, Idle: idlePart, Alive: aliveFor,
 		}),
-		pool:          relay.New(relay.Config{Clock: deps.Clock}),
+		pool:          relay.New(relay.Config{Clock: deps.Clock, Meter: carried}),
+		carried:       carried,
+		shed:          link.NewShedder(cfg.LinkRate),
 		idle:          newIdleConns(deps.Clock),
 		releases:      newReleases(),
 		freed:         newBroadcast(),
@@ -149,7 +156,7 @@
 	edge := s.callerServer()
 	ready := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
 	failed := make(chan error, 2)
-	go func() { failed <- edge.Serve(s.callers) }()
+	go func() { failed <- edge.Serve(meteredListener{s.callers, s.carried, s.deps.Clock}) }()
 	go func() { failed <- ready.Serve(s.checks) }()
 	var tasks sync.WaitGroup
 	s.start(work, &tasks)
@@ -213,7 +220,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.running.Add(1)
 		defer s.running.Add(-1)
-		if s.draining.Load() {
+		if s.draining.Load() || s.shed.CloseNext(s.deps.Clock.Now()) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -247,6 +254,7 @@
 			return
 		case <-tick.Chan():
 		}
+		s.watchLink()
 		s.pool.Sweep()
 		s.fleet.Expire(s.deps.Clock.Now())
 		if t := s.table.Load(); t != nil {
@@ -268,9 +276,10 @@
 	return mux
 }
 
-// isReady reports whether the router can serve: it knows a configuration and is not leaving.
+// isReady reports whether the router can take new callers: it knows a configuration, is not leaving and has room on its
+// link.
 func (s *Server) isReady() bool {
-	return s.table.Load() != nil && !s.draining.Load()
+	return s.table.Load() != nil && !s.draining.Load() && !s.shed.Full()
 }
 
 // retryAllowed counts one more send of a request to a service and reports whether the fleet's bound allows it.
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -35,10 +35,11 @@
 func newWorld(t testing.TB) *world { return newWorldWaits(t, nil) }
 
 func newWorldWaits(t testing.TB, waits Waits) *world {
-	return newWorldLog(t, waits, slog.New(slog.DiscardHandler))
+	return newWorldSet(t, func(_ *platform.Settings, d *Deps) { d.Waits = waits })
 }
 
-func newWorldLog(t testing.TB, waits Waits, log *slog.Logger) *world {
+// newWorldSet starts a router whose settings and dependencies were changed by a function.
+func newWorldSet(t testing.TB, set func(*platform.Settings, *Deps)) *world {
 	w := &world{t: t, store: stand.NewStore(2), engines: make(map[string]*stand.Engine)}
 	srv := httptest.NewServer(w.store)
 	t.Cleanup(func() {
@@ -53,17 +54,18 @@
 		Bounds: platform.Bounds{Grace: 1600 * time.Millisecond, Lapse: 200 * time.Millisecond,
 			RetryRatio: 0.2, RetryAllowance: 60, RetryWindow: 10 * time.Second},
 	}
-	w.server = New(cfg, Deps{
+	deps := Deps{
 		Clock: clockwork.NewRealClock(),
-		Log:   log,
+		Log:   slog.New(slog.DiscardHandler),
 		Store: platform.NewStore(platform.StoreConfig{
 			Addr: srv.Listener.Addr().String(), Timeout: 2 * time.Second, Grace: 2 * time.Second,
 			Transport: &http.Transport{},
 		}),
 		VM:      NewKernelClock(),
-		Waits:   waits,
 		Metrics: NewMetrics(),
-	})
+	}
+	set(&cfg, &deps)
+	w.server = New(cfg, deps)
 	if err := w.server.Listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +135,8 @@
 	body   string
 	err    error
 	id     string
+	// close says that the connection closes after the answer.
+	close bool
 }
 
 // ask describes a request of a caller.
@@ -175,7 +179,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(body), err, id}
+	return answer{resp.StatusCode, resp.Header, string(body), err, id, resp.Close}
 }
 
 var (
--- a/io/edge/lines_test.go
+++ b/io/edge/lines_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/platform"
+
 	"geraniumsaddle/platform/stand"
 )
 
@@ -70,7 +72,9 @@
 	t.Parallel()
 	is := is.New(t)
 	var lines lineBuffer
-	w := newWorldLog(t, nil, slog.New(slog.NewJSONHandler(&lines, nil)))
+	w := newWorldSet(t, func(_ *platform.Settings, d *Deps) {
+		d.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+	})
 	w.engines["llm-1"].SetMode(stand.Cut)
 	w.ask(chat)
 	w.engines["desk-1"].SetMode(stand.Shed)
--- a/io/edge/refuse.go
+++ b/io/edge/refuse.go
@@ -30,6 +30,7 @@
 	refuseShort     = refusal{http.StatusServiceUnavailable, "prepaid tokens are held by other routers", time.Second}
 	refuseNoTarget  = refusal{http.StatusServiceUnavailable, "no target serves the request", 500 * time.Millisecond}
 	refuseFull      = refusal{http.StatusServiceUnavailable, "every target is full", 300 * time.Millisecond}
+	refuseLink      = refusal{http.StatusServiceUnavailable, "the link of this router is full", 300 * time.Millisecond}
 	refuseLate      = refusal{http.StatusServiceUnavailable, "the deadline passed before the request was sent", 0}
 	refuseFailed    = refusal{http.StatusBadGateway, "the target failed after the request was sent", 0}
 	refuseTimeout   = refusal{http.StatusGatewayTimeout, "the deadline passed while the target worked", 0}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -126,6 +126,10 @@
 	if x.maybeRun && !x.route.Repeatable() {
 		return false
 	}
+	if !arrived && x.s.shed.Full() {
+		// Another target is behind the same full link, while another router may have room.
+		return false
+	}
 	return !arrived || x.s.retryAllowed(x.service)
 }
 
@@ -140,6 +144,8 @@
 		return refuseLate
 	case errors.Is(err, place.ErrNoTarget):
 		return refuseNoTarget
+	case x.s.shed.Full():
+		return refuseLink
 	}
 	return refuseFull
 }
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -10,6 +10,10 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/core/link"
 )
 
 const (
@@ -27,10 +31,35 @@
 	idleSince time.Time
 	idleFor   time.Duration
 	reused    bool
+	// meter counts what the connection carries, unless it is nil.
+	meter *link.Meter
+	clock clockwork.Clock
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer)}
+func newConn(raw net.Conn, cfg Config) *conn {
+	c := &conn{Conn: raw, meter: cfg.Meter, clock: cfg.Clock}
+	c.r = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// Read reads and counts bytes.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.count(link.In, n)
+	return n, err
+}
+
+// Write writes and counts bytes.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.count(link.Out, n)
+	return n, err
+}
+
+func (c *conn) count(d link.Direction, n int) {
+	if c.meter != nil {
+		c.meter.Add(d, n, c.clock.Now())
+	}
 }
 
 // quiet reports whether the connection is open and has no unread byte. A byte that comes before a request belongs to
--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"geraniumsaddle/core/link"
 )
 
 // Config bounds the connections. Zero fields take the defaults named at each field.
@@ -21,6 +23,8 @@
 	MaxIdle int
 	// Clock gives the time.
 	Clock clockwork.Clock
+	// Meter counts what the connections carry, unless it is nil.
+	Meter *link.Meter
 }
 
 // Pool keeps connections to targets. It is safe for concurrent use.
@@ -75,7 +79,7 @@
 		// The default buffer is used when this one cannot be set.
 		_ = t.SetReadBuffer(receiveBuffer)
 	}
-	return newConn(c), nil
+	return newConn(c, p.cfg), nil
 }
 
 // take removes the connection that was used last. It drops those that the target may be closing.
