--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -55,9 +55,13 @@
 	// granted and allowance are the bounds that hold whichever of the writes under way takes effect.
 	granted   ident.Tokens
 	allowance Allowance
-	// row is the stored row as last confirmed, and spare what was granted beyond use then.
-	row   Row
-	spare ident.Tokens
+	// row is the stored row as last confirmed.
+	row Row
+	// claimed says that a claim was answered, and target is what the division left to this router then.
+	claimed bool
+	target  ident.Tokens
+	// unclaimed is what bound the router before the last claim.
+	unclaimed bounds
 	// nextRow and nextAllowance are those of the writes under way.
 	nextRow       Row
 	nextAllowance Allowance
@@ -88,9 +92,24 @@
 	planned  time.Duration
 	left     bool
 	seen     map[ident.RouterID]sighting
+	// told holds the clocks that the answers to claims have shown.
+	told map[ident.VMID]clockSeen
 	// observed is the uptime at which each ledger was last read.
 	observed map[Shard]time.Duration
 	layout   Layout
+	start    ident.ObjectVersion
+}
+
+// clockSeen is another VM's time of day less this VM's uptime, both in milliseconds, at an uptime.
+type clockSeen struct {
+	ahead int64
+	at    time.Duration
+}
+
+// bounds are what a router may spend of an organisation's tokens.
+type bounds struct {
+	granted   ident.Tokens
+	allowance Allowance
 }
 
 // sighting is what is known of another holder's last write.
@@ -114,6 +133,7 @@
 		cfg:      cfg,
 		orgs:     make(map[ident.OrgID]*account),
 		seen:     make(map[ident.RouterID]sighting),
+		told:     make(map[ident.VMID]clockSeen),
 		observed: make(map[Shard]time.Duration),
 		layout:   Layout{Format: Format, Shards: 1},
 	}
@@ -210,6 +230,13 @@
 	acc.asked -= held - min(max(used, 0), held)
 }
 
+// SetStart sets what orders this process among those of its VM. It comes before the first plan.
+func (a *Accounts) SetStart(v ident.ObjectVersion) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.start = v
+}
+
 // SetLayout sets the layout of the ledgers. It comes before the first plan.
 func (a *Accounts) SetLayout(l Layout) {
 	a.mu.Lock()
--- /dev/null
+++ b/core/quota/batch.go
@@ -0,0 +1,94 @@
+package quota
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"geraniumsaddle/core/ident"
+)
+
+// mostPerVM is the number of processes of one VM whose allowances a batch keeps. Older ones have ended and been closed
+// long ago; without allowances their whole grant would count as spent.
+const mostPerVM = 3
+
+// Batch is the object in which a router writes the allowances of many routers at once.
+type Batch struct {
+	Format  int                            `json:"format"`
+	Routers map[ident.RouterID]*Allowances `json:"routers"`
+}
+
+// DecodeBatch decodes a stored batch.
+func DecodeBatch(b []byte) (*Batch, error) {
+	out := &Batch{}
+	if err := json.Unmarshal(b, out); err != nil {
+		return nil, fmt.Errorf("decode batch: %w", err)
+	}
+	if out.Format != Format {
+		return nil, fmt.Errorf("%w: %d", ErrFormat, out.Format)
+	}
+	for id, a := range out.Routers {
+		if a == nil {
+			return nil, fmt.Errorf("decode batch: allowances of %q are null", id)
+		}
+	}
+	return out, nil
+}
+
+// NewBatch returns a batch without allowances.
+func NewBatch() *Batch {
+	return &Batch{Format: Format, Routers: make(map[ident.RouterID]*Allowances)}
+}
+
+// Encode encodes the batch.
+func (b *Batch) Encode() []byte {
+	out, err := json.Marshal(b)
+	if err != nil {
+		panic(err) // A struct of numbers and strings always encodes.
+	}
+	return out
+}
+
+// Put sets the allowances of a router unless newer ones are there, and reports whether it did.
+func (b *Batch) Put(id ident.RouterID, a *Allowances) bool {
+	if Newer(b.Routers[id], a) != a {
+		return false
+	}
+	if b.Routers == nil {
+		b.Routers = make(map[ident.RouterID]*Allowances)
+	}
+	b.Routers[id] = a
+	b.prune(id)
+	return true
+}
+
+// prune drops the oldest processes of a router's VM.
+func (b *Batch) prune(id ident.RouterID) {
+	for {
+		n := 0
+		var oldest ident.RouterID
+		for other, a := range b.Routers {
+			if other.Name() != id.Name() {
+				continue
+			}
+			n++
+			if other != id && (oldest == "" || a.Sent.Wall < b.Routers[oldest].Sent.Wall) {
+				oldest = other
+			}
+		}
+		if n <= mostPerVM {
+			return
+		}
+		delete(b.Routers, oldest)
+	}
+}
+
+// Drop removes the allowances of a router that has left.
+func (b *Batch) Drop(id ident.RouterID) { delete(b.Routers, id) }
+
+// Newer returns the allowances of one process that were sent later. Either may be nil.
+func Newer(x, y *Allowances) *Allowances {
+	if x == nil || y != nil && y.Sent.Uptime >= x.Sent.Uptime {
+		return y
+	}
+	return x
+}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -77,6 +77,8 @@
 	VM ident.VMID `json:"vm"`
 	// Writes counts the writes of the holder, so that others see that it lives.
 	Writes uint64 `json:"writes"`
+	// Start orders the processes of one VM. It is the version of the VM's entry in the store that the process wrote first.
+	Start ident.ObjectVersion `json:"start,omitempty"`
 	// Wall is the VM's time of day at the write in Unix milliseconds.
 	Wall int64               `json:"wall_ms"`
 	Rows map[ident.OrgID]Row `json:"rows,omitempty"`
@@ -149,17 +151,27 @@
 	return n
 }
 
-// Earlier returns the holders of earlier processes of a VM, ordered.
-func (l *Ledger) Earlier(vm ident.VMID, self ident.RouterID) []ident.RouterID {
+// Earlier returns the holders of earlier processes of a VM than one with the given start, ordered.
+func (l *Ledger) Earlier(vm ident.VMID, self ident.RouterID, start ident.ObjectVersion) []ident.RouterID {
 	var ids []ident.RouterID
 	for _, id := range slices.Sorted(maps.Keys(l.Holders)) {
-		if l.Holders[id].VM == vm && id != self {
+		if h := l.Holders[id]; h.VM == vm && id != self && h.Start <= start {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// outlived reports whether a later process of a VM than one with the given start has rows.
+func (l *Ledger) outlived(vm ident.VMID, start ident.ObjectVersion) bool {
+	for _, h := range l.Holders {
+		if h.VM == vm && h.Start > start {
+			return true
+		}
+	}
+	return false
+}
+
 // Ended tells what became of the tokens of a holder that has ended.
 type Ended struct {
 	// Age is the longest time that the holder can have lived after its last write, and Known whether it is known.
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -42,7 +42,7 @@
 	a.observe(shard, l, now)
 	a.follow(now)
 	a.writes++
-	h := &Holder{VM: a.cfg.VM, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
+	h := &Holder{VM: a.cfg.VM, Start: a.start, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
 	old := l.Holders[a.cfg.Self]
 	for _, id := range a.ids() {
 		if a.layout.Of(id) != shard {
@@ -53,7 +53,7 @@
 		if old != nil {
 			had = old.Rows[id]
 		}
-		row := a.row(l, id, acc, had, now)
+		row := a.row(l, id, a.cfg.Self, acc.need(), had, now)
 		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
 		acc.elsewhere = l.Spent(id) - had.Spent
@@ -73,7 +73,6 @@
 		if a.layout.Of(id) == shard {
 			acc.row = acc.nextRow
 			acc.granted = acc.row.Granted
-			acc.spare = acc.granted - acc.spent - acc.held
 		}
 	}
 }
@@ -111,9 +110,7 @@
 	switch {
 	case acc.want > spare:
 		return Lacking
-	case acc.free > 0 && spare < acc.cover(a.cfg.LowFor) && (a.routers() <= smallFleet || spare < acc.spare/2):
-		// In a large fleet, where writes are dear, a grant that the last write could not raise further counts as low
-		// again only when half of it is used.
+	case acc.free > 0 && spare < cover(acc.rate, a.cfg.LowFor):
 		return Low
 	case acc.spent != acc.row.Spent:
 		return Changed
@@ -162,20 +159,19 @@
 	}
 }
 
-// observe notes which holders are alive and what their clocks show.
+// Observe notes from a ledger that was just read which holders are alive and what their clocks show.
+func (a *Accounts) Observe(shard Shard, l *Ledger, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.observe(shard, l, now)
+}
+
 func (a *Accounts) observe(shard Shard, l *Ledger, now time.Duration) {
 	after := a.observed[shard]
 	for id, h := range l.Holders {
-		old, ok := a.seen[id]
-		if id == a.cfg.Self || ok && h.Writes <= old.writes {
-			continue
-		}
-		s := sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: after, fresh: after > 0}
-		s.ahead, s.aheadAt = h.Wall-now.Milliseconds(), now
-		if ok && old.ahead > s.ahead && now-old.aheadAt < aheadFor {
-			s.ahead, s.aheadAt = old.ahead, old.aheadAt
+		if id != a.cfg.Self {
+			a.sight(id, sighting{vm: h.VM, writes: h.Writes, wall: h.Wall, at: now, after: after, fresh: after > 0})
 		}
-		a.seen[id] = s
 	}
 	for id, s := range a.seen {
 		if l.Holders[id] == nil && now-s.at > a.cfg.Alive {
@@ -185,6 +181,19 @@
 	a.observed[shard] = now
 }
 
+// sight notes a write of another holder that is newer than the last one known.
+func (a *Accounts) sight(id ident.RouterID, s sighting) {
+	old, ok := a.seen[id]
+	if ok && s.writes <= old.writes {
+		return
+	}
+	s.ahead, s.aheadAt = s.wall-s.at.Milliseconds(), s.at
+	if ok && old.ahead > s.ahead && s.at-old.aheadAt < aheadFor {
+		s.ahead, s.aheadAt = old.ahead, old.aheadAt
+	}
+	a.seen[id] = s
+}
+
 // Clocks returns what the clocks of other VMs can have shown at most at an earlier uptime, as far as their holders have
 // written since the first reading of the ledger.
 func (a *Accounts) Clocks(at time.Duration) []ClockReading {
@@ -200,6 +209,15 @@
 	return clocks
 }
 
+// ClocksNow returns the times of day of some VMs, this one included, each as it was shown before now at the latest.
+func (a *Accounts) ClocksNow(now Moment) map[ident.VMID]int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clocks := a.clocks(now.Uptime)
+	clocks[a.cfg.VM] = now.Wall
+	return clocks
+}
+
 // clocks returns the times of day of some other VMs, as last seen.
 func (a *Accounts) clocks(now time.Duration) map[ident.VMID]int64 {
 	const most = 9 // more clocks make the median no safer
@@ -211,6 +229,12 @@
 			out[s.vm] = s.ahead + now.Milliseconds()
 		}
 	}
+	for _, vm := range slices.Sorted(maps.Keys(a.told)) {
+		c := a.told[vm]
+		if _, seen := out[vm]; !seen && now-c.at < a.cfg.Alive && len(out) < most {
+			out[vm] = c.ahead + now.Milliseconds()
+		}
+	}
 	return out
 }
 
@@ -230,18 +254,18 @@
 
 // nextAllowanceOf returns the next allowance, which never falls below what the router has spent and holds.
 func (a *Accounts) nextAllowanceOf(acc *account) Allowance {
-	used := acc.spent + acc.held
-	spare := float64(max(acc.cover(a.spareFor()), ident.Tokens(acc.size)))
-	limit := used + acc.want + ident.Tokens(spare*acc.spareFactor())
-	idle := float64(a.idle(acc)) / a.cfg.GrantedFor.Seconds() / 2
-	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
-	return Allowance{Limit: max(min(limit, acc.granted), used), Growth: ident.Tokens(growth)}
+	wanted := a.wantedAllowance(acc)
+	wanted.Limit = max(min(wanted.Limit, acc.granted), acc.spent+acc.held)
+	return wanted
 }
 
-// spareFor returns the time of present demand that the allowances cover. A large fleet writes them less often.
-func (a *Accounts) spareFor() time.Duration {
-	stretch := min(max(float64(a.routers())/smallFleet, 1), 2)
-	return time.Duration(float64(a.cfg.SpareFor) * stretch)
+// wantedAllowance returns the allowance for the present demand if enough is granted.
+func (a *Accounts) wantedAllowance(acc *account) Allowance {
+	spare := float64(max(cover(acc.rate, a.cfg.SpareFor), ident.Tokens(acc.size)))
+	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
+	idle := float64(a.idle(acc.total)) / a.cfg.GrantedFor.Seconds() / 2
+	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
+	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
 
 // spareFactor returns, from leastSpareFactor to 1, how much of the usual spare tokens an allowance has. Towards the end
@@ -251,71 +275,89 @@
 	return min(max(rest/(scarcePart*float64(max(acc.total, 1))), leastSpareFactor), 1)
 }
 
-// row returns the next row of an organisation, which never falls below what the router has spent and holds.
-func (a *Accounts) row(l *Ledger, id ident.OrgID, acc *account, had Row, now time.Duration) Row {
-	used := acc.spent + acc.held
-	free := acc.total - l.Granted(id)
-	rest := max(acc.total-l.Spent(id), 0)
-	share, wanted := a.share(l, id, acc, rest, now)
-	granted := used + acc.want + max(acc.cover(a.cfg.GrantedFor), a.fewRequests(acc, rest), a.idle(acc))
+// need is what decides how much of an organisation's tokens a holder is granted.
+type need struct {
+	// total is what the organisation has paid for, and used what the holder has spent and holds.
+	total, used, spent, want ident.Tokens
+	// rate is the demand in tokens per second, and size the average request.
+	rate, size float64
+}
+
+func (acc *account) need() need {
+	return need{total: acc.total, used: acc.spent + acc.held, spent: acc.spent, want: acc.want, rate: acc.rate, size: acc.size}
+}
+
+// row returns the next row of a holder for an organisation, which never falls below what it has spent and holds.
+func (a *Accounts) row(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, had Row, now time.Duration) Row {
+	used := n.used
+	free := n.total - l.Granted(id)
+	rest := max(n.total-l.Spent(id), 0)
+	share, wanted := a.share(l, id, holder, n, rest, now)
+	granted := used + n.want + max(cover(n.rate, a.cfg.GrantedFor), a.fewRequests(n.size, rest), a.idle(n.total))
 	// While much is unallotted the share of the rest is no bound.
 	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
-	wanting := used + acc.want
-	if acc.want > 0 {
+	wanting := used + n.want
+	if n.want > 0 {
 		// One write serves some further requests too.
-		wanting += min(ident.Tokens(grantedRequests*acc.size), max(free, 0)/freeSteps)
+		wanting += min(ident.Tokens(grantedRequests*n.size), max(free, 0)/freeSteps)
 	}
-	granted = min(granted, max(acc.spent+share, wanting, ample))
+	granted = min(granted, max(n.spent+share, wanting, ample))
 	if wanted > max(free, 0) {
 		// Others wait for tokens that this router does not need at once.
-		granted = min(granted, used+acc.want+acc.cover(a.cfg.SpareFor)/2)
+		granted = min(granted, used+n.want+cover(n.rate, a.cfg.SpareFor)/2)
 	}
 	granted = max(granted, used)
 	if granted > had.Granted {
 		granted = had.Granted + max(min(granted-had.Granted, free), 0)
 	}
-	return Row{Granted: granted, Spent: acc.spent, Rate: ident.Tokens(acc.rate), Want: acc.want}
+	return Row{Granted: granted, Spent: n.spent, Rate: ident.Tokens(n.rate), Want: n.want}
 }
 
 // fewRequests returns the tokens of some requests, for an organisation without steady demand. All routers together keep
 // no more than a part of the rest for this.
-func (a *Accounts) fewRequests(acc *account, rest ident.Tokens) ident.Tokens {
+func (a *Accounts) fewRequests(size float64, rest ident.Tokens) ident.Tokens {
 	part := scarcePart * float64(rest) / float64(a.routers())
-	return ident.Tokens(max(min(grantedRequests*acc.size, part), acc.size))
+	return ident.Tokens(max(min(grantedRequests*size, part), size))
 }
 
-// idle returns what a router without demand is granted.
-func (a *Accounts) idle(acc *account) ident.Tokens {
-	return ident.Tokens(float64(acc.total) * a.cfg.Idle / float64(a.routers()))
+// idle returns what a router without demand is granted of a total.
+func (a *Accounts) idle(total ident.Tokens) ident.Tokens {
+	return ident.Tokens(float64(total) * a.cfg.Idle / float64(a.routers()))
 }
 
-// cover returns the tokens that the present demand uses in a time.
-func (acc *account) cover(d time.Duration) ident.Tokens {
-	return ident.Tokens(acc.rate * d.Seconds())
+// cover returns the tokens that a demand uses in a time.
+func cover(rate float64, d time.Duration) ident.Tokens {
+	return ident.Tokens(rate * d.Seconds())
 }
 
-// share returns this router's part of the rest, and what waiting requests of others lack. Most is divided by demand and
+// share returns a holder's part of the rest, and what waiting requests of others lack. Most is divided by demand and
 // the remainder equally, because demand moves between routers.
-func (a *Accounts) share(l *Ledger, id ident.OrgID, acc *account, rest ident.Tokens, now time.Duration) (share, wanted ident.Tokens) {
+func (a *Accounts) share(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, rest ident.Tokens, now time.Duration) (
+	share, wanted ident.Tokens,
+) {
 	const equal = 0.25
-	own := acc.rate
-	sum := own
-	n := 1
-	for other, s := range a.seen {
-		if now-s.at >= a.cfg.Alive {
-			continue
-		}
-		n++
+	sum := n.rate
+	routers := 1
+	add := func(other ident.RouterID) {
+		routers++
 		if l.Holders[other] == nil {
-			continue
+			return
 		}
 		row := l.Holders[other].Rows[id]
 		sum += float64(row.Rate)
 		wanted += row.Want
 	}
-	part := equal / float64(n)
+	for other, s := range a.seen {
+		if other != holder && now-s.at < a.cfg.Alive {
+			add(other)
+		}
+	}
+	if holder != a.cfg.Self {
+		add(a.cfg.Self)
+	}
+	part := equal / float64(routers)
 	if sum > 0 {
-		part += (1 - equal) * own / sum
+		part += (1 - equal) * n.rate / sum
 	}
 	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted
 }
--- a/core/quota/shard.go
+++ b/core/quota/shard.go
@@ -10,11 +10,9 @@
 )
 
 const (
-	// smallFleet is the number of routers up to which few ledgers are best: each write then shows a router much of
-	// the others' state. In a larger fleet the writes of many routers to one ledger conflict.
-	smallFleet = 16
-	fewShards  = 4
-	manyShards = 64
+	// shards is the number of ledgers of a new fleet. Each write shows a router much of the others' state, and the writes
+	// of one ledger do not hold up those of all.
+	shards = 4
 	// maxShards bounds what a stored layout may say.
 	maxShards = 4096
 )
@@ -29,12 +27,9 @@
 	Shards int `json:"shards"`
 }
 
-// LayoutFor returns the layout for a fleet that starts with a number of routers.
-func LayoutFor(routers int) Layout {
-	if routers <= smallFleet {
-		return Layout{Format: Format, Shards: fewShards}
-	}
-	return Layout{Format: Format, Shards: manyShards}
+// NewLayout returns the layout of a new fleet.
+func NewLayout() Layout {
+	return Layout{Format: Format, Shards: shards}
 }
 
 // DecodeLayout decodes a stored layout.
--- /dev/null
+++ b/io/edge/claims.go
@@ -0,0 +1,201 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"geraniumsaddle/core/elect"
+	"geraniumsaddle/core/quota"
+)
+
+const (
+	// directFleet is the number of routers up to which each writes the ledgers itself. In a larger fleet these writes
+	// conflict, and each of them is paid for.
+	directFleet = 16
+	// maxWriters bounds the writers that one claim is offered to before the router writes itself.
+	maxWriters = 3
+	// claimPause is the least time between two claims, and claimCheck the time between two looks at whether one is due.
+	claimPause = 50 * time.Millisecond
+	claimCheck = 200 * time.Millisecond
+	// probeTimeout bounds the question whether a writer serves, which it answers at once.
+	probeTimeout = 300 * time.Millisecond
+)
+
+// claimIntervals are the times between two claims, by how much they matter. The longest keeps the allowances dated, so
+// that a crash strands little.
+var claimIntervals = map[quota.Due]time.Duration{
+	quota.Settled: 2 * time.Second,
+	quota.Changed: time.Second,
+	quota.Low:     300 * time.Millisecond,
+	quota.Lacking: 100 * time.Millisecond,
+}
+
+// keepTokens keeps this router's part of the prepaid tokens until the context ends.
+func (s *Server) keepTokens(ctx context.Context) {
+	t := newLedgerTask(s)
+	t.started = s.deps.VM.Now()
+	fleet, ok := t.join(ctx)
+	if !ok {
+		return
+	}
+	if len(fleet.members) <= s.deps.DirectFleet {
+		s.keepOwn(ctx, t)
+		return
+	}
+	transport, err := s.openPeers(fleet.laid)
+	if err != nil {
+		s.deps.Log.Error("other routers cannot be reached; writing the ledgers without them", "error", err)
+		s.keepOwn(ctx, t)
+		return
+	}
+	s.peers = transport
+	s.claims = &claimTask{s: s, own: t, order: elect.New(fleet.members)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.writer.run(ctx, t.started)
+	}()
+	s.claims.run(ctx)
+	<-done
+}
+
+// keepOwn writes the ledgers and the allowances of this router itself.
+func (s *Server) keepOwn(ctx context.Context, t *ledgerTask) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.keepAllowances(ctx)
+	}()
+	s.keepLedger(ctx, t)
+	<-done
+}
+
+// errUnsaved means that a writer could not confirm the allowances of a claim.
+var errUnsaved = errors.New("allowances were not confirmed")
+
+// claimTask sends the claims of this router.
+type claimTask struct {
+	s *Server
+	// own writes without another router when no writer serves.
+	own   *ledgerTask
+	order *elect.Order
+	sent  time.Time
+	// doubtful says that the last claim had no answer. A claim without an answer holds back spending, so that the next one
+	// goes only to a writer that answers.
+	doubtful bool
+}
+
+// run sends claims until the context ends.
+func (t *claimTask) run(ctx context.Context) {
+	failures := 0
+	for t.wait(ctx) {
+		t.sent = t.s.deps.Clock.Now()
+		err := t.round(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failures = 0
+			t.s.freed.send()
+			continue
+		}
+		t.s.wrote("claim", err)
+		t.s.link.pause(ctx, failures)
+		failures++
+	}
+}
+
+// wait waits until a claim is due, and returns false at the end of the context.
+func (t *claimTask) wait(ctx context.Context) bool {
+	if !t.s.sleep(ctx, claimPause) {
+		return false
+	}
+	for {
+		left := claimCheck
+		if t.s.table.Load() != nil {
+			left = claimIntervals[t.s.accounts.ClaimDue()] - t.s.deps.Clock.Since(t.sent)
+		}
+		if left <= 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.s.grantsNow:
+		case <-t.s.allowancesNow:
+		case <-t.s.deps.Clock.After(min(left, claimCheck)):
+		}
+	}
+}
+
+// round offers a claim to the first writers, and writes itself when none serves.
+func (t *claimTask) round(ctx context.Context) error {
+	for range maxWriters {
+		w, ok := t.order.Pick(t.s.deps.Clock.Now())
+		if !ok {
+			break
+		}
+		err := t.offer(ctx, w)
+		if err == nil {
+			t.order.Served(w.VM)
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		t.order.Failed(w.VM, t.s.deps.Clock.Now())
+		t.s.deps.Log.Info("claim not served", "writer", w.VM, "error", err)
+	}
+	if _, err := t.own.syncGrants(ctx); err != nil {
+		return err
+	}
+	_, err := t.own.writeAllowances(ctx)
+	return err
+}
+
+// offer sends a claim to one writer and applies its answer.
+func (t *claimTask) offer(ctx context.Context, w elect.Member) error {
+	accounts := t.s.accounts
+	if t.doubtful {
+		if err := t.probe(ctx, w); err != nil {
+			return err
+		}
+	}
+	c := accounts.PlanClaim(t.own.started, t.s.deps.VM.Now())
+	out, err := t.s.sendClaim(ctx, w, c)
+	t.s.deps.Metrics.storeCall("claim", err)
+	switch {
+	case errors.Is(err, errRefused):
+		accounts.RefusedClaim()
+		return err
+	case err != nil:
+		t.doubtful = true
+		return err
+	}
+	accounts.CommitClaim(c, out, t.s.deps.VM.Now().Uptime)
+	t.doubtful = !out.Saved
+	if t.doubtful {
+		return errUnsaved
+	}
+	return nil
+}
+
+// probe asks a writer whether it serves claims.
+func (t *claimTask) probe(ctx context.Context, w elect.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := t.s.sendClaim(ctx, w, &quota.Claim{Router: t.s.self, Probe: true})
+	return err
+}
+
+// leave hands back what is unspent through a writer.
+func (t *claimTask) leave(ctx context.Context, c *quota.Claim) error {
+	t.order.Failed(t.s.member().VM, t.s.deps.Clock.Now())
+	w, ok := t.order.Pick(t.s.deps.Clock.Now())
+	if !ok {
+		return errRefused
+	}
+	_, err := t.s.sendClaim(ctx, w, c)
+	return err
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -20,6 +20,7 @@
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/retry"
 	"geraniumsaddle/core/route"
+	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/io/store"
 	"geraniumsaddle/platform"
@@ -58,6 +59,8 @@
 	Metrics *Metrics
 	// Waits are those of the watches; nil takes the defaults.
 	Waits Waits
+	// DirectFleet is the number of routers up to which each writes the ledgers itself; zero takes the default.
+	DirectFleet int
 }
 
 // Server is one router process.
@@ -77,7 +80,11 @@
 	shed     *link.Shedder
 	link     *storeLink
 	releases *releases
-	freed    *broadcast
+	// peers reaches other routers and claims writes through them; both are nil in a small fleet. The writer serves them.
+	peers  *peer.Transport
+	claims *claimTask
+	writer *writer
+	freed  *broadcast
 	// renew makes all watches start again from a list.
 	renew *broadcast
 	// grantsNow and allowancesNow ask for a write of the ledgers or of the allowances before the next regular one.
@@ -123,6 +130,10 @@
 	if s.waits == nil {
 		s.waits = defaultWaits
 	}
+	if s.deps.DirectFleet == 0 {
+		s.deps.DirectFleet = directFleet
+	}
+	s.writer = newWriter(s)
 	s.link = newStoreLink(deps.Clock, deps.Log, s.fleet.StoreAway)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain, "uptime_ms", started.Uptime.Milliseconds(),
 		"boot", started.Boot, "first_start", cfg.FirstStart)
@@ -171,6 +182,9 @@
 	stop()
 	tasks.Wait()
 	s.leaveLedger()
+	if s.peers != nil {
+		_ = s.peers.Close()
+	}
 	_ = ready.Close()
 	s.deps.Log.Info("router stopped", "router", s.self)
 	return nil
@@ -200,7 +214,7 @@
 
 // start starts the goroutines that follow the store.
 func (s *Server) start(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepLedger, s.keepAllowances, s.sweep} {
+	for _, task := range []func(context.Context){s.followConfig, s.followTargets, s.followReleases, s.runReleases, s.keepTokens, s.sweep} {
 		tasks.Go(func() { task(ctx) })
 	}
 }
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -49,12 +49,7 @@
 }
 
 // keepLedger writes this router's rows of the ledgers until the context ends.
-func (s *Server) keepLedger(ctx context.Context) {
-	t := newLedgerTask(s)
-	t.started = s.deps.VM.Now()
-	if !t.waitLayout(ctx) {
-		return
-	}
+func (s *Server) keepLedger(ctx context.Context, t *ledgerTask) {
 	s.keep(ctx, "ledger", s.grantsNow, func() time.Duration { return grantsCheck }, t.syncGrants)
 }
 
@@ -122,7 +117,7 @@
 		if err != nil {
 			return err
 		}
-		if err := t.endEarlier(ctx, st, l); err != nil {
+		if st.earlierEnded, err = t.endRows(ctx, l, t.self(), t.readAllowances); err != nil {
 			return err
 		}
 		t.s.accounts.PlanGrants(shard, l, t.s.deps.VM.Now())
@@ -142,31 +137,67 @@
 	return nil
 }
 
-// endEarlier closes the rows of earlier processes of this VM. When only clocks can tell how long such a process has
-// lived, its rows stay until enough other routers have written to the ledger.
-func (t *ledgerTask) endEarlier(ctx context.Context, st *shardState, l *quota.Ledger) error {
-	earlier := l.Earlier(ident.VMID(t.s.cfg.VM), t.s.self)
-	st.earlierEnded = len(earlier) == 0
-	clocks := t.s.accounts.Clocks(t.started.Uptime)
-	last := t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait
+// claimant is a router whose earlier processes on the same VM have ended.
+type claimant struct {
+	vm ident.VMID
+	id ident.RouterID
+	// start orders it among the processes of its VM.
+	start ident.ObjectVersion
+	// started is when it started, by its own VM, and clocks what other VMs showed then at most.
+	started quota.Moment
+	clocks  []quota.ClockReading
+	// last says that no more clocks will show.
+	last bool
+}
+
+// self is this router.
+func (t *ledgerTask) self() claimant {
+	return claimant{
+		vm: ident.VMID(t.s.cfg.VM), id: t.s.self, start: t.start, started: t.started, clocks: t.s.accounts.Clocks(t.started.Uptime),
+		last: t.s.deps.VM.Now().Uptime-t.started.Uptime >= clockWait,
+	}
+}
+
+// endRows closes the rows of earlier processes of a router's VM, and reports whether the ledger had none. When only clocks
+// can tell how long such a process has lived, its rows stay until enough other routers have shown theirs.
+func (t *ledgerTask) endRows(ctx context.Context, l *quota.Ledger, c claimant,
+	allowancesOf func(context.Context, ident.RouterID) (*quota.Allowances, error)) (none bool, err error) {
+	earlier := l.Earlier(c.vm, c.id, c.start)
 	for _, id := range earlier {
-		allowances, err := t.readAllowances(ctx, id)
+		allowances, err := allowancesOf(ctx, id)
 		if err != nil {
-			return err
+			return false, err
 		}
-		if !last && allowances != nil && !allowances.Dated(ident.VMID(t.s.cfg.VM), t.started, clocks) {
+		if !c.last && allowances != nil && !allowances.Dated(c.vm, c.started, c.clocks) {
 			continue
 		}
-		e := l.End(id, allowances, t.started, clocks)
+		e := l.End(id, allowances, c.started, c.clocks)
 		t.s.deps.Log.Info("ledger rows of an earlier process close", "router", id, "age_ms", e.Age.Milliseconds(),
-			"age_known", e.Known, "clocks", len(clocks), "tokens_spent", e.Spent, "tokens_used", e.Used,
+			"age_known", e.Known, "clocks", len(c.clocks), "tokens_spent", e.Spent, "tokens_used", e.Used,
 			"tokens_returned", e.Returned)
 	}
-	return nil
+	return len(earlier) == 0, nil
 }
 
-// readAllowances returns the allowances of a router, or nil if they are absent or cannot be read.
+// readAllowances returns the newest allowances of a router, which it or a writer has written, or nil if they are absent
+// or cannot be read.
 func (t *ledgerTask) readAllowances(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
+	own, err := t.ownAllowances(ctx, id)
+	if err != nil || t.s.accounts.Fleet() <= t.s.deps.DirectFleet {
+		return own, err
+	}
+	var o stored
+	if err := t.read(ctx, batchKey, &o); err != nil {
+		return nil, err
+	}
+	b, err := decodeBatch(&o)
+	if err != nil {
+		return nil, err
+	}
+	return quota.Newer(own, b.Routers[id]), nil
+}
+
+func (t *ledgerTask) ownAllowances(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
 	o, err := t.s.deps.Store.Get(ctx, allowancesKey(id))
 	if errors.Is(err, store.ErrAbsent) {
 		return nil, nil
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -22,13 +22,14 @@
 
 // world is one router with a store and targets.
 type world struct {
-	t       testing.TB
-	store   *stand.Store
-	server  *Server
-	engines map[string]*stand.Engine
-	stop    func()
-	client  *http.Client
-	next    int
+	t         testing.TB
+	store     *stand.Store
+	storeAddr string
+	server    *Server
+	engines   map[string]*stand.Engine
+	stop      func()
+	client    *http.Client
+	next      int
 }
 
 // newWorld starts a router before one engine of each service.
@@ -42,6 +43,7 @@
 func newWorldSet(t testing.TB, set func(*platform.Settings, *Deps)) *world {
 	w := &world{t: t, store: stand.NewStore(2), engines: make(map[string]*stand.Engine)}
 	srv := httptest.NewServer(w.store)
+	w.storeAddr = srv.Listener.Addr().String()
 	t.Cleanup(func() {
 		w.store.Close()
 		srv.Close()
@@ -49,6 +51,19 @@
 	w.configure(1, 20_000, 1_000_000)
 	w.engine("llm-1", "llm")
 	w.engine("desk-1", "desk")
+	w.run(set)
+	return w
+}
+
+// join starts one more router with the same store and targets.
+func (w *world) join(set func(*platform.Settings, *Deps)) *world {
+	other := &world{t: w.t, store: w.store, storeAddr: w.storeAddr, engines: w.engines}
+	other.run(set)
+	return other
+}
+
+// run starts the router and waits until it serves.
+func (w *world) run(set func(*platform.Settings, *Deps)) {
 	cfg := platform.Settings{
 		VM: "vm-1", Domain: "a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", FirstStart: true,
 		Bounds: platform.Bounds{Grace: 1600 * time.Millisecond, Lapse: 200 * time.Millisecond,
@@ -58,7 +73,7 @@
 		Clock: clockwork.NewRealClock(),
 		Log:   slog.New(slog.DiscardHandler),
 		Store: platform.NewStore(platform.StoreConfig{
-			Addr: srv.Listener.Addr().String(), Timeout: 2 * time.Second, Grace: 2 * time.Second,
+			Addr: w.storeAddr, Timeout: 2 * time.Second, Grace: 2 * time.Second,
 			Transport: &http.Transport{},
 		}),
 		VM:      NewKernelClock(),
@@ -67,7 +82,7 @@
 	set(&cfg, &deps)
 	w.server = New(cfg, deps)
 	if err := w.server.Listen(); err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -80,10 +95,10 @@
 		stopped = true
 		cancel()
 		if err := <-done; err != nil {
-			t.Error(err)
+			w.t.Error(err)
 		}
 	}
-	t.Cleanup(w.stop)
+	w.t.Cleanup(w.stop)
 	w.client = &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}
 	w.await("readiness", w.isReady)
 	w.await("targets", func() bool { return w.server.fleet.Len("llm") > 0 && w.server.fleet.Len("desk") > 0 })
@@ -91,7 +106,6 @@
 		b := w.server.accounts.Balance("org1")
 		return b.Granted > 0 && b.Growth > 0
 	})
-	return w
 }
 
 func (w *world) configure(version, timeoutMS, prepaid int) {
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -18,6 +18,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
 	defer cancel()
+	if s.claims != nil {
+		c := s.accounts.PlanLeave(spent, s.claims.own.started, s.deps.VM.Now())
+		if s.claims.leave(ctx, c) == nil {
+			return
+		}
+	}
 	if err := s.handBack(ctx, spent); err != nil {
 		s.deps.Log.Warn("tokens may stay taken: the ledger was not written", "error", err)
 	}
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
@@ -20,8 +21,6 @@
 	grantsCheck = 300 * time.Millisecond
 	// syncPause is the least time between two writes.
 	syncPause = 50 * time.Millisecond
-	// fleetStart is the time in which the routers of a fleet that starts write their allowances.
-	fleetStart = time.Second
 	// clockWait is the time that other routers have to show their clocks after a start.
 	clockWait = 8 * time.Second
 	// slowPart is the part of the time that writes of the ledger may take. A slow store gets fewer of them, because they
@@ -44,6 +43,7 @@
 type ledgerTask struct {
 	s          *Server
 	started    quota.Moment
+	start      ident.ObjectVersion
 	shards     map[quota.Shard]*shardState
 	allowances stored
 }
@@ -58,7 +58,7 @@
 	write func(context.Context) (bool, error)) {
 	failures := 0
 	for ctx.Err() == nil {
-		if name == allowancesName || s.table.Load() != nil {
+		if s.table.Load() != nil {
 			called, err := write(ctx)
 			if ctx.Err() != nil {
 				return
--- /dev/null
+++ b/io/edge/peers.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"geraniumsaddle/core/elect"
+	"geraniumsaddle/core/quota"
+	"geraniumsaddle/io/peer"
+)
+
+// claimTimeout bounds a claim at another router: the time in which claims gather, two writes of a slow store and the way.
+const claimTimeout = 1500 * time.Millisecond
+
+// codeRefused is the code of a failure that means that the claim has had no effect and will have none.
+const codeRefused = "refused"
+
+// errNoPeers means that this router has no address for other routers.
+var errNoPeers = errors.New("no address for other routers")
+
+// openPeers opens the transport to the other routers.
+func (s *Server) openPeers(laid laidDown) (*peer.Transport, error) {
+	if s.cfg.PeerAddr == "" {
+		return nil, errNoPeers
+	}
+	now := time.UnixMilli(s.deps.VM.Now().Wall)
+	ca := laid.Authority.pair()
+	node, err := ca.Issue(s.cfg.VM, now, certificateFor)
+	if err != nil {
+		return nil, trace.Wrap(err, "issue certificate")
+	}
+	certs, err := peer.NewCerts(s.deps.Clock, node, ca.Cert)
+	if err != nil {
+		return nil, trace.Wrap(err, "read certificate")
+	}
+	return peer.New(peer.Config{
+		Self: s.self, Addr: s.cfg.PeerAddr, Certs: certs, Handler: inbox{s}, Clock: s.deps.Clock, Log: s.deps.Log,
+	})
+}
+
+// inbox takes the messages of other routers.
+type inbox struct{ s *Server }
+
+// HandleMessage ignores one-way messages. Routers of this kind send none.
+func (inbox) HandleMessage(peer.Sender, peer.Message) {}
+
+// HandleCall writes claims for other routers.
+func (in inbox) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
+	ask, ok := m.(peer.TokenClaim)
+	if !ok || ask.Router != from.ID || ask.Allows == nil && !ask.Probe {
+		return nil, peer.Failure{Code: "bad_message"}
+	}
+	out, err := in.s.writer.submit(ctx, &ask.Claim)
+	if errors.Is(err, errRefused) {
+		return nil, peer.Failure{Code: codeRefused, Message: err.Error()}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return peer.TokenOutcome{Outcome: *out}, nil
+}
+
+// sendClaim sends a claim to a writer. The error is errRefused if it has had no effect and will have none.
+func (s *Server) sendClaim(ctx context.Context, to elect.Member, c *quota.Claim) (*quota.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if to == s.member() {
+		return s.writer.submit(ctx, c)
+	}
+	m, err := s.peers.Call(ctx, to.Addr, peer.TokenClaim{Claim: *c})
+	var f peer.Failure
+	switch {
+	case errors.As(err, &f) && f.Code == codeRefused, errors.Is(err, peer.ErrUnreachable):
+		return nil, trace.Wrap(errRefused, "%v", err)
+	case err != nil:
+		return nil, err
+	}
+	out, ok := m.(peer.TokenOutcome)
+	if !ok {
+		return nil, trace.BadParameter("answer to a claim has type %s", m.Type())
+	}
+	return &out.Outcome, nil
+}
--- /dev/null
+++ b/io/edge/writer.go
@@ -0,0 +1,389 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/quota"
+	"geraniumsaddle/io/store"
+	"geraniumsaddle/platform"
+)
+
+const (
+	// gatherCalm and gatherUrgent are the times in which claims gather before a write. Requests wait behind urgent ones.
+	gatherCalm   = 250 * time.Millisecond
+	gatherUrgent = 20 * time.Millisecond
+	// writePause is the least time between two writes of one writer.
+	writePause = 80 * time.Millisecond
+)
+
+// errRefused means that a claim has had no effect and will have none.
+var errRefused = errors.New("claim was refused")
+
+// batchKey is the object with the allowances of the routers that have a writer.
+var batchKey = object.Key{Kind: platform.KindBatch, Name: "main"}
+
+// writer writes the claims of many routers into the ledgers. Any router may be a writer for others.
+type writer struct {
+	s     *Server
+	tasks *ledgerTask
+	batch stored
+
+	mu       sync.Mutex
+	open     bool
+	waiting  map[ident.RouterID]*waitingClaim
+	answered map[ident.RouterID]time.Duration
+	// came and hurry tell the writer that a claim waits.
+	came, hurry chan struct{}
+}
+
+// waitingClaim is a claim that is not written yet.
+type waitingClaim struct {
+	claim *quota.Claim
+	// came is the uptime at which it came.
+	came time.Duration
+	done chan claimResult
+}
+
+type claimResult struct {
+	out *quota.Outcome
+	err error
+}
+
+func newWriter(s *Server) *writer {
+	return &writer{
+		s: s, tasks: newLedgerTask(s),
+		waiting: make(map[ident.RouterID]*waitingClaim), answered: make(map[ident.RouterID]time.Duration),
+		came: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
+	}
+}
+
+// submit waits until a claim is written. The error is errRefused if it has had no effect and will have none.
+func (w *writer) submit(ctx context.Context, c *quota.Claim) (*quota.Outcome, error) {
+	if c.Probe {
+		return &quota.Outcome{}, w.serves()
+	}
+	item, err := w.enqueue(c)
+	if err != nil {
+		return nil, err
+	}
+	trigger(w.came)
+	if urgent(c) {
+		trigger(w.hurry)
+	}
+	select {
+	case r := <-item.done:
+		return r.out, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func urgent(c *quota.Claim) bool {
+	if c.Leaves {
+		return true
+	}
+	for _, n := range c.Needs {
+		if n.Want > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// serves returns errRefused if the router writes no claims at present.
+func (w *writer) serves() error {
+	w.mu.Lock()
+	open := w.open
+	w.mu.Unlock()
+	if !open || w.s.link.isAway() || w.s.table.Load() == nil || w.s.draining.Load() {
+		return errRefused
+	}
+	return nil
+}
+
+func (w *writer) enqueue(c *quota.Claim) (*waitingClaim, error) {
+	if err := w.serves(); err != nil {
+		return nil, err
+	}
+	now := w.s.deps.VM.Now().Uptime
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.open {
+		return nil, errRefused
+	}
+	w.s.accounts.Meet(c, w.answered[c.Router], now)
+	if old := w.waiting[c.Router]; old != nil {
+		old.done <- claimResult{err: errRefused}
+	}
+	item := &waitingClaim{claim: c, came: now, done: make(chan claimResult, 1)}
+	w.waiting[c.Router] = item
+	return item, nil
+}
+
+// run writes claims until the context ends.
+func (w *writer) run(ctx context.Context, started quota.Moment) {
+	w.tasks.started = started
+	w.setOpen(true)
+	defer w.setOpen(false)
+	for w.gather(ctx) {
+		if claims := w.take(); len(claims) > 0 {
+			w.flush(ctx, claims)
+		}
+		if !w.s.sleep(ctx, writePause) {
+			return
+		}
+	}
+}
+
+func (w *writer) setOpen(open bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open = open
+	if open {
+		return
+	}
+	for id, item := range w.waiting {
+		item.done <- claimResult{err: errRefused}
+		delete(w.waiting, id)
+	}
+}
+
+// gather waits until claims have gathered, and returns false at the end of the context.
+func (w *writer) gather(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-w.came:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-w.s.deps.Clock.After(gatherCalm):
+		return true
+	case <-w.hurry:
+		return w.s.sleep(ctx, gatherUrgent)
+	}
+}
+
+// take returns the waiting claims. Claimants no longer wait for those that came before a suspension of this VM.
+func (w *writer) take() []*waitingClaim {
+	now := w.s.deps.VM.Now().Uptime
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var items []*waitingClaim
+	for id, item := range w.waiting {
+		delete(w.waiting, id)
+		if now-item.came >= claimTimeout {
+			item.done <- claimResult{err: errRefused}
+			continue
+		}
+		items = append(items, item)
+	}
+	return items
+}
+
+// flush writes claims into the ledgers and the allowances, and answers them.
+func (w *writer) flush(ctx context.Context, items []*waitingClaim) {
+	f := newFlush(w, items)
+	f.writeLedgers(ctx)
+	err := f.writeBatch(ctx)
+	w.s.deps.Metrics.storeCall("batch", err)
+	if err != nil {
+		w.s.wrote("batch", err)
+	}
+	now := w.s.deps.VM.Now()
+	clocks := w.s.accounts.ClocksNow(now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, item := range items {
+		w.answered[item.claim.Router] = now.Uptime
+		out := &quota.Outcome{Grants: f.grants[i], Clocks: clocks, Saved: err == nil}
+		if err == nil {
+			out.Allowances = f.bounded[i].Rows
+		}
+		item.done <- f.result(i, out)
+	}
+}
+
+// flush is one write of claims.
+type flush struct {
+	w     *writer
+	items []*waitingClaim
+	// bounded are the allowances that are written for each claim.
+	bounded []*quota.Allowances
+
+	mu sync.Mutex
+	// grants holds what is confirmed for each claim, and errs what failed for it in a ledger.
+	grants []map[ident.OrgID]quota.Grant
+	errs   []error
+	// ended holds the allowances of routers that have ended.
+	ended map[ident.RouterID]*quota.Allowances
+}
+
+func newFlush(w *writer, items []*waitingClaim) *flush {
+	f := &flush{w: w, items: items, bounded: make([]*quota.Allowances, len(items)),
+		grants: make([]map[ident.OrgID]quota.Grant, len(items)), errs: make([]error, len(items)),
+		ended: make(map[ident.RouterID]*quota.Allowances)}
+	for i := range f.grants {
+		f.grants[i] = make(map[ident.OrgID]quota.Grant)
+	}
+	return f
+}
+
+// result returns the answer to a claim. A claim to leave counts only whole.
+func (f *flush) result(i int, out *quota.Outcome) claimResult {
+	if f.items[i].claim.Leaves && f.errs[i] != nil {
+		return claimResult{err: f.errs[i]}
+	}
+	return claimResult{out: out}
+}
+
+// writeLedgers writes the ledgers that claims touch, all at once.
+func (f *flush) writeLedgers(ctx context.Context) {
+	accounts := f.w.s.accounts
+	var wg sync.WaitGroup
+	for _, n := range accounts.Shards() {
+		var touching []int
+		for i, item := range f.items {
+			if accounts.Touches(n, item.claim) {
+				touching = append(touching, i)
+			}
+		}
+		if len(touching) == 0 {
+			continue
+		}
+		st := f.w.tasks.shard(n)
+		wg.Go(func() { f.writeLedger(ctx, n, st, touching) })
+	}
+	wg.Wait()
+}
+
+// writeLedger writes claims into one ledger under the condition that nobody else wrote meanwhile.
+func (f *flush) writeLedger(ctx context.Context, n quota.Shard, st *shardState, touching []int) {
+	for attempt := range maxConflicts {
+		if attempt > 0 && !f.w.s.sleep(ctx, rand.N(time.Duration(attempt)*conflictPause)) {
+			break
+		}
+		grants, err := f.tryLedger(ctx, n, st, touching)
+		f.w.s.deps.Metrics.storeCall("ledger", err)
+		if errors.Is(err, store.ErrConflict) {
+			continue
+		}
+		f.settle(touching, grants, err)
+		return
+	}
+	f.settle(touching, nil, store.ErrConflict)
+}
+
+func (f *flush) settle(touching []int, grants []map[ident.OrgID]quota.Grant, err error) {
+	if err != nil {
+		f.w.s.wrote("ledger", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, i := range touching {
+		if err != nil {
+			f.errs[i] = err
+			continue
+		}
+		for id, g := range grants[k] {
+			f.grants[i][id] = g
+		}
+	}
+}
+
+func (f *flush) tryLedger(ctx context.Context, n quota.Shard, st *shardState, touching []int) ([]map[ident.OrgID]quota.Grant, error) {
+	t := f.w.tasks
+	if !st.known {
+		if err := t.read(ctx, ledgerKey(n), &st.stored); err != nil {
+			return nil, err
+		}
+	}
+	l, err := st.decode()
+	if err != nil {
+		return nil, err
+	}
+	now := f.w.s.deps.VM.Now().Uptime
+	f.w.s.accounts.Observe(n, l, now)
+	grants := make([]map[ident.OrgID]quota.Grant, len(touching))
+	for k, i := range touching {
+		c := f.items[i].claim
+		if _, err := t.endRows(ctx, l, f.claimant(c, now), f.allowancesOf); err != nil {
+			return nil, err
+		}
+		grants[k], _ = f.w.s.accounts.Serve(n, l, c, now)
+	}
+	return grants, t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
+}
+
+// claimant is the sender of a claim as one whose earlier processes have ended. Its start is dated by this VM's uptime: no
+// earlier than it was, so that those processes count as having lived long enough.
+func (f *flush) claimant(c *quota.Claim, now time.Duration) claimant {
+	age := c.Allows.Sent.Uptime - c.Started.Uptime
+	return claimant{vm: c.VM, id: c.Router, start: c.Start, started: c.Started, clocks: f.w.s.accounts.Clocks(now - age), last: age >= clockWait}
+}
+
+// allowancesOf returns the allowances of a router that has ended, or nil.
+func (f *flush) allowancesOf(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a, ok := f.ended[id]; ok {
+		return a, nil
+	}
+	a, err := f.w.tasks.readAllowances(ctx, id)
+	if err == nil {
+		f.ended[id] = a
+	}
+	return a, err
+}
+
+// writeBatch writes the allowances of all claims under the condition that nobody else wrote meanwhile.
+func (f *flush) writeBatch(ctx context.Context) error {
+	for i, item := range f.items {
+		f.bounded[i] = item.claim.Bounded(f.grants[i])
+	}
+	for attempt := range maxConflicts {
+		if attempt > 0 && !f.w.s.sleep(ctx, rand.N(time.Duration(attempt)*conflictPause)) {
+			break
+		}
+		err := f.tryBatch(ctx)
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	return store.ErrConflict
+}
+
+func (f *flush) tryBatch(ctx context.Context) error {
+	t, o := f.w.tasks, &f.w.batch
+	if !o.known {
+		if err := t.read(ctx, batchKey, o); err != nil {
+			return err
+		}
+	}
+	b, err := decodeBatch(o)
+	if err != nil {
+		return err
+	}
+	for i, item := range f.items {
+		if c := item.claim; c.Leaves {
+			b.Drop(c.Router)
+		} else {
+			b.Put(c.Router, f.bounded[i])
+		}
+	}
+	return t.write(ctx, batchKey, o, b.Encode())
+}
+
+func decodeBatch(o *stored) (*quota.Batch, error) {
+	if o.object.Version == 0 {
+		return quota.NewBatch(), nil
+	}
+	return quota.DecodeBatch(o.object.Value)
+}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -35,7 +35,15 @@
 
 // Logger returns a logger that writes JSON lines to w.
 func (w *Writer) Logger(level slog.Leveler) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: plainErrors}))
+}
+
+// plainErrors writes errors as their message. Those of the trace library would encode themselves as objects.
+func plainErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		a.Value = slog.StringValue(err.Error())
+	}
+	return a
 }
 
 // Write queues one line, or counts it as dropped when the queue is full. It never fails.
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/matryer/is"
 )
 
@@ -65,3 +66,15 @@
 		log.Info("request", "id", "9c41d07be2a35f68", "route", "r-1", "status", 200, "total_ms", 123)
 	}
 }
+
+// TestErrorsAreText guards against errors that encode themselves as objects, so that no one can search for their text.
+func TestErrorsAreText(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out, 16)
+	w.Logger(slog.LevelInfo).Info("failed", "error", trace.Wrap(io.ErrUnexpectedEOF, "read answer"))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	w.Close(ctx)
+	is.True(strings.Contains(out.String(), `"error":"read answer`))
+}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -16,6 +16,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/record"
 	"geraniumsaddle/io/peer"
 )
@@ -24,6 +25,7 @@
 	up := member.Update{ID: "b.2", Addr: "127.0.0.1:7001", Domain: "d1", VM: "vm-b", Incarnation: 3, State: member.StateSuspect}
 	key := object.Key{Kind: object.KindLedger, Name: "07"}
 	at := time.Date(2030, 1, 2, 3, 4, 5, 6000, time.UTC)
+	moment := quota.Moment{Boot: "b", Uptime: time.Minute, Wall: 1_700_000_000_000}
 	hold := record.Hold{Request: "r1", Org: "o", Budget: "b", Tokens: 500, IdempotencyKey: record.Hash{7}, At: at}
 	return []peer.Message{
 		peer.Probe{Probe: member.Probe{Seq: 1, From: up, Updates: []member.Update{up}, Sync: true}},
@@ -57,6 +59,13 @@
 		peer.ForwardEnd{Chunks: 4, Usage: []byte("{}"), HasUsage: true, PromptTokens: 5, OutputTokens: 6, Outcome: "run", Code: "c", Message: "m"},
 		peer.StreamAck{Received: 1 << 40},
 		peer.VMs{Hash: 1 << 63, Full: true, Rows: []peer.VMRow{{Name: "vm", Domain: "d1", State: "gone"}}},
+		peer.TokenClaim{Claim: quota.Claim{Router: "a.1", VM: "a", Writes: 3, Started: moment, Leaves: true,
+			Needs: map[ident.OrgID]quota.Need{"o": {Floor: 1, Used: 2, Spent: 3, Want: 4, Rate: 1.5, Size: 2.5}},
+			Allows: &quota.Allowances{Format: 1, Sent: moment, HoldOff: time.Second, Clocks: map[ident.VMID]int64{"b": 5},
+				Rows: map[ident.OrgID]quota.Allowance{"o": {Limit: 6, Growth: 7}}}}},
+		peer.TokenOutcome{Outcome: quota.Outcome{Saved: true, Clocks: map[ident.VMID]int64{"b": 5},
+			Grants:     map[ident.OrgID]quota.Grant{"o": {Row: quota.Row{Granted: 1, Spent: 2, Rate: 3, Want: 4}, Target: 5, Elsewhere: 6, Free: -7}},
+			Allowances: map[ident.OrgID]quota.Allowance{"o": {Limit: 6, Growth: 7}}}},
 	}
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -8,6 +8,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
 	"geraniumsaddle/core/object"
+	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/record"
 )
 
@@ -275,6 +276,12 @@
 	Pools  []PoolRow      `cbor:"3,keyasint,omitempty"`
 }
 
+// TokenClaim asks a router to write its claim into the ledgers of prepaid tokens. It is a call; TokenOutcome answers it.
+type TokenClaim struct{ quota.Claim }
+
+// TokenOutcome tells what was written for a TokenClaim.
+type TokenOutcome struct{ quota.Outcome }
+
 // Done answers a call that needs no other reply.
 type Done struct{}
 
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -35,6 +35,8 @@
 	TypeForwardEnd
 	TypeStreamAck
 	TypeVMs
+	TypeTokenClaim
+	TypeTokenOutcome
 	typeEnd
 )
 
@@ -83,6 +85,8 @@
 	TypeForwardEnd:    {"forward_end", priorityHigh, func(b []byte) (Message, error) { var m ForwardEnd; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeStreamAck:     {"stream_ack", priorityHigh, func(b []byte) (Message, error) { var m StreamAck; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeVMs:           {"vms", priorityHigh, func(b []byte) (Message, error) { var m VMs; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeTokenClaim:    {"token_claim", priorityHigh, func(b []byte) (Message, error) { var m TokenClaim; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeTokenOutcome:  {"token_outcome", priorityHigh, func(b []byte) (Message, error) { var m TokenOutcome; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -186,6 +190,12 @@
 // Type implements Message.
 func (VMs) Type() Type { return TypeVMs }
 
+// Type returns TypeTokenClaim.
+func (TokenClaim) Type() Type { return TypeTokenClaim }
+
+// Type returns TypeTokenOutcome.
+func (TokenOutcome) Type() Type { return TypeTokenOutcome }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -216,3 +226,5 @@
 func (ForwardEnd) message()    {}
 func (StreamAck) message()     {}
 func (VMs) message()           {}
+func (TokenClaim) message()    {}
+func (TokenOutcome) message()  {}
