Let spare tokens last longer while the rest lasts long

Ruled out: a faster growth for all, which a router that is down for some seconds would strand.

Change: the allowances of all routers together cover the 20th part of the time that the rest lasts at the fleet's demand, between 0.8 and 4 s, and as before a fifth of that towards the end. Tokens of routers without demand become free over 10 s.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -67,6 +67,8 @@
 	nextAllowance Allowance
 	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken.
 	elsewhere, free ident.Tokens
+	// demand is that of all routers in tokens per second, as last seen.
+	demand float64
 	// asked is the demand since the last plan, rate its average in tokens per second, and size the average request.
 	asked ident.Tokens
 	rate  float64
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -58,6 +58,8 @@
 	// Elsewhere is what others have spent, and Free what nobody has taken.
 	Elsewhere ident.Tokens `cbor:"3,keyasint,omitempty"`
 	Free      ident.Tokens `cbor:"4,keyasint,omitempty"`
+	// Demand is that of all routers in tokens per second.
+	Demand float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // rateChange is the part by which the demand has to change for a router to report it.
@@ -76,7 +78,7 @@
 
 func (a *Accounts) claimDue(acc *account) Due {
 	used := acc.spent + acc.held
-	spare := cover(acc.rate, a.cfg.SpareFor) / 2
+	spare := cover(acc.rate, a.spareFor(acc)) / 2
 	switch {
 	case acc.want > 0:
 		return Lacking
@@ -171,7 +173,7 @@
 		acc := a.org(id)
 		acc.claimed = true
 		acc.row, acc.granted, acc.target = g.Row, g.Row.Granted, g.Target
-		acc.elsewhere, acc.free = g.Elsewhere, g.Free
+		acc.elsewhere, acc.free, acc.demand = g.Elsewhere, g.Free, g.Demand
 	}
 	for vm, wall := range out.Clocks {
 		a.told[vm] = clockSeen{ahead: wall - now.Milliseconds(), at: now}
@@ -242,7 +244,7 @@
 // grant divides the tokens of one organisation for a claimant. It never takes back what the claimant may be spending.
 func (a *Accounts) grant(l *Ledger, id ident.OrgID, holder ident.RouterID, n Need, had Row, now time.Duration) Grant {
 	total := a.orgs[id].total
-	row := a.row(l, id, holder, need{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size},
+	row, demand := a.row(l, id, holder, need{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size},
 		had, now)
 	target := row.Granted
 	row.Granted = max(row.Granted, min(n.Floor, had.Granted))
@@ -250,6 +252,7 @@
 		Row: row, Target: target,
 		Elsewhere: l.Spent(id) - had.Spent,
 		Free:      total - l.Granted(id) + had.Granted - row.Granted,
+		Demand:    demand,
 	}
 }
 
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -28,8 +28,16 @@
 	ampleSteps = 4
 	// freeSteps is the number of routers that can take some requests' tokens before nothing is unallotted.
 	freeSteps = 16
-	// leastSpareFactor bounds how little a router allowances.
+	// leastSpareFactor bounds how little a router may spend without a write.
 	leastSpareFactor = 0.2
+	// sparePart is the part of an organisation's rest that the routers together may spend without a write, as far as it
+	// lasts longer than Config.SpareFor. A crash of all strands no more than this.
+	sparePart = 0.05
+	// mostSpare bounds the time that the spare tokens last.
+	mostSpare = 4 * time.Second
+	// idleGrowth is the time in which a router without demand can spend what it is granted for the first requests of an
+	// outage.
+	idleGrowth = 10 * time.Second
 )
 
 // PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the
@@ -53,7 +61,8 @@
 		if old != nil {
 			had = old.Rows[id]
 		}
-		row := a.row(l, id, a.cfg.Self, acc.need(), had, now)
+		var row Row
+		row, acc.demand = a.row(l, id, a.cfg.Self, acc.need(), had, now)
 		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
 		acc.elsewhere = l.Spent(id) - had.Spent
@@ -261,13 +270,25 @@
 
 // wantedAllowance returns the allowance for the present demand if enough is granted.
 func (a *Accounts) wantedAllowance(acc *account) Allowance {
-	spare := float64(max(cover(acc.rate, a.cfg.SpareFor), ident.Tokens(acc.size)))
+	spare := float64(max(cover(acc.rate, a.spareFor(acc)), ident.Tokens(acc.size)))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
-	idle := float64(a.idle(acc.total)) / a.cfg.GrantedFor.Seconds() / 2
+	idle := float64(a.idle(acc.total)) / idleGrowth.Seconds()
 	growth := max(acc.rate, acc.size/sizeGrowth.Seconds(), idle)
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
 
+// spareFor returns the time of present demand that the allowances cover: longer while the rest lasts long, because a crash
+// then strands little of it.
+func (a *Accounts) spareFor(acc *account) time.Duration {
+	rest := float64(acc.total - acc.spent - acc.elsewhere)
+	demand := max(acc.demand, acc.rate)
+	if demand <= 0 || rest <= 0 {
+		return a.cfg.SpareFor
+	}
+	lasts := time.Duration(min(sparePart*rest/demand, mostSpare.Seconds()) * float64(time.Second))
+	return max(lasts, a.cfg.SpareFor)
+}
+
 // spareFactor returns, from leastSpareFactor to 1, how much of the usual spare tokens an allowance has. Towards the end
 // of an organisation's tokens a crash may strand less, and a request may wait for a write instead.
 func (acc *account) spareFactor() float64 {
@@ -287,12 +308,13 @@
 	return need{total: acc.total, used: acc.spent + acc.held, spent: acc.spent, want: acc.want, rate: acc.rate, size: acc.size}
 }
 
-// row returns the next row of a holder for an organisation, which never falls below what it has spent and holds.
-func (a *Accounts) row(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, had Row, now time.Duration) Row {
+// row returns the next row of a holder for an organisation, which never falls below what it has spent and holds, and the
+// demand of all routers in tokens per second.
+func (a *Accounts) row(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, had Row, now time.Duration) (Row, float64) {
 	used := n.used
 	free := n.total - l.Granted(id)
 	rest := max(n.total-l.Spent(id), 0)
-	share, wanted := a.share(l, id, holder, n, rest, now)
+	share, wanted, demand := a.share(l, id, holder, n, rest, now)
 	granted := used + n.want + max(cover(n.rate, a.cfg.GrantedFor), a.fewRequests(n.size, rest), a.idle(n.total))
 	// While much is unallotted the share of the rest is no bound.
 	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
@@ -310,7 +332,7 @@
 	if granted > had.Granted {
 		granted = had.Granted + max(min(granted-had.Granted, free), 0)
 	}
-	return Row{Granted: granted, Spent: n.spent, Rate: ident.Tokens(n.rate), Want: n.want}
+	return Row{Granted: granted, Spent: n.spent, Rate: ident.Tokens(n.rate), Want: n.want}, demand
 }
 
 // fewRequests returns the tokens of some requests, for an organisation without steady demand. All routers together keep
@@ -330,13 +352,13 @@
 	return ident.Tokens(rate * d.Seconds())
 }
 
-// share returns a holder's part of the rest, and what waiting requests of others lack. Most is divided by demand and
+// share returns a holder's part of the rest, what waiting requests of others lack, and the demand of all. Most is divided by demand and
 // the remainder equally, because demand moves between routers.
 func (a *Accounts) share(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, rest ident.Tokens, now time.Duration) (
-	share, wanted ident.Tokens,
+	share, wanted ident.Tokens, sum float64,
 ) {
 	const equal = 0.25
-	sum := n.rate
+	sum = n.rate
 	routers := 1
 	add := func(other ident.RouterID) {
 		routers++
@@ -359,5 +381,5 @@
 	if sum > 0 {
 		part += (1 - equal) * n.rate / sum
 	}
-	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted
+	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted, sum
 }
