Refuse claims at once where the store is away, and keep less for idle routers of a large fleet

A claim that a writer holds counts as possibly written, so that the claimant's allowance stands still: the first writer answered after two calls of a second each, later than the claimants wait, and the next writers took claims too, because they had not noticed yet. Beside that, routers without demand held 40% of what is prepaid, a sixtieth of it each, while the router of a hot organisation had used up its grant.

Change: a writer that loses the store in the ledgers does not begin with the allowances and says so, and the claimant takes back what the claim bound. A writer that is asked whether it serves calls the store first, once for all that ask. The part for routers without demand shrinks with the fleet beyond 24 routers, and becomes free over 5 s.

--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -46,6 +46,8 @@
 	// Allowances are the stored ones of the claimant if Saved is set.
 	Allowances map[ident.OrgID]Allowance `cbor:"2,keyasint,omitempty"`
 	Saved      bool                      `cbor:"3,keyasint,omitempty"`
+	// Untouched says that the allowances were not sent to the store and will not be.
+	Untouched bool `cbor:"6,keyasint,omitempty"`
 	// Clocks holds times of day of VMs, each as it was shown before the answer was sent, in Unix milliseconds.
 	Clocks map[ident.VMID]int64 `cbor:"4,keyasint,omitempty"`
 }
@@ -178,6 +180,9 @@
 	for vm, wall := range out.Clocks {
 		a.told[vm] = clockSeen{ahead: wall - now.Milliseconds(), at: now}
 	}
+	if out.Untouched {
+		a.keepAllowances()
+	}
 	if !out.Saved {
 		return
 	}
@@ -194,9 +199,17 @@
 func (a *Accounts) RefusedClaim() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.keepAllowances()
+	for _, acc := range a.orgs {
+		acc.granted = acc.unclaimed.granted
+	}
+}
+
+// keepAllowances takes back what the last claim changed of the allowances.
+func (a *Accounts) keepAllowances() {
 	a.sent = a.before
 	for _, acc := range a.orgs {
-		acc.granted, acc.allowance = acc.unclaimed.granted, acc.unclaimed.allowance
+		acc.allowance = acc.unclaimed.allowance
 	}
 }
 
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -21,6 +21,7 @@
 	ledger *Ledger
 	batch  *Batch
 	vms    []*claimVM
+	fleet  int
 	// late are writes without an answer that may still take effect, each with the ledger that it was made from.
 	late []pendingWrite
 	// queued are claims that a slow writer holds and may still write.
@@ -50,7 +51,7 @@
 
 func newClaimWorld(t *testing.T, seed uint64, total ident.Tokens, vms int) *claimWorld {
 	w := &claimWorld{t: t, rng: rand.New(rand.NewPCG(seed, 1)), total: total, now: time.Minute, ledger: NewLedger(), batch: NewBatch(),
-		ended: make(map[ident.RouterID]ident.Tokens)}
+		ended: make(map[ident.RouterID]ident.Tokens), fleet: vms}
 	for i := range vms {
 		vm := &claimVM{id: ident.VMID(fmt.Sprintf("vm%d", i))}
 		w.vms = append(w.vms, vm)
@@ -74,7 +75,7 @@
 		SpareFor: 800 * time.Millisecond, GrantedFor: 25 * time.Second, LowFor: 10 * time.Second, Idle: 0.4, Alive: 15 * time.Second,
 	})
 	vm.accounts.SetTotal(claimOrg, w.total)
-	vm.accounts.SetFleet(len(w.vms))
+	vm.accounts.SetFleet(w.fleet)
 	vm.accounts.SetStart(ident.ObjectVersion(vm.epoch))
 }
 
@@ -109,6 +110,7 @@
 	l, grants := w.serve(c, by)
 	out := &Outcome{Grants: w.writeLedger(l, grants, ledgerFate)}
 	bounded := c.Bounded(out.Grants)
+	out.Untouched = batchFate == refused
 	w.writeBatch(c.Router, bounded, batchFate)
 	if batchFate == works {
 		out.Saved, out.Allowances = true, bounded.Rows
@@ -364,3 +366,47 @@
 		is.True(err != nil)
 	}
 }
+
+// TestUntouchedAllowances guards against a router that spends less after each claim whose writer could not reach the store.
+func TestUntouchedAllowances(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newClaimWorld(t, 1, 1_000_000, 20)
+	vm, by := w.vms[3], w.vms[0]
+	for range 20 {
+		w.now += 200 * time.Millisecond
+		vm.accounts.Hold(claimOrg, 500, w.now)
+		w.claim(vm, by, works, works, works)
+	}
+	before := vm.accounts.Balance(claimOrg)
+	age := vm.accounts.Age(w.now)
+	for range 20 {
+		w.now += 200 * time.Millisecond
+		w.claim(vm, by, delayed, refused, works)
+	}
+	after := vm.accounts.Balance(claimOrg)
+	is.Equal(after.Limit, before.Limit)
+	is.Equal(after.Growth, before.Growth)
+	is.Equal(vm.accounts.Age(w.now), age+4*time.Second)
+}
+
+// TestIdleOfLargeFleet guards against tokens that a large fleet keeps for routers without demand while one with demand has
+// too few to last an outage.
+func TestIdleOfLargeFleet(t *testing.T) {
+	t.Parallel()
+	const total = 1_000_000
+	for _, c := range []struct {
+		routers int
+		most    float64 // part of the total that all routers together keep
+	}{{7, 0.41}, {24, 0.41}, {61, 0.16}, {300, 0.04}} {
+		t.Run(fmt.Sprint(c.routers), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newClaimWorld(t, 1, total, c.routers)
+			for _, vm := range w.vms {
+				w.claim(vm, w.vms[0], works, works, works)
+			}
+			is.True(float64(w.ledger.Granted(claimOrg)) <= c.most*total)
+		})
+	}
+}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -35,9 +35,11 @@
 	sparePart = 0.05
 	// mostSpare bounds the time that the spare tokens last.
 	mostSpare = 4 * time.Second
+	// idleRouters is the number of routers up to which all of Config.Idle is kept for routers without demand.
+	idleRouters = 24
 	// idleGrowth is the time in which a router without demand can spend what it is granted for the first requests of an
 	// outage.
-	idleGrowth = 10 * time.Second
+	idleGrowth = 5 * time.Second
 )
 
 // PlanGrants writes this router's next rows into the ledger of a shard that was just read. Until CommitGrants the
@@ -342,9 +344,11 @@
 	return ident.Tokens(max(min(grantedRequests*size, part), size))
 }
 
-// idle returns what a router without demand is granted of a total.
+// idle returns what a router without demand is granted of a total. The routers of a large fleet together keep less of it,
+// because each one's part serves too few requests to be worth what it takes from the routers with demand.
 func (a *Accounts) idle(total ident.Tokens) ident.Tokens {
-	return ident.Tokens(float64(total) * a.cfg.Idle / float64(a.routers()))
+	part := a.cfg.Idle * min(idleRouters/float64(a.routers()), 1)
+	return ident.Tokens(float64(total) * part / float64(a.routers()))
 }
 
 // cover returns the tokens that a demand uses in a time.
--- a/io/edge/claims_test.go
+++ b/io/edge/claims_test.go
@@ -18,19 +18,20 @@
 // newPeers starts routers that write through one another, with one store. Their addresses are used by no other test.
 func newPeers(t *testing.T, n int) []*world {
 	t.Helper()
-	w := newWorldSet(t, peerSettings(0))
+	w := newWorldSet(t, peerSettingsIn("127.41.7", 0))
 	ws := []*world{w}
 	for i := 1; i < n; i++ {
-		ws = append(ws, w.join(peerSettings(i)))
+		ws = append(ws, w.join(peerSettingsIn("127.41.7", i)))
 	}
 	return ws
 }
 
-func peerSettings(i int) func(*platform.Settings, *Deps) {
+// peerSettingsIn are the settings of a router with an address in a network that no other test uses.
+func peerSettingsIn(network string, i int) func(*platform.Settings, *Deps) {
 	return func(cfg *platform.Settings, d *Deps) {
 		cfg.VM = fmt.Sprintf("vm-%d", i+1)
 		cfg.Domain = fmt.Sprintf("domain-%d", i+1)
-		cfg.PeerAddr = fmt.Sprintf("127.41.7.%d:7340", i+1)
+		cfg.PeerAddr = fmt.Sprintf("%s.%d:7340", network, i+1)
 		cfg.FirstStart = i == 0
 		d.DirectFleet = -1
 	}
@@ -93,21 +94,11 @@
 func TestForeignClaim(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	ws := newForeign(t)
+	w := newWorldSet(t, peerSettingsIn("127.41.8", 0))
+	ws := []*world{w, w.join(peerSettingsIn("127.41.8", 1))}
 	c := &quota.Claim{Router: "vm-9.1", VM: "vm-9", Writes: 1, Allows: &quota.Allowances{}}
 	_, err := ws[1].server.sendClaim(context.Background(), ws[0].server.member(), c)
 	var f peer.Failure
 	is.True(errors.As(err, &f))
 	is.Equal(f.Code, "bad_message")
 }
-
-func newForeign(t *testing.T) []*world {
-	set := func(i int) func(*platform.Settings, *Deps) {
-		return func(cfg *platform.Settings, d *Deps) {
-			peerSettings(i)(cfg, d)
-			cfg.PeerAddr = fmt.Sprintf("127.41.8.%d:7340", i+1)
-		}
-	}
-	w := newWorldSet(t, set(0))
-	return []*world{w, w.join(set(1))}
-}
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -20,11 +20,16 @@
 	gatherUrgent = 20 * time.Millisecond
 	// writePause is the least time between two writes of one writer.
 	writePause = 80 * time.Millisecond
+	// checkedFor is the time for which an answer of the store shows that it can be heard.
+	checkedFor = 200 * time.Millisecond
 )
 
 // errRefused means that a claim has had no effect and will have none.
 var errRefused = errors.New("claim was refused")
 
+// errAway means that a write was not sent because the store cannot be heard.
+var errAway error = &store.Error{Kind: store.ErrUnavailable, Call: "write of allowances", Err: errors.New("not sent")}
+
 // batchKey is the object with the allowances of the routers that have a writer.
 var batchKey = object.Key{Kind: platform.KindBatch, Name: "main"}
 
@@ -38,6 +43,10 @@
 	open     bool
 	waiting  map[ident.RouterID]*waitingClaim
 	answered map[ident.RouterID]time.Duration
+	// checking guards checked, when the store last answered a check.
+	checking sync.Mutex
+	checked  time.Time
+
 	// came and hurry tell the writer that a claim waits.
 	came, hurry chan struct{}
 }
@@ -66,7 +75,7 @@
 // submit waits until a claim is written. The error is errRefused if it has had no effect and will have none.
 func (w *writer) submit(ctx context.Context, c *quota.Claim) (*quota.Outcome, error) {
 	if c.Probe {
-		return &quota.Outcome{}, w.serves()
+		return &quota.Outcome{}, w.check(ctx)
 	}
 	item, err := w.enqueue(c)
 	if err != nil {
@@ -96,6 +105,31 @@
 	return false
 }
 
+// check returns errRefused if the router writes no claims at present or the store does not answer it. One call answers all
+// that ask at the same time.
+func (w *writer) check(ctx context.Context) error {
+	if err := w.serves(); err != nil {
+		return err
+	}
+	w.checking.Lock()
+	defer w.checking.Unlock()
+	if w.s.deps.Clock.Since(w.checked) < checkedFor {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return errRefused
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := w.s.deps.Store.Get(ctx, layoutKey)
+	w.s.deps.Metrics.storeCall("check", err)
+	if err != nil {
+		return errRefused
+	}
+	w.checked = w.s.deps.Clock.Now()
+	return nil
+}
+
 // serves returns errRefused if the router writes no claims at present.
 func (w *writer) serves() error {
 	w.mu.Lock()
@@ -192,8 +226,11 @@
 func (w *writer) flush(ctx context.Context, items []*waitingClaim) {
 	f := newFlush(w, items)
 	f.writeLedgers(ctx)
-	err := f.writeBatch(ctx)
-	w.s.deps.Metrics.storeCall("batch", err)
+	err := errAway
+	if !w.s.link.isAway() {
+		err = f.writeBatch(ctx)
+		w.s.deps.Metrics.storeCall("batch", err)
+	}
 	if err != nil {
 		w.s.wrote("batch", err)
 	}
@@ -203,7 +240,7 @@
 	defer w.mu.Unlock()
 	for i, item := range items {
 		w.answered[item.claim.Router] = now.Uptime
-		out := &quota.Outcome{Grants: f.grants[i], Clocks: clocks, Saved: err == nil}
+		out := &quota.Outcome{Grants: f.grants[i], Clocks: clocks, Saved: err == nil, Untouched: errors.Is(err, errAway)}
 		if err == nil {
 			out.Allowances = f.bounded[i].Rows
 		}
--- /dev/null
+++ b/io/edge/writer_test.go
@@ -0,0 +1,53 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/quota"
+	"geraniumsaddle/platform/stand"
+)
+
+// TestWriterChecksStore guards against a writer that takes claims while it cannot reach the store, which holds back what
+// the claimants may spend, and against a call of the store for each router that asks.
+func TestWriterChecksStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorldSet(t, peerSettingsIn("127.41.9", 0))
+	probe := &quota.Claim{Router: "vm-9.1", Probe: true}
+	var calls atomic.Int64
+	var silent atomic.Bool
+	w.store.SetFault(func(r *http.Request) stand.Fault {
+		if !strings.Contains(r.URL.Path, "layouts") {
+			return stand.None
+		}
+		calls.Add(1)
+		if silent.Load() {
+			return stand.Silent
+		}
+		return stand.None
+	})
+	var wg sync.WaitGroup
+	for range 20 {
+		wg.Go(func() {
+			if _, err := w.server.writer.submit(context.Background(), probe); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(calls.Load() >= 1)
+	is.True(calls.Load() < 20)
+	silent.Store(true)
+	w.await("refusal", func() bool {
+		_, err := w.server.writer.submit(context.Background(), probe)
+		return errors.Is(err, errRefused)
+	})
+}
