Spare calls of a large fleet, and keep what a stopped router handed back

Cause of the calls: after a cut each router of a large fleet had left many writers alone and wrote by itself, and the watches of all were answered every 2 to 4 s without changes or every 200 ms while targets start. The lines show that a stopping router took the end of its own claim for a failure of the writer, handed back by itself, and that the writer then wrote the claim that it still held, which brought the rows back.

Ruled out for the test: the time for handing back (the ledger was written 4 ms after the stop).

Change: failures of writers that were seen while the store was away are forgotten when it is back; a router writes by itself after three rounds without a writer, and never while the store is away. Watches of a large fleet wait 2.5 times longer, and changes of targets gather for 0.6 s. A ledger keeps a holder without rows of a router that has left, so that an older claim is not served. An error that is not the store's no longer counts as a sign of its return.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -93,5 +93,8 @@
 // Served forgets the failures of a member.
 func (o *Order) Served(vm ident.VMID) { delete(o.failed, vm) }
 
+// Forget forgets all failures. It is for a router that could not judge the writers, because it was cut off itself.
+func (o *Order) Forget() { clear(o.failed) }
+
 // Len returns the number of members.
 func (o *Order) Len() int { return len(o.members) }
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -65,4 +65,8 @@
 	}
 	_, ok = o.Pick(start.Add(time.Hour))
 	is.True(!ok)
+	o.Forget()
+	m, ok = o.Pick(start.Add(time.Hour))
+	is.True(ok)
+	is.Equal(m.VM, first.VM)
 }
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -290,18 +290,19 @@
 
 // Leave makes the accounts refuse new holds for good. It returns what was spent once nothing is held, and false
 // before.
-func (a *Accounts) Leave() (map[ident.OrgID]ident.Tokens, bool) {
+func (a *Accounts) Leave() (Departure, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.left = true
 	spent := make(map[ident.OrgID]ident.Tokens, len(a.orgs))
 	for id, acc := range a.orgs {
 		if acc.held > 0 {
-			return nil, false
+			return Departure{}, false
 		}
 		spent[id] = acc.spent
 	}
-	return spent, true
+	a.writes++
+	return Departure{Router: a.cfg.Self, VM: a.cfg.VM, Start: a.start, Writes: a.writes, Spent: spent}, true
 }
 
 // ids returns the organisations, ordered.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -154,14 +154,11 @@
 	return w
 }
 
-// PlanLeave returns the claim with which a router that has stopped to spend hands back the rest, as Leave told it.
-func (a *Accounts) PlanLeave(spent map[ident.OrgID]ident.Tokens, started, at Moment) *Claim {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.writes++
-	c := &Claim{Router: a.cfg.Self, VM: a.cfg.VM, Writes: a.writes, Start: a.start, Started: started, Leaves: true,
-		Needs: make(map[ident.OrgID]Need), Allows: &Allowances{Format: Format, Sent: at, HoldOff: a.cfg.HoldOff}}
-	for id, n := range spent {
+// PlanLeave returns the claim with which a router that has stopped to spend hands back the rest.
+func PlanLeave(left Departure, started, at Moment) *Claim {
+	c := &Claim{Router: left.Router, VM: left.VM, Writes: left.Writes, Start: left.Start, Started: started, Leaves: true,
+		Needs: make(map[ident.OrgID]Need), Allows: &Allowances{Format: Format, Sent: at}}
+	for id, n := range left.Spent {
 		c.Needs[id] = Need{Spent: n, Used: n}
 	}
 	return c
@@ -271,16 +268,15 @@
 
 // leave closes the rows of a claimant that stops.
 func (a *Accounts) leave(shard Shard, l *Ledger, c *Claim) {
-	if l.Holders[c.Router] == nil {
-		return
-	}
 	spent := make(map[ident.OrgID]ident.Tokens, len(c.Needs))
 	for id, n := range c.Needs {
 		if a.layout.Of(id) == shard {
 			spent[id] = n.Spent
 		}
 	}
-	l.Leave(c.Router, spent)
+	left := Departure{Router: c.Router, VM: c.VM, Start: c.Start, Writes: c.Writes, Spent: spent}
+	l.Leave(left)
+	l.Bar(left)
 }
 
 // Touches reports whether a claim changes the ledger of a shard.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -208,11 +208,28 @@
 
 // Leave ends the holder of a process that stops with nothing running: only what it has spent of the organisations that
 // it has rows of stays taken.
-func (l *Ledger) Leave(id ident.RouterID, spent map[ident.OrgID]ident.Tokens) {
-	for org := range l.Holders[id].Rows {
-		if n := spent[org]; n > 0 {
-			l.Closed[org] += n
+func (l *Ledger) Leave(left Departure) {
+	if h := l.Holders[left.Router]; h != nil {
+		for org := range h.Rows {
+			if n := left.Spent[org]; n > 0 {
+				l.Closed[org] += n
+			}
 		}
 	}
-	delete(l.Holders, id)
+	delete(l.Holders, left.Router)
+}
+
+// Bar keeps a holder without rows for a process that has left, until the next one of its VM. A claim of it that is still
+// under way does not bring its rows back then.
+func (l *Ledger) Bar(left Departure) {
+	l.Holders[left.Router] = &Holder{VM: left.VM, Start: left.Start, Writes: left.Writes}
+}
+
+// Departure is what a process says when it stops. Writes is above the number of each of its claims.
+type Departure struct {
+	Router ident.RouterID
+	VM     ident.VMID
+	Start  ident.ObjectVersion
+	Writes uint64
+	Spent  map[ident.OrgID]ident.Tokens
 }
--- a/io/edge/carry.go
+++ b/io/edge/carry.go
@@ -43,16 +43,16 @@
 	return n, err
 }
 
-// watchLink decides whether the link is full, from what it carried in the last second.
+// watchLink decides whether the link is busy, from what it carried in the last second.
 func (s *Server) watchLink() {
 	now := s.deps.Clock.Now()
 	rate := s.carried.Rate(now)
 	if !s.shed.Observe(rate, now) {
 		return
 	}
-	if s.shed.Full() {
-		s.deps.Log.Warn("link is full; sending callers away", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
+	if s.shed.Busy() {
+		s.deps.Log.Warn("link is busy; taking no new callers", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
 		return
 	}
-	s.deps.Log.Info("link is clear", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
+	s.deps.Log.Info("link is calm", "bytes_per_s", rate, "capacity", s.cfg.LinkRate)
 }
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -7,6 +7,7 @@
 
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/quota"
+	"geraniumsaddle/io/store"
 )
 
 const (
@@ -15,6 +16,9 @@
 	directFleet = 16
 	// maxWriters bounds the writers that one claim is offered to before the router writes itself.
 	maxWriters = 3
+	// ownAfter is the number of rounds in a row without a writer after which a router writes itself. Writers notice a moment
+	// later than it that the store is back, and the writes of many routers conflict.
+	ownAfter = 3
 	// claimPause is the least time between two claims, and claimCheck the time between two looks at whether one is due.
 	claimPause = 50 * time.Millisecond
 	claimCheck = 200 * time.Millisecond
@@ -84,6 +88,10 @@
 	// doubtful says that the last claim had no answer. A claim without an answer holds back spending, so that the next one
 	// goes only to a writer that answers.
 	doubtful bool
+	// away says that the store could not be heard in the last round, and failed counts the rounds without a writer since it
+	// can be heard.
+	away   bool
+	failed int
 }
 
 // run sends claims until the context ends.
@@ -100,7 +108,10 @@
 			t.s.freed.send()
 			continue
 		}
-		t.s.wrote("claim", err)
+		var own *store.Error
+		if errors.As(err, &own) {
+			t.s.wrote("claim", err)
+		}
 		t.s.link.pause(ctx, failures)
 		failures++
 	}
@@ -129,28 +140,53 @@
 	}
 }
 
-// round offers a claim to the first writers, and writes itself when none serves.
+// round offers a claim to the first writers, and writes itself when none has served for some rounds.
 func (t *claimTask) round(ctx context.Context) error {
+	t.hear()
+	err := t.offerFirst(ctx)
+	if err == nil {
+		t.failed = 0
+		return nil
+	}
+	t.failed++
+	if ctx.Err() != nil || t.away || t.failed < ownAfter {
+		return err
+	}
+	if _, err := t.own.syncGrants(ctx); err != nil {
+		return err
+	}
+	_, err = t.own.writeAllowances(ctx)
+	return err
+}
+
+// hear notes whether the store can be heard. What was seen of the writers while it could not tells nothing of them.
+func (t *claimTask) hear() {
+	away := t.s.link.isAway()
+	if t.away && !away {
+		t.order.Forget()
+		t.failed = 0
+	}
+	t.away = away
+}
+
+// offerFirst offers a claim to the first writers in turn.
+func (t *claimTask) offerFirst(ctx context.Context) error {
+	err := errRefused
 	for range maxWriters {
 		w, ok := t.order.Pick(t.s.deps.Clock.Now())
-		if !ok {
-			break
+		if !ok || ctx.Err() != nil {
+			return err
 		}
-		err := t.offer(ctx, w)
-		if err == nil {
+		if err = t.offer(ctx, w); err == nil {
 			t.order.Served(w.VM)
 			return nil
 		}
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return err // the router stops, which says nothing of the writer
 		}
 		t.order.Failed(w.VM, t.s.deps.Clock.Now())
 		t.s.deps.Log.Info("claim not served", "writer", w.VM, "error", err)
 	}
-	if _, err := t.own.syncGrants(ctx); err != nil {
-		return err
-	}
-	_, err := t.own.writeAllowances(ctx)
 	return err
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -293,7 +293,7 @@
 // isReady reports whether the router can take new callers: it knows a configuration, is not leaving and has room on its
 // link.
 func (s *Server) isReady() bool {
-	return s.table.Load() != nil && !s.draining.Load() && !s.shed.Full()
+	return s.table.Load() != nil && !s.draining.Load() && !s.shed.Busy()
 }
 
 // retryAllowed counts one more send of a request to a service and reports whether the fleet's bound allows it.
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -164,6 +164,10 @@
 	allowancesOf func(context.Context, ident.RouterID) (*quota.Allowances, error)) (none bool, err error) {
 	earlier := l.Earlier(c.vm, c.id, c.start)
 	for _, id := range earlier {
+		if len(l.Holders[id].Rows) == 0 {
+			l.End(id, nil, c.started, nil) // it has handed everything back
+			continue
+		}
 		allowances, err := allowancesOf(ctx, id)
 		if err != nil {
 			return false, err
@@ -183,7 +187,7 @@
 // or cannot be read.
 func (t *ledgerTask) readAllowances(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
 	own, err := t.ownAllowances(ctx, id)
-	if err != nil || t.s.accounts.Fleet() <= t.s.deps.DirectFleet {
+	if err != nil || !t.s.large() {
 		return own, err
 	}
 	var o stored
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -31,9 +31,14 @@
 	platform.KindRelease: 10 * time.Second,
 }
 
-// gatherFor is the time after the answer to a watch in which further changes gather, so that many changes take few
-// calls. It adds to the time until a change is known.
-const gatherFor = 200 * time.Millisecond
+const (
+	// gatherFor is the time after the answer to a watch in which further changes gather, so that many changes take few
+	// calls. It adds to the time until a change is known. gatherLarge is that of a large fleet, whose calls cost more.
+	gatherFor   = 200 * time.Millisecond
+	gatherLarge = 600 * time.Millisecond
+	// patienceLarge is the number of times that a large fleet waits longer for the answer to a watch.
+	patienceLarge = 2.5
+)
 
 // errRenewed means that a watch was given up because another one has failed.
 var errRenewed = errors.New("watch was renewed")
@@ -60,7 +65,7 @@
 		s.deps.Metrics.storeCall("watch "+string(kind), err)
 		if err == nil {
 			failures = 0
-			s.sleep(ctx, gatherFor)
+			s.sleep(ctx, s.gatherFor(kind))
 			continue
 		}
 		s.deps.Log.Debug("store call failed", "kind", kind, "error", err)
@@ -69,6 +74,25 @@
 	}
 }
 
+// large reports whether the fleet has so many routers that their calls of the store are dear.
+func (s *Server) large() bool { return s.accounts.Fleet() > s.deps.DirectFleet }
+
+// gatherFor returns the time in which changes gather. Those of the configuration come seldom and are awaited.
+func (s *Server) gatherFor(kind object.Kind) time.Duration {
+	if s.large() && kind == platform.KindTarget {
+		return gatherLarge
+	}
+	return gatherFor
+}
+
+// watchWait returns the time after which a watch without changes is answered.
+func (s *Server) watchWait(kind object.Kind) time.Duration {
+	if s.large() {
+		return time.Duration(float64(s.waits[kind]) * patienceLarge)
+	}
+	return s.waits[kind]
+}
+
 func (s *Server) listAll(ctx context.Context, kind object.Kind, f follower) (ident.ObjectVersion, error) {
 	var objects []store.Object
 	var version ident.ObjectVersion
@@ -104,7 +128,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	ev, err := s.deps.Store.Poll(ctx, kind, from, s.waits[kind])
+	ev, err := s.deps.Store.Poll(ctx, kind, from, s.watchWait(kind))
 	switch {
 	case errors.Is(context.Cause(ctx), errRenewed):
 		return 0, errRenewed
