--- a/io/edge/claims_test.go
+++ b/io/edge/claims_test.go
@@ -137,8 +137,7 @@
 	w := newWorldSet(t, peerSettings(40, 0))
 	w.store.SetFault(faultAll(stand.Busy))
 	w.await("the loss", w.server.link.isAway)
-	for range 100 {
-		time.Sleep(10 * time.Millisecond)
+	for end := time.Now().Add(2 * claimIntervals[quota.Settled]); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		is.True(w.server.link.isAway())
 	}
 }
