Date a loss of power by when claims were made, and list the allowances of routers that ended together

A writer read the allowances of each ended router by two calls, one after the other, so that the first claims timed out; and the clock of a claim was dated no later than the claimant's claim before.

Ruled out: the uptime, which starts anew with each loss of power there.

Change: a claim says how long after the writer's last answer it was made, and a router asks a writer whether it serves before its first claim, so that this claim is dated too. The start of a claimant counts from the arrival of its claim. A writer lists the allowances of all routers once a flush when one has ended.

TestPowerLossIsDated fails with the earlier dating.

--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -21,6 +21,8 @@
 	Started Moment               `cbor:"4,keyasint"`
 	Needs   map[ident.OrgID]Need `cbor:"5,keyasint,omitempty"`
 	Allows  *Allowances          `cbor:"6,keyasint"`
+	// Since is the time between the last answer that the claimant has got from the writer and Allows.Sent.
+	Since time.Duration `cbor:"10,keyasint,omitempty"`
 	// Leaves says that the claimant stops with nothing running.
 	Leaves bool `cbor:"7,keyasint,omitempty"`
 	// Probe says that the claim only asks whether a claim would be served.
@@ -211,13 +213,13 @@
 }
 
 // Meet notes that a claim has come, and that its holder lives. Now is the uptime, and answered that of the last answer to
-// the same holder, before which the claim was not made, or zero.
+// the same holder, or zero. The claim was made no sooner than the claimant says after that answer.
 func (a *Accounts) Meet(c *Claim, answered, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.Router != a.cfg.Self {
-		a.sight(c.Router, sighting{vm: c.VM, writes: c.Writes, wall: c.Allows.Sent.Wall, at: now, after: answered,
-			fresh: answered > 0})
+		a.sight(c.Router, sighting{vm: c.VM, writes: c.Writes, wall: c.Allows.Sent.Wall, at: now,
+			after: min(answered+max(c.Since, 0), now), fresh: answered > 0})
 	}
 }
 
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -98,6 +98,9 @@
 		a.RefusedClaim()
 		return
 	}
+	if at := by.answered[c.Router]; at > 0 {
+		c.Since = w.now - at
+	}
 	by.accounts.Meet(c, by.answered[c.Router], w.now)
 	if ledgerFate == queued {
 		w.queued = append(w.queued, func() {
@@ -108,7 +111,7 @@
 		return
 	}
 	l, grants := w.serve(c, by)
-	out := &Outcome{Grants: w.writeLedger(l, grants, ledgerFate)}
+	out := &Outcome{Grants: w.writeLedger(l, grants, ledgerFate), Clocks: by.accounts.ClocksNow(w.moment())}
 	bounded := c.Bounded(out.Grants)
 	out.Untouched = batchFate == refused
 	w.writeBatch(c.Router, bounded, batchFate)
@@ -418,3 +421,38 @@
 		})
 	}
 }
+
+// TestPowerLossIsDated guards against a loss of power that is dated as long as the claims are apart, so that a router counts
+// as having spent for seconds in which it was down, or as too short, so that tokens are spent twice.
+func TestPowerLossIsDated(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newClaimWorld(t, 1, 1_000_000, 6)
+	by := w.vms[0]
+	round := func() {
+		for _, vm := range w.vms[1:] {
+			w.now += 200 * time.Millisecond
+			w.claim(vm, by, works, works, works)
+		}
+	}
+	for range 10 {
+		round()
+	}
+	lost := w.vms[5]
+	sent := w.now
+	const down = 1500 * time.Millisecond
+	w.now += down
+	started := Moment{Boot: "another boot", Uptime: 7 * time.Hour, Wall: w.now.Milliseconds()}
+	start := w.now
+	for range 2 {
+		for _, vm := range w.vms[1:5] {
+			w.now += 200 * time.Millisecond
+			w.claim(vm, by, works, works, works)
+		}
+	}
+	allowances := w.batch.Routers[lost.accounts.cfg.Self]
+	age, ok := allowances.age(lost.id, started, by.accounts.Clocks(start))
+	is.True(ok)
+	is.True(age >= start-sent)
+	is.True(age <= start-sent+100*time.Millisecond)
+}
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumsaddle/core/elect"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
 )
@@ -54,7 +55,7 @@
 		return
 	}
 	s.peers = transport
-	s.claims = &claimTask{s: s, own: t, order: elect.New(fleet.members)}
+	s.claims = &claimTask{s: s, own: t, order: elect.New(fleet.members), answered: make(map[ident.VMID]time.Duration)}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -92,6 +93,8 @@
 	// can be heard.
 	away   bool
 	failed int
+	// answered holds the uptime of the last answer of each writer. It dates the clock of this VM for the writer.
+	answered map[ident.VMID]time.Duration
 }
 
 // run sends claims until the context ends.
@@ -193,14 +196,20 @@
 // offer sends a claim to one writer and applies its answer.
 func (t *claimTask) offer(ctx context.Context, w elect.Member) error {
 	accounts := t.s.accounts
-	if t.doubtful {
+	if _, known := t.answered[w.VM]; t.doubtful || !known {
 		if err := t.probe(ctx, w); err != nil {
 			return err
 		}
 	}
 	c := accounts.PlanClaim(t.own.started, t.s.deps.VM.Now())
+	c.Since = c.Allows.Sent.Uptime - t.answered[w.VM]
 	out, err := t.s.sendClaim(ctx, w, c)
 	t.s.deps.Metrics.storeCall("claim", err)
+	if err != nil {
+		delete(t.answered, w.VM) // it may be another process by the next claim
+	} else {
+		t.answered[w.VM] = t.s.deps.VM.Now().Uptime
+	}
 	switch {
 	case errors.Is(err, errRefused):
 		accounts.RefusedClaim()
@@ -222,6 +231,9 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, err := t.s.sendClaim(ctx, w, &quota.Claim{Router: t.s.self, Probe: true})
+	if err == nil {
+		t.answered[w.VM] = t.s.deps.VM.Now().Uptime
+	}
 	return err
 }
 
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -201,6 +202,35 @@
 	return quota.Newer(own, b.Routers[id]), nil
 }
 
+// listAllowances returns the newest allowances of all routers.
+func (t *ledgerTask) listAllowances(ctx context.Context) (map[ident.RouterID]*quota.Allowances, error) {
+	var o stored
+	if err := t.read(ctx, batchKey, &o); err != nil {
+		return nil, err
+	}
+	b, err := decodeBatch(&o)
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[ident.RouterID]*quota.Allowances, len(b.Routers))
+	maps.Copy(all, b.Routers)
+	for after := ""; ; {
+		p, err := t.s.deps.Store.List(ctx, platform.KindAllowance, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range p.Objects {
+			id := ident.RouterID(o.Key.Name)
+			if own := t.decodeAllowances(id, o); own != nil {
+				all[id] = quota.Newer(all[id], own)
+			}
+		}
+		if after = p.Next; after == "" {
+			return all, nil
+		}
+	}
+}
+
 func (t *ledgerTask) ownAllowances(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
 	o, err := t.s.deps.Store.Get(ctx, allowancesKey(id))
 	if errors.Is(err, store.ErrAbsent) {
@@ -209,11 +239,16 @@
 	if err != nil {
 		return nil, err
 	}
-	allowances, err := quota.DecodeAllowances(o.Value)
+	return t.decodeAllowances(id, o), nil
+}
+
+// decodeAllowances returns nil for allowances that cannot be read.
+func (t *ledgerTask) decodeAllowances(id ident.RouterID, o store.Object) *quota.Allowances {
+	a, err := quota.DecodeAllowances(o.Value)
 	if err != nil {
 		t.s.deps.Log.Warn("allowances of an earlier process cannot be read; its whole grant counts as spent", "router", id,
 			"error", err)
-		return nil, nil
+		return nil
 	}
-	return allowances, nil
+	return a
 }
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -75,7 +75,7 @@
 // submit waits until a claim is written. The error is errRefused if it has had no effect and will have none.
 func (w *writer) submit(ctx context.Context, c *quota.Claim) (*quota.Outcome, error) {
 	if c.Probe {
-		return &quota.Outcome{}, w.check(ctx)
+		return &quota.Outcome{}, w.probe(ctx, c.Router)
 	}
 	item, err := w.enqueue(c)
 	if err != nil {
@@ -105,6 +105,17 @@
 	return false
 }
 
+// probe answers a router that asks whether it would be served.
+func (w *writer) probe(ctx context.Context, from ident.RouterID) error {
+	if err := w.check(ctx); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered[from] = w.s.deps.VM.Now().Uptime
+	return nil
+}
+
 // check returns errRefused if the router writes no claims at present or the store does not answer it. One call answers all
 // that ask at the same time.
 func (w *writer) check(ctx context.Context) error {
@@ -259,14 +270,13 @@
 	// grants holds what is confirmed for each claim, and errs what failed for it in a ledger.
 	grants []map[ident.OrgID]quota.Grant
 	errs   []error
-	// ended holds the allowances of routers that have ended.
+	// ended holds the allowances of all routers once those of one that has ended are needed. Many end together.
 	ended map[ident.RouterID]*quota.Allowances
 }
 
 func newFlush(w *writer, items []*waitingClaim) *flush {
 	f := &flush{w: w, items: items, bounded: make([]*quota.Allowances, len(items)),
-		grants: make([]map[ident.OrgID]quota.Grant, len(items)), errs: make([]error, len(items)),
-		ended: make(map[ident.RouterID]*quota.Allowances)}
+		grants: make([]map[ident.OrgID]quota.Grant, len(items)), errs: make([]error, len(items))}
 	for i := range f.grants {
 		f.grants[i] = make(map[ident.OrgID]quota.Grant)
 	}
@@ -351,7 +361,7 @@
 	grants := make([]map[ident.OrgID]quota.Grant, len(touching))
 	for k, i := range touching {
 		c := f.items[i].claim
-		if _, err := t.endRows(ctx, l, f.claimant(c, now), f.allowancesOf); err != nil {
+		if _, err := t.endRows(ctx, l, f.claimant(f.items[i]), f.allowancesOf); err != nil {
 			return nil, err
 		}
 		grants[k], _ = f.w.s.accounts.Serve(n, l, c, now)
@@ -361,23 +371,27 @@
 
 // claimant is the sender of a claim as one whose earlier processes have ended. Its start is dated by this VM's uptime: no
 // earlier than it was, so that those processes count as having lived long enough.
-func (f *flush) claimant(c *quota.Claim, now time.Duration) claimant {
+func (f *flush) claimant(item *waitingClaim) claimant {
+	c := item.claim
 	age := c.Allows.Sent.Uptime - c.Started.Uptime
-	return claimant{vm: c.VM, id: c.Router, start: c.Start, started: c.Started, clocks: f.w.s.accounts.Clocks(now - age), last: age >= clockWait}
+	return claimant{
+		vm: c.VM, id: c.Router, start: c.Start, started: c.Started, clocks: f.w.s.accounts.Clocks(item.came - age),
+		last: age >= clockWait,
+	}
 }
 
 // allowancesOf returns the allowances of a router that has ended, or nil.
 func (f *flush) allowancesOf(ctx context.Context, id ident.RouterID) (*quota.Allowances, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if a, ok := f.ended[id]; ok {
-		return a, nil
-	}
-	a, err := f.w.tasks.readAllowances(ctx, id)
-	if err == nil {
-		f.ended[id] = a
+	if f.ended == nil {
+		ended, err := f.w.tasks.listAllowances(ctx)
+		if err != nil {
+			return nil, err
+		}
+		f.ended = ended
 	}
-	return a, err
+	return f.ended[id], nil
 }
 
 // writeBatch writes the allowances of all claims under the condition that nobody else wrote meanwhile.
