Play the soak with claims, and make the bound of direct writes a flag

Cause: the soak runs three routers, which write the ledgers by themselves, so that no run with real processes and faults played the claims.

--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -30,6 +30,7 @@
 	ready    string
 	store    *proxy
 	settings string
+	args     []string
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -40,6 +41,7 @@
 const (
 	callerPort = 7001
 	readyPort  = 7002
+	peerPort   = 7003
 )
 
 // ownAddr returns an address of the n-th router of this process.
@@ -52,12 +54,16 @@
 	r := &router{name: fmt.Sprint("vm-", n), binary: cfg.Binary, dir: cfg.Dir}
 	r.callers = ownAddr(n, callerPort)
 	r.ready = ownAddr(n, readyPort)
+	r.args = []string{"edge"}
+	if cfg.Claims {
+		r.args = append(r.args, "--direct-fleet", "1")
+	}
 	var err error
 	if r.store, err = newProxy(store); err != nil {
 		return nil, err
 	}
 	r.settings = filepath.Join(cfg.Dir, r.name+".json")
-	text := stand.Settings(r.name, r.callers, r.ready, r.store.addr(), graceS)
+	text := stand.Settings(r.name, r.callers, r.ready, r.store.addr(), ownAddr(n, peerPort), graceS)
 	return r, os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
@@ -72,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(r.binary, "edge")
+	cmd := exec.Command(r.binary, r.args...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+r.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,8 @@
 	Routers int
 	Callers int
 	Dir     string
+	// Claims makes the routers write the ledgers through one of them, as those of a large fleet do.
+	Claims bool
 }
 
 // summary is the result of one run.
@@ -43,6 +45,7 @@
 	flag.DurationVar(&cfg.Length, "length", 10*time.Second, "time of each seed")
 	flag.IntVar(&cfg.Routers, "routers", 3, "router processes")
 	flag.IntVar(&cfg.Callers, "callers", 8, "callers at once")
+	flag.BoolVar(&cfg.Claims, "claims", false, "routers write the ledgers through one of them")
 	flag.StringVar(&cfg.Dir, "dir", "", "folder for settings and logs; empty makes one")
 	flag.Parse()
 	failed := 0
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -22,10 +22,12 @@
 		t.Fatalf("build: %v: %s", err, out)
 	}
 	for _, seed := range seeds {
-		s, err := run(config{Binary: binary, Seed: seed, Length: 4 * time.Second, Routers: 3, Callers: 4, Dir: t.TempDir()})
-		is.NoErr(err)
-		is.Equal(s.Broken, nil)
-		is.True(s.Answers["200"] > 0)
+		for _, claims := range []bool{false, true} {
+			s, err := run(config{Binary: binary, Seed: seed, Length: 4 * time.Second, Routers: 3, Callers: 4, Dir: t.TempDir(), Claims: claims})
+			is.NoErr(err)
+			is.Equal(s.Broken, nil)
+			is.True(s.Answers["200"] > 0)
+		}
 	}
 }
 
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -70,6 +70,8 @@
 		Store:   newPlatformStore(cfg.Store),
 		VM:      edge.NewKernelClock(),
 		Metrics: edge.NewMetrics(),
+
+		DirectFleet: settings.DirectFleet,
 	})
 	if err := s.Listen(); err != nil {
 		return err
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// directFleet is the number of routers up to which each writes the ledgers itself. In a larger fleet these writes
-	// conflict, and each of them is paid for.
-	directFleet = 16
 	// maxWriters bounds the writers that one claim is offered to before the router writes itself.
 	maxWriters = 3
 	// ownAfter is the number of rounds in a row without a writer after which a router writes itself. Writers notice a moment
--- a/io/edge/claims_test.go
+++ b/io/edge/claims_test.go
@@ -39,7 +39,7 @@
 		cfg.Domain = fmt.Sprintf("domain-%d", i+1)
 		cfg.PeerAddr = fmt.Sprintf("127.%d.%d.%d:7340", 64+pid/256%64, pid%256, first+i)
 		cfg.FirstStart = i == 0
-		d.DirectFleet = -1
+		d.DirectFleet = 0
 	}
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -59,7 +59,7 @@
 	Metrics *Metrics
 	// Waits are those of the watches; nil takes the defaults.
 	Waits Waits
-	// DirectFleet is the number of routers up to which each writes the ledgers itself; zero takes the default.
+	// DirectFleet is the number of routers up to which each writes the ledgers itself.
 	DirectFleet int
 }
 
@@ -130,9 +130,6 @@
 	if s.waits == nil {
 		s.waits = defaultWaits
 	}
-	if s.deps.DirectFleet == 0 {
-		s.deps.DirectFleet = directFleet
-	}
 	s.writer = newWriter(s)
 	s.link = newStoreLink(deps.Clock, deps.Log, s.fleet.StoreAway)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain, "uptime_ms", started.Uptime.Milliseconds(),
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -78,6 +78,8 @@
 		}),
 		VM:      NewKernelClock(),
 		Metrics: NewMetrics(),
+
+		DirectFleet: 16,
 	}
 	set(&cfg, &deps)
 	w.server = New(cfg, deps)
--- a/io/flags/edge.go
+++ b/io/flags/edge.go
@@ -13,12 +13,18 @@
 	// Settings is the path of that file.
 	Settings string
 	LogLevel string
+	// DirectFleet is the number of routers up to which each writes the ledgers itself.
+	DirectFleet int
 }
 
+// DefaultDirectFleet is where the conflicts of direct writes begin to cost more than the way to a writer.
+const DefaultDirectFleet = 16
+
 // BindEdge adds the flags to a flag set.
 func BindEdge(fs *pflag.FlagSet, cfg *Edge) {
 	fs.StringVar(&cfg.Settings, "settings", "", "settings file that the platform writes")
 	fs.StringVar(&cfg.LogLevel, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	fs.IntVar(&cfg.DirectFleet, "direct-fleet", DefaultDirectFleet, "routers up to which each writes the ledgers itself")
 }
 
 // Validate returns all faults.
@@ -27,6 +33,9 @@
 	if c.Settings == "" {
 		faults = append(faults, object.Fault{Path: "settings", Message: "is required"})
 	}
+	if c.DirectFleet < 1 {
+		faults = append(faults, object.Fault{Path: "direct-fleet", Message: "must be at least 1"})
+	}
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		faults = append(faults, object.Fault{Path: "log-level", Message: "must be debug, info, warn or error"})
