Refuse at once what only other routers have tokens for

A request that lacked tokens waited 400 ms for a write also when nothing was unallotted and its router held no more, so that no write of that router could bring them.

Change: such a request is refused with the time at which to come back, and still counts as wanted, so that the routers that hold the tokens return them. A router whose row is not yet confirmed waits as before.

TestTokenWait fails without the change in the case "elsewhere".

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -42,7 +42,7 @@
 type Answer struct {
 	Verdict Verdict
 	// Granted says that the tokens are granted and only lack an allowance. Near says that the next write of the ledger can
-	// bring them, and Grows after which time they can be spent if the store stays away, or zero.
+	// bring them, as far as it is known, and Grows after which time they can be spent if the store stays away, or zero.
 	Granted, Near bool
 	Grows         time.Duration
 }
@@ -57,9 +57,10 @@
 	allowance Allowance
 	// row is the stored row as last confirmed.
 	row Row
-	// claimed says that a claim was answered, and target is what the division left to this router then.
-	claimed bool
-	target  ident.Tokens
+	// known says that the stored row has been confirmed once, and target is what the division left to this router in the
+	// last answer to a claim.
+	known  bool
+	target ident.Tokens
 	// unclaimed is what bound the router before the last claim.
 	unclaimed bounds
 	// nextRow and nextAllowance are those of the writes under way.
@@ -178,7 +179,7 @@
 	return Answer{
 		Verdict: Short,
 		Granted: used+n <= acc.granted,
-		Near:    used+n <= acc.granted+max(acc.free, 0),
+		Near:    !acc.known || used+n <= acc.granted+max(acc.free, 0),
 		Grows:   a.grows(acc, used+n, now),
 	}
 }
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -90,7 +90,7 @@
 		acc.allowance.Limit-used < spare && acc.allowance.Limit < acc.granted,
 		acc.free > 0 && acc.granted-used < cover(acc.rate, a.cfg.LowFor)/2:
 		return Low
-	case !acc.claimed || acc.spent != acc.row.Spent:
+	case !acc.known || acc.spent != acc.row.Spent:
 		return Changed
 	}
 	return Settled
@@ -138,13 +138,13 @@
 // changed reports whether a claim has to tell of the organisation.
 func (acc *account) changed() bool {
 	rate := float64(acc.row.Rate)
-	return !acc.claimed || acc.want > 0 || acc.spent != acc.row.Spent || acc.target < acc.granted ||
+	return !acc.known || acc.want > 0 || acc.spent != acc.row.Spent || acc.target < acc.granted ||
 		math.Abs(acc.rate-rate) > rateChange*max(acc.rate, rate)
 }
 
 // floor returns what the router keeps of its grant: less than it has when the division left it less the last time.
 func (acc *account) floor() ident.Tokens {
-	if !acc.claimed {
+	if !acc.known {
 		return acc.granted
 	}
 	return min(acc.granted, max(acc.target, acc.spent+acc.held))
@@ -172,7 +172,7 @@
 	defer a.mu.Unlock()
 	for id, g := range out.Grants {
 		acc := a.org(id)
-		acc.claimed = true
+		acc.known = true
 		acc.row, acc.granted, acc.target = g.Row, g.Row.Granted, g.Target
 		acc.elsewhere, acc.free, acc.demand = g.Elsewhere, g.Free, g.Demand
 	}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -82,7 +82,8 @@
 	defer a.mu.Unlock()
 	for id, acc := range a.orgs {
 		if a.layout.Of(id) == shard {
-			acc.row = acc.nextRow
+			acc.row, acc.known = acc.nextRow, true
+			acc.target = acc.row.Granted
 			acc.granted = acc.row.Granted
 		}
 	}
--- a/io/edge/caller.go
+++ b/io/edge/caller.go
@@ -200,16 +200,16 @@
 			x.logTokens(need, answer)
 			return refuseExhausted, false
 		}
-		wait, ok := x.tokenWait(answer, limit)
-		if !ok {
-			x.logTokens(need, answer)
-			return x.shortFor(answer), false
-		}
 		if answer.Granted {
 			trigger(x.s.allowancesNow)
 		} else {
 			trigger(x.s.grantsNow)
 		}
+		wait, ok := x.tokenWait(answer, limit)
+		if !ok {
+			x.logTokens(need, answer)
+			return x.shortFor(answer), false
+		}
 		select {
 		case <-freed:
 		case <-x.ctx.Done():
@@ -220,11 +220,11 @@
 }
 
 // tokenWait returns how long a request that lacks tokens waits before it asks again, or false if it is refused at once.
-// While the store is away only time brings tokens.
+// While the store is away only time brings tokens, and tokens that other routers hold take them some writes to return.
 func (x *exchange) tokenWait(a quota.Answer, limit time.Time) (time.Duration, bool) {
 	left := limit.Sub(x.s.deps.Clock.Now())
 	if !x.s.link.isAway() {
-		return left, left > 0
+		return left, left > 0 && (a.Near || a.Granted)
 	}
 	return a.Grows, a.Grows > 0 && a.Grows <= left
 }
--- /dev/null
+++ b/io/edge/elsewhere_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/quota"
+	"geraniumsaddle/platform"
+)
+
+// TestTokenWait guards against a request that waits for tokens which other routers hold, although no write of this router
+// brings them, and against one that is refused although the next write serves it.
+func TestTokenWait(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	const left = 300 * time.Millisecond
+	cases := []struct {
+		name   string
+		answer quota.Answer
+		away   bool
+		want   time.Duration
+		ok     bool
+	}{
+		{"granted", quota.Answer{Granted: true}, false, left, true},
+		{"unallotted", quota.Answer{Near: true}, false, left, true},
+		{"elsewhere", quota.Answer{}, false, left, false},
+		{"granted, store away", quota.Answer{Granted: true}, true, 0, false},
+		{"grows in time, store away", quota.Answer{Granted: true, Grows: left}, true, left, true},
+		{"grows too late, store away", quota.Answer{Granted: true, Grows: left + 1}, true, left + 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			link := newStoreLink(nil, nil, nil)
+			link.away = c.away
+			x := &exchange{s: &Server{deps: Deps{Clock: clockwork.NewFakeClockAt(now)}, link: link}}
+			wait, ok := x.tokenWait(c.answer, now.Add(left))
+			is.Equal(ok, c.ok)
+			is.Equal(wait, c.want)
+		})
+	}
+}
+
+// TestTokensElsewhere guards against a request whose tokens other routers hold and that gets no time to come back.
+func TestTokensElsewhere(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l := quota.NewLedger()
+	l.Holders["vm-2.1"] = &quota.Holder{VM: "vm-2", Writes: 1, Rows: map[ident.OrgID]quota.Row{"org1": {Granted: 999_900}}}
+	w := newWorldSet(t, func(_ *platform.Settings, d *Deps) {
+		_, err := d.Store.Create(context.Background(), ledgerKey(quota.NewLayout().Of("org1")), l.Encode())
+		is.NoErr(err)
+	})
+	a := w.ask(chat)
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.Equal(strings.TrimSpace(a.body), refuseShort.reason)
+	is.True(a.header.Get("Retry-After") != "")
+}
