Refuse at once only on fresh knowledge of the ledger

A small fleet writes a ledger every 3 to 5 s, so that what it knows of unallotted tokens is often old.

Change: a router refuses at once only if it has read the ledger in the last 0.5 s.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -9,6 +9,9 @@
 	"geraniumsaddle/core/ident"
 )
 
+// freshFor is the time for which what is unallotted in a ledger tells what its next write can bring.
+const freshFor = 500 * time.Millisecond
+
 // Verdict says whether a request got its tokens.
 type Verdict uint8
 
@@ -66,8 +69,9 @@
 	// nextRow and nextAllowance are those of the writes under way.
 	nextRow       Row
 	nextAllowance Allowance
-	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken.
+	// elsewhere is what closed and other holders are known to have spent, and free what nobody has taken, as of an uptime.
 	elsewhere, free ident.Tokens
+	asOf            time.Duration
 	// demand is that of all routers in tokens per second, as last seen.
 	demand float64
 	// asked is the demand since the last plan, rate its average in tokens per second, and size the average request.
@@ -179,7 +183,7 @@
 	return Answer{
 		Verdict: Short,
 		Granted: used+n <= acc.granted,
-		Near:    !acc.known || used+n <= acc.granted+max(acc.free, 0),
+		Near:    now-acc.asOf > freshFor || used+n <= acc.granted+max(acc.free, 0),
 		Grows:   a.grows(acc, used+n, now),
 	}
 }
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -175,6 +175,7 @@
 		acc.known = true
 		acc.row, acc.granted, acc.target = g.Row, g.Row.Granted, g.Target
 		acc.elsewhere, acc.free, acc.demand = g.Elsewhere, g.Free, g.Demand
+		acc.asOf = now
 	}
 	for vm, wall := range out.Clocks {
 		a.told[vm] = clockSeen{ahead: wall - now.Milliseconds(), at: now}
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -456,3 +456,17 @@
 	is.True(age >= start-sent)
 	is.True(age <= start-sent+100*time.Millisecond)
 }
+
+// TestNearIsFresh guards against a request that is refused on old knowledge, when others may have returned tokens, and
+// against one that waits although a write has just shown that nothing is unallotted.
+func TestNearIsFresh(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newClaimWorld(t, 1, 100_000, 20)
+	w.ledger.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Rows: map[ident.OrgID]Row{claimOrg: {Granted: 99_990}}}
+	vm, by := w.vms[3], w.vms[0]
+	is.True(vm.accounts.Hold(claimOrg, 500, w.now).Near) // nothing is known yet
+	w.claim(vm, by, works, works, works)
+	is.True(!vm.accounts.Hold(claimOrg, 500, w.now+freshFor).Near)
+	is.True(vm.accounts.Hold(claimOrg, 500, w.now+freshFor+1).Near)
+}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -69,6 +69,7 @@
 		acc.granted = min(acc.granted, row.Granted)
 		acc.elsewhere = l.Spent(id) - had.Spent
 		acc.free = acc.total - l.Granted(id) + had.Granted - row.Granted
+		acc.asOf = now
 		if row != (Row{}) {
 			h.Rows[id] = row
 		}
