--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -228,10 +228,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	_, err := t.s.sendClaim(ctx, w, &quota.Claim{Router: t.s.self, Probe: true})
-	if err == nil {
-		t.answered[w.VM] = t.s.deps.VM.Now().Uptime
+	if err != nil {
+		delete(t.answered, w.VM)
+		return err
 	}
-	return err
+	t.answered[w.VM] = t.s.deps.VM.Now().Uptime
+	return nil
 }
 
 // leave hands back what is unspent through a writer.
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -75,31 +75,17 @@
 func (t *ledgerTask) grantsDue(n quota.Shard) bool {
 	st := t.shard(n)
 	due := t.s.accounts.GrantsDue(n)
-	if !st.known && t.s.cfg.FirstStart && due == quota.Settled && t.s.sizeFactor() > 1 {
-		// No earlier process has a row, and a large fleet keeps no tokens without demand.
-		return false
-	}
 	if !st.known || !st.earlierEnded {
 		return true
 	}
 	least := time.Duration(float64(st.slow) / slowPart)
 	interval := grantIntervals[due]
-	interval = time.Duration(float64(interval) * t.stretch(due))
-	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
-}
-
-// stretch returns by how much a large fleet, and for what is not urgent also a large number of ledgers, stretches the
-// time between two writes.
-func (t *ledgerTask) stretch(due quota.Due) float64 {
-	const usualLedgers = 8
-	switch due {
-	case quota.Lacking:
-		return min(t.s.sizeFactor(), maxSizeFactor)
-	case quota.Low:
-		return t.s.sizeFactor()
-	default:
-		return t.s.sizeFactor() * max(float64(len(t.shards))/usualLedgers, 1)
+	stretch := t.s.sizeFactor()
+	if due == quota.Lacking {
+		stretch = min(stretch, maxSizeFactor)
 	}
+	interval = time.Duration(float64(interval) * stretch)
+	return t.s.deps.Clock.Since(st.writtenAt) >= max(interval, least)
 }
 
 // writeGrants writes this router's rows of a ledger under the condition that nobody else wrote meanwhile.
