Add up a ledger once for all claims of a write

That one writes for the others: for each claim and organisation it added up the rows of all routers, and it decoded each ledger and the batch again before each write.

Ruled out: a gathering time that grows with the fleet, which requests would wait for.

Change: Division has the sums of a ledger and follows each changed row. A writer keeps the ledgers and the batch that it wrote until somebody else writes, and looks for earlier processes only of VMs with two holders.

Tests of core/quota are unchanged but for the call of Serve.

--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -57,3 +57,38 @@
 		})
 	}
 }
+
+// BenchmarkServe measures a flush of claims: the sums of a ledger and the rows of all routers with 6 organisations each.
+func BenchmarkServe(b *testing.B) {
+	for _, routers := range []int{61, 300} {
+		b.Run(fmt.Sprint(routers), func(b *testing.B) {
+			const orgs = 6
+			writer := New(Config{Self: "vm0.1", VM: "vm0", Idle: 0.4, Alive: 15 * time.Second, GrantedFor: 25 * time.Second,
+				SpareFor: time.Second, LowFor: 10 * time.Second})
+			writer.SetFleet(routers)
+			needs := make(map[ident.OrgID]Need)
+			for i := range orgs {
+				id := ident.OrgID(fmt.Sprint("org", i))
+				writer.SetTotal(id, 1e9)
+				needs[id] = Need{Used: 1000, Spent: 500, Rate: 100, Size: 500}
+			}
+			var claims []*Claim
+			for i := range routers {
+				vm := fmt.Sprint("vm", i)
+				claims = append(claims, &Claim{Router: ident.NewRouterID(vm, 1), VM: ident.VMID(vm), Needs: needs, Allows: &Allowances{}})
+			}
+			l := NewLedger()
+			n := uint64(0)
+			for b.Loop() {
+				n++
+				d := writer.Divide(l, time.Second)
+				for _, c := range claims {
+					c.Writes = n
+					if _, ok := writer.Serve(0, d, c); !ok {
+						b.Fatal("claim not served")
+					}
+				}
+			}
+		})
+	}
+}
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -224,17 +224,18 @@
 	}
 }
 
-// Serve writes the rows of a claim into the ledger of a shard that was just read, and returns what they grant. A claim
+// Serve writes the rows of a claim into the ledger of a division and returns what they grant. A claim
 // whose holder has written since, or has ended, changes nothing and is reported as false.
-func (a *Accounts) Serve(shard Shard, l *Ledger, c *Claim, now time.Duration) (map[ident.OrgID]Grant, bool) {
+func (a *Accounts) Serve(shard Shard, d *Division, c *Claim) (map[ident.OrgID]Grant, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	l := d.ledger
 	h := l.Holders[c.Router]
-	if h != nil && h.Writes >= c.Writes || l.outlived(c.VM, c.Start) {
+	if h != nil && h.Writes >= c.Writes || d.latest[c.VM] > c.Start {
 		return nil, false
 	}
 	if c.Leaves {
-		a.leave(shard, l, c)
+		a.leave(shard, d, c)
 		return nil, true
 	}
 	next := &Holder{VM: c.VM, Start: c.Start, Writes: c.Writes, Wall: c.Allows.Sent.Wall, Rows: make(map[ident.OrgID]Row)}
@@ -246,8 +247,10 @@
 	grants := make(map[ident.OrgID]Grant)
 	for id, n := range c.Needs {
 		if acc := a.orgs[id]; acc != nil && a.layout.Of(id) == shard {
-			grants[id] = a.grant(l, id, c.Router, n, next.Rows[id], now)
+			had := next.Rows[id]
+			grants[id] = a.grant(d, id, c.Router, n, had)
 			next.Rows[id] = grants[id].Row
+			d.change(c.Router, id, had, grants[id].Row)
 			l.Holders[c.Router] = next
 		}
 	}
@@ -255,22 +258,21 @@
 }
 
 // grant divides the tokens of one organisation for a claimant. It never takes back what the claimant may be spending.
-func (a *Accounts) grant(l *Ledger, id ident.OrgID, holder ident.RouterID, n Need, had Row, now time.Duration) Grant {
+func (a *Accounts) grant(d *Division, id ident.OrgID, holder ident.RouterID, n Need, had Row) Grant {
 	total := a.orgs[id].total
-	row, demand := a.row(l, id, holder, need{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size},
-		had, now)
+	row, demand := a.row(d, id, holder, need{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size}, had)
 	target := row.Granted
 	row.Granted = max(row.Granted, min(n.Floor, had.Granted))
 	return Grant{
 		Row: row, Target: target,
-		Elsewhere: l.Spent(id) - had.Spent,
-		Free:      total - l.Granted(id) + had.Granted - row.Granted,
+		Elsewhere: d.org(id).spent - had.Spent,
+		Free:      total - d.org(id).granted + had.Granted - row.Granted,
 		Demand:    demand,
 	}
 }
 
 // leave closes the rows of a claimant that stops.
-func (a *Accounts) leave(shard Shard, l *Ledger, c *Claim) {
+func (a *Accounts) leave(shard Shard, d *Division, c *Claim) {
 	spent := make(map[ident.OrgID]ident.Tokens, len(c.Needs))
 	for id, n := range c.Needs {
 		if a.layout.Of(id) == shard {
@@ -278,8 +280,13 @@
 		}
 	}
 	left := Departure{Router: c.Router, VM: c.VM, Start: c.Start, Writes: c.Writes, Spent: spent}
-	l.Leave(left)
-	l.Bar(left)
+	if h := d.ledger.Holders[c.Router]; h != nil {
+		for id, row := range h.Rows {
+			d.change(c.Router, id, row, Row{Granted: spent[id], Spent: spent[id]})
+		}
+	}
+	d.ledger.Leave(left)
+	d.ledger.Bar(left)
 }
 
 // Touches reports whether a claim changes the ledger of a shard.
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -134,7 +134,7 @@
 			w.t.Fatalf("%s counts as having spent %d tokens, not %d", id, e.Used, spent)
 		}
 	}
-	grants, _ := by.accounts.Serve(0, l, c, w.now)
+	grants, _ := by.accounts.Serve(0, by.accounts.Divide(l, w.now), c)
 	return l, grants
 }
 
@@ -339,11 +339,11 @@
 	left, ok := vm.accounts.Leave()
 	is.True(ok)
 	c := PlanLeave(left, vm.started, w.moment())
-	_, served := by.accounts.Serve(0, w.ledger, c, w.now)
+	_, served := by.accounts.Serve(0, by.accounts.Divide(w.ledger, w.now), c)
 	is.True(served)
 	is.Equal(w.ledger.Granted(claimOrg), ident.Tokens(300))
 	// A claim that another writer still holds brings nothing back.
-	_, served = w.vms[1].accounts.Serve(0, w.ledger, late, w.now)
+	_, served = w.vms[1].accounts.Serve(0, by.accounts.Divide(w.ledger, w.now), late)
 	is.True(!served)
 	is.Equal(w.ledger.Granted(claimOrg), ident.Tokens(300))
 	// The next process of the VM starts without its predecessor's holder.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -162,14 +162,13 @@
 	return ids
 }
 
-// outlived reports whether a later process of a VM than one with the given start has rows.
-func (l *Ledger) outlived(vm ident.VMID, start ident.ObjectVersion) bool {
-	for _, h := range l.Holders {
-		if h.VM == vm && h.Start > start {
-			return true
-		}
+// PerVM returns the holders of each VM.
+func (l *Ledger) PerVM() map[ident.VMID][]ident.RouterID {
+	vms := make(map[ident.VMID][]ident.RouterID, len(l.Holders))
+	for id, h := range l.Holders {
+		vms[h.VM] = append(vms[h.VM], id)
 	}
-	return false
+	return vms
 }
 
 // Ended tells what became of the tokens of a holder that has ended.
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -54,6 +54,7 @@
 	a.writes++
 	h := &Holder{VM: a.cfg.VM, Start: a.start, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
 	old := l.Holders[a.cfg.Self]
+	d := a.divide(l, now)
 	for _, id := range a.ids() {
 		if a.layout.Of(id) != shard {
 			continue
@@ -64,11 +65,11 @@
 			had = old.Rows[id]
 		}
 		var row Row
-		row, acc.demand = a.row(l, id, a.cfg.Self, acc.need(), had, now)
+		row, acc.demand = a.row(d, id, a.cfg.Self, acc.need(), had)
 		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
-		acc.elsewhere = l.Spent(id) - had.Spent
-		acc.free = acc.total - l.Granted(id) + had.Granted - row.Granted
+		acc.elsewhere = d.org(id).spent - had.Spent
+		acc.free = acc.total - d.org(id).granted + had.Granted - row.Granted
 		acc.asOf = now
 		if row != (Row{}) {
 			h.Rows[id] = row
@@ -314,11 +315,11 @@
 
 // row returns the next row of a holder for an organisation, which never falls below what it has spent and holds, and the
 // demand of all routers in tokens per second.
-func (a *Accounts) row(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, had Row, now time.Duration) (Row, float64) {
+func (a *Accounts) row(d *Division, id ident.OrgID, holder ident.RouterID, n need, had Row) (Row, float64) {
 	used := n.used
-	free := n.total - l.Granted(id)
-	rest := max(n.total-l.Spent(id), 0)
-	share, wanted, demand := a.share(l, id, holder, n, rest, now)
+	free := n.total - d.org(id).granted
+	rest := max(n.total-d.org(id).spent, 0)
+	share, wanted, demand := d.share(id, holder, n, had, rest)
 	granted := used + n.want + max(cover(n.rate, a.cfg.GrantedFor), a.fewRequests(n.size, rest), a.idle(n.total))
 	// While much is unallotted the share of the rest is no bound.
 	ample := had.Granted + ident.Tokens(float64(free)-scarcePart*float64(rest))/ampleSteps
@@ -358,34 +359,17 @@
 	return ident.Tokens(rate * d.Seconds())
 }
 
-// share returns a holder's part of the rest, what waiting requests of others lack, and the demand of all. Most is divided by demand and
-// the remainder equally, because demand moves between routers.
-func (a *Accounts) share(l *Ledger, id ident.OrgID, holder ident.RouterID, n need, rest ident.Tokens, now time.Duration) (
-	share, wanted ident.Tokens, sum float64,
+// share returns a holder's part of the rest, what waiting requests of others lack, and the demand of all. Most is divided by
+// demand and the remainder equally, because demand moves between routers.
+func (d *Division) share(id ident.OrgID, holder ident.RouterID, n need, had Row, rest ident.Tokens) (
+	share, wanted ident.Tokens, demand float64,
 ) {
 	const equal = 0.25
-	sum = n.rate
-	routers := 1
-	add := func(other ident.RouterID) {
-		routers++
-		if l.Holders[other] == nil {
-			return
-		}
-		row := l.Holders[other].Rows[id]
-		sum += float64(row.Rate)
-		wanted += row.Want
-	}
-	for other, s := range a.seen {
-		if other != holder && now-s.at < a.cfg.Alive {
-			add(other)
-		}
-	}
-	if holder != a.cfg.Self {
-		add(a.cfg.Self)
-	}
-	part := equal / float64(routers)
-	if sum > 0 {
-		part += (1 - equal) * n.rate / sum
+	others, rate, wanted := d.others(holder, id, had)
+	demand = rate + n.rate
+	part := equal / float64(others+1)
+	if demand > 0 {
+		part += (1 - equal) * n.rate / demand
 	}
-	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted, sum
+	return ident.Tokens(float64(rest) * (1 - freePart) * part), wanted, demand
 }
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -37,6 +37,24 @@
 	// writtenAt is when the ledger was last written, and slow how long that took.
 	writtenAt time.Time
 	slow      time.Duration
+	// written is the ledger as last written, at a version. Decoding it takes a writer of a large fleet much of its time.
+	written   *quota.Ledger
+	writtenAs ident.ObjectVersion
+}
+
+// take returns the ledger to change it: the one last written, if nobody has written since.
+func (st *shardState) take() (*quota.Ledger, error) {
+	l := st.written
+	st.written = nil
+	if l != nil && st.writtenAs == st.object.Version {
+		return l, nil
+	}
+	return st.decode()
+}
+
+// keep keeps a ledger that was just written.
+func (st *shardState) keep(l *quota.Ledger) {
+	st.written, st.writtenAs = l, st.object.Version
 }
 
 // shard returns the state of a ledger.
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -38,6 +38,9 @@
 	s     *Server
 	tasks *ledgerTask
 	batch stored
+	// written is the batch as last written, at a version.
+	written   *quota.Batch
+	writtenAs ident.ObjectVersion
 
 	mu       sync.Mutex
 	open     bool
@@ -352,21 +355,36 @@
 			return nil, err
 		}
 	}
-	l, err := st.decode()
+	l, err := st.take()
 	if err != nil {
 		return nil, err
 	}
 	now := f.w.s.deps.VM.Now().Uptime
 	f.w.s.accounts.Observe(n, l, now)
-	grants := make([]map[ident.OrgID]quota.Grant, len(touching))
-	for k, i := range touching {
-		c := f.items[i].claim
+	vms := l.PerVM()
+	for _, i := range touching {
+		if c := f.items[i].claim; onlySelf(vms[c.VM], c.Router) {
+			continue
+		}
 		if _, err := t.endRows(ctx, l, f.claimant(f.items[i]), f.allowancesOf); err != nil {
 			return nil, err
 		}
-		grants[k], _ = f.w.s.accounts.Serve(n, l, c, now)
 	}
-	return grants, t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
+	grants := make([]map[ident.OrgID]quota.Grant, len(touching))
+	d := f.w.s.accounts.Divide(l, now)
+	for k, i := range touching {
+		grants[k], _ = f.w.s.accounts.Serve(n, d, f.items[i].claim)
+	}
+	if err := t.write(ctx, ledgerKey(n), &st.stored, l.Encode()); err != nil {
+		return nil, err
+	}
+	st.keep(l)
+	return grants, nil
+}
+
+// onlySelf reports whether a router is the only holder of its VM, or has none.
+func onlySelf(holders []ident.RouterID, self ident.RouterID) bool {
+	return len(holders) == 0 || len(holders) == 1 && holders[0] == self
 }
 
 // claimant is the sender of a claim as one whose earlier processes have ended. Its start is dated by this VM's uptime: no
@@ -418,9 +436,13 @@
 			return err
 		}
 	}
-	b, err := decodeBatch(o)
-	if err != nil {
-		return err
+	b := f.w.written
+	f.w.written = nil
+	if b == nil || f.w.writtenAs != o.object.Version {
+		var err error
+		if b, err = decodeBatch(o); err != nil {
+			return err
+		}
 	}
 	for i, item := range f.items {
 		if c := item.claim; c.Leaves {
@@ -429,7 +451,11 @@
 			b.Put(c.Router, f.bounded[i])
 		}
 	}
-	return t.write(ctx, batchKey, o, b.Encode())
+	if err := t.write(ctx, batchKey, o, b.Encode()); err != nil {
+		return err
+	}
+	f.w.written, f.w.writtenAs = b, o.object.Version
+	return nil
 }
 
 func decodeBatch(o *stored) (*quota.Batch, error) {
