Look for the return of the store before the watches end

Cause: with longer watches a router of a large fleet hears of the store's return only when a watch that hung is answered, up to 10 s later, and refuses the claims of others until then.

Ruled out: shorter watches alone, because one that hangs in an outage is not renewed by it.

Change: a router that has lost the store asks it at each round of its claims, and a writer that is asked whether it serves asks it too, once in 0.2 s whatever the answer. The first watch after a failure is short.

TestReturnOfStore, with watches of an hour, fails without it.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -142,7 +142,7 @@
 
 // round offers a claim to the first writers, and writes itself when none has served for some rounds.
 func (t *claimTask) round(ctx context.Context) error {
-	t.hear()
+	t.hear(ctx)
 	err := t.offerFirst(ctx)
 	if err == nil {
 		t.failed = 0
@@ -160,8 +160,12 @@
 }
 
 // hear notes whether the store can be heard. What was seen of the writers while it could not tells nothing of them.
-func (t *claimTask) hear() {
+func (t *claimTask) hear(ctx context.Context) {
 	away := t.s.link.isAway()
+	if away {
+		// A refusal says no more than that the store is still away.
+		away = t.s.writer.check(ctx) != nil
+	}
 	if t.away && !away {
 		t.order.Forget()
 		t.failed = 0
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -36,6 +36,8 @@
 	// calls. It adds to the time until a change is known. gatherLarge is that of a large fleet, whose calls cost more.
 	gatherFor   = 200 * time.Millisecond
 	gatherLarge = 600 * time.Millisecond
+	// returnWait is the wait of the first watch after a failure.
+	returnWait = 50 * time.Millisecond
 	// patienceLarge is the number of times that a large fleet waits longer for the answer to a watch.
 	patienceLarge = 2.5
 )
@@ -53,7 +55,7 @@
 		if from == 0 {
 			from, err = s.listAll(ctx, kind, f)
 		} else {
-			from, err = s.pollOnce(ctx, kind, from, f)
+			from, err = s.pollOnce(ctx, kind, from, s.watchWait(kind, failures), f)
 		}
 		if ctx.Err() != nil {
 			return
@@ -85,8 +87,12 @@
 	return gatherFor
 }
 
-// watchWait returns the time after which a watch without changes is answered.
-func (s *Server) watchWait(kind object.Kind) time.Duration {
+// watchWait returns the time after which a watch without changes is answered. After a failure it is short, because its
+// answer is what shows that the store is back.
+func (s *Server) watchWait(kind object.Kind, failures int) time.Duration {
+	if failures > 0 {
+		return min(returnWait, s.waits[kind])
+	}
 	if s.large() {
 		return time.Duration(float64(s.waits[kind]) * patienceLarge)
 	}
@@ -117,7 +123,9 @@
 	}
 }
 
-func (s *Server) pollOnce(ctx context.Context, kind object.Kind, from ident.ObjectVersion, f follower) (ident.ObjectVersion, error) {
+func (s *Server) pollOnce(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration, f follower) (
+	ident.ObjectVersion, error,
+) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	renew := s.renew.wait()
@@ -128,7 +136,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	ev, err := s.deps.Store.Poll(ctx, kind, from, s.watchWait(kind))
+	ev, err := s.deps.Store.Poll(ctx, kind, from, wait)
 	switch {
 	case errors.Is(context.Cause(ctx), errRenewed):
 		return 0, errRenewed
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -20,7 +20,7 @@
 	gatherUrgent = 20 * time.Millisecond
 	// writePause is the least time between two writes of one writer.
 	writePause = 80 * time.Millisecond
-	// checkedFor is the time for which an answer of the store shows that it can be heard.
+	// checkedFor is the time for which a check tells whether the store can be heard.
 	checkedFor = 200 * time.Millisecond
 )
 
@@ -46,9 +46,10 @@
 	open     bool
 	waiting  map[ident.RouterID]*waitingClaim
 	answered map[ident.RouterID]time.Duration
-	// checking guards checked, when the store last answered a check.
+	// checking guards the time and the result of the last check of the store.
 	checking sync.Mutex
 	checked  time.Time
+	checkErr error
 
 	// came and hurry tell the writer that a claim waits.
 	came, hurry chan struct{}
@@ -120,15 +121,15 @@
 }
 
 // check returns errRefused if the router writes no claims at present or the store does not answer it. One call answers all
-// that ask at the same time.
+// that ask at the same time. Its answer is also what shows soonest that a lost store is back.
 func (w *writer) check(ctx context.Context) error {
-	if err := w.serves(); err != nil {
-		return err
+	if !w.ready() {
+		return errRefused
 	}
 	w.checking.Lock()
 	defer w.checking.Unlock()
 	if w.s.deps.Clock.Since(w.checked) < checkedFor {
-		return nil
+		return w.checkErr
 	}
 	if ctx.Err() != nil {
 		return errRefused
@@ -137,24 +138,30 @@
 	defer cancel()
 	_, err := w.s.deps.Store.Get(ctx, layoutKey)
 	w.s.deps.Metrics.storeCall("check", err)
+	w.checked, w.checkErr = w.s.deps.Clock.Now(), nil
 	if err != nil {
+		w.checkErr = errRefused
 		return errRefused
 	}
-	w.checked = w.s.deps.Clock.Now()
+	w.s.link.result(nil)
 	return nil
 }
 
 // serves returns errRefused if the router writes no claims at present.
 func (w *writer) serves() error {
-	w.mu.Lock()
-	open := w.open
-	w.mu.Unlock()
-	if !open || w.s.link.isAway() || w.s.table.Load() == nil || w.s.draining.Load() {
+	if !w.ready() || w.s.link.isAway() {
 		return errRefused
 	}
 	return nil
 }
 
+// ready reports whether the router could write claims if the store answers it.
+func (w *writer) ready() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.open && w.s.table.Load() != nil && !w.s.draining.Load()
+}
+
 func (w *writer) enqueue(c *quota.Claim) (*waitingClaim, error) {
 	if err := w.serves(); err != nil {
 		return nil, err
