Let the counted connections of callers close one side

Cause: the wrapper that counts a connection's bytes hides CloseWrite, which net/http uses before it closes the connection of a caller that still sends a body, so that the answer is not reset on its way.

Change: the wrapper passes CloseWrite on.

--- a/io/edge/carry.go
+++ b/io/edge/carry.go
@@ -43,6 +43,15 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, which lets the server wait for a caller that still sends before it closes.
+func (c meteredConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return half.CloseWrite()
+}
+
 // watchLink decides whether the link is busy, from what it carried in the last second.
 func (s *Server) watchLink() {
 	now := s.deps.Clock.Now()
