--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -64,8 +64,8 @@
 	// last answer to a claim.
 	known  bool
 	target ident.Tokens
-	// unclaimed is what bound the router before the last claim.
-	unclaimed bounds
+	// beforeClaim is what bound the router before the last claim.
+	beforeClaim bounds
 	// nextRow and nextAllowance are those of the writes under way.
 	nextRow       Row
 	nextAllowance Allowance
@@ -99,8 +99,8 @@
 	planned  time.Duration
 	left     bool
 	seen     map[ident.RouterID]sighting
-	// told holds the clocks that the answers to claims have shown.
-	told map[ident.VMID]clockSeen
+	// reported holds the clocks that the answers to claims have shown.
+	reported map[ident.VMID]clockSeen
 	// observed is the uptime at which each ledger was last read.
 	observed map[Shard]time.Duration
 	layout   Layout
@@ -140,7 +140,7 @@
 		cfg:      cfg,
 		orgs:     make(map[ident.OrgID]*account),
 		seen:     make(map[ident.RouterID]sighting),
-		told:     make(map[ident.VMID]clockSeen),
+		reported: make(map[ident.VMID]clockSeen),
 		observed: make(map[Shard]time.Duration),
 		layout:   Layout{Format: Format, Shards: 1},
 	}
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -113,7 +113,7 @@
 	}
 	for _, id := range a.ids() {
 		acc := a.orgs[id]
-		acc.unclaimed = bounds{acc.granted, acc.allowance}
+		acc.beforeClaim = bounds{acc.granted, acc.allowance}
 		if acc.changed() {
 			acc.granted = acc.floor()
 			c.Needs[id] = Need{Floor: acc.granted, Used: acc.spent + acc.held, Spent: acc.spent, Want: acc.want,
@@ -178,7 +178,7 @@
 		acc.asOf = now
 	}
 	for vm, wall := range out.Clocks {
-		a.told[vm] = clockSeen{ahead: wall - now.Milliseconds(), at: now}
+		a.reported[vm] = clockSeen{ahead: wall - now.Milliseconds(), at: now}
 	}
 	if out.Untouched {
 		a.keepAllowances()
@@ -201,7 +201,7 @@
 	defer a.mu.Unlock()
 	a.keepAllowances()
 	for _, acc := range a.orgs {
-		acc.granted = acc.unclaimed.granted
+		acc.granted = acc.beforeClaim.granted
 	}
 }
 
@@ -209,13 +209,13 @@
 func (a *Accounts) keepAllowances() {
 	a.sent = a.before
 	for _, acc := range a.orgs {
-		acc.allowance = acc.unclaimed.allowance
+		acc.allowance = acc.beforeClaim.allowance
 	}
 }
 
-// Meet notes that a claim has come, and that its holder lives. Now is the uptime, and answered that of the last answer to
+// NoteClaim notes that a claim has come, and that its holder lives. Now is the uptime, and answered that of the last answer to
 // the same holder, or zero. The claim was made no sooner than the claimant says after that answer.
-func (a *Accounts) Meet(c *Claim, answered, now time.Duration) {
+func (a *Accounts) NoteClaim(c *Claim, answered, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.Router != a.cfg.Self {
@@ -286,7 +286,7 @@
 		}
 	}
 	d.ledger.Leave(left)
-	d.ledger.Bar(left)
+	d.ledger.PutTombstone(left)
 }
 
 // Touches reports whether a claim changes the ledger of a shard.
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -218,9 +218,9 @@
 	delete(l.Holders, left.Router)
 }
 
-// Bar keeps a holder without rows for a process that has left, until the next one of its VM. A claim of it that is still
+// PutTombstone keeps a holder without rows for a process that has left, until the next one of its VM. A claim of it that is still
 // under way does not bring its rows back then.
-func (l *Ledger) Bar(left Departure) {
+func (l *Ledger) PutTombstone(left Departure) {
 	l.Holders[left.Router] = &Holder{VM: left.VM, Start: left.Start, Writes: left.Writes}
 }
 
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -243,8 +243,8 @@
 			out[s.vm] = s.ahead + now.Milliseconds()
 		}
 	}
-	for _, vm := range slices.Sorted(maps.Keys(a.told)) {
-		c := a.told[vm]
+	for _, vm := range slices.Sorted(maps.Keys(a.reported)) {
+		c := a.reported[vm]
 		if _, seen := out[vm]; !seen && now-c.at < a.cfg.Alive && len(out) < most {
 			out[vm] = c.ahead + now.Milliseconds()
 		}
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -45,7 +45,7 @@
 		s.keepOwn(ctx, t)
 		return
 	}
-	transport, err := s.openPeers(fleet.laid)
+	transport, err := s.openPeers(fleet.setup)
 	if err != nil {
 		s.deps.Log.Error("other routers cannot be reached; writing the ledgers without them", "error", err)
 		s.keepOwn(ctx, t)
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -42,8 +42,8 @@
 	writtenAs ident.ObjectVersion
 }
 
-// take returns the ledger to change it: the one last written, if nobody has written since.
-func (st *shardState) take() (*quota.Ledger, error) {
+// latest returns the ledger to change it: the one last written, if nobody has written since.
+func (st *shardState) latest() (*quota.Ledger, error) {
 	l := st.written
 	st.written = nil
 	if l != nil && st.writtenAs == st.object.Version {
@@ -52,8 +52,8 @@
 	return st.decode()
 }
 
-// keep keeps a ledger that was just written.
-func (st *shardState) keep(l *quota.Ledger) {
+// cache keeps a ledger that was just written.
+func (st *shardState) cache(l *quota.Ledger) {
 	st.written, st.writtenAs = l, st.object.Version
 }
 
--- a/io/edge/join.go
+++ b/io/edge/join.go
@@ -27,12 +27,12 @@
 	certificateFor = 365 * 24 * time.Hour
 )
 
-// layoutKey is the object with what the first router of a fleet has laid down.
+// layoutKey is the object with what the first router of a fleet has set up.
 var layoutKey = object.Key{Kind: platform.KindLayout, Name: "main"}
 
-// laidDown is what the first router stores and nobody changes: how the organisations are spread over the ledgers, and the
+// fleetSetup is what the first router stores and nobody changes: how the organisations are spread over the ledgers, and the
 // authority whose certificates routers show each other. Whoever can read the store is trusted as a router.
-type laidDown struct {
+type fleetSetup struct {
 	quota.Layout
 	Authority authority `json:"peer_authority"`
 }
@@ -48,7 +48,7 @@
 // fleetInfo is what a router learns of its fleet when it starts.
 type fleetInfo struct {
 	members []elect.Member
-	laid    laidDown
+	setup   fleetSetup
 }
 
 // join lists this VM and learns the fleet. It returns false at the end of the context.
@@ -57,9 +57,9 @@
 		f, err := t.tryJoin(ctx)
 		if err == nil {
 			t.s.accounts.SetFleet(len(f.members))
-			t.s.accounts.SetLayout(f.laid.Layout)
+			t.s.accounts.SetLayout(f.setup.Layout)
 			t.s.accounts.SetStart(t.start)
-			t.s.deps.Log.Info("layout of the ledgers known", "routers", len(f.members), "shards", f.laid.Shards)
+			t.s.deps.Log.Info("layout of the ledgers known", "routers", len(f.members), "shards", f.setup.Shards)
 			return f, true
 		}
 		t.s.wrote("layout", err)
@@ -80,8 +80,8 @@
 	if err != nil {
 		return fleetInfo{}, err
 	}
-	laid, err := t.layout(ctx)
-	return fleetInfo{members, laid}, err
+	setup, err := t.layout(ctx)
+	return fleetInfo{members, setup}, err
 }
 
 // memberEntry is the entry of a VM. The process makes each start a new version, which orders the processes of the VM.
@@ -137,45 +137,45 @@
 	}
 }
 
-// layout returns what the first router has laid down, or lays it down.
-func (t *ledgerTask) layout(ctx context.Context) (laidDown, error) {
+// layout returns what the first router has set up, or sets it up.
+func (t *ledgerTask) layout(ctx context.Context) (fleetSetup, error) {
 	if !t.s.cfg.FirstStart {
 		o, err := t.s.deps.Store.Get(ctx, layoutKey)
 		if !errors.Is(err, store.ErrAbsent) {
-			return decodeLaid(o, err)
+			return decodeSetup(o, err)
 		}
 	}
-	value, err := t.newLaid()
+	value, err := t.newSetup()
 	if err != nil {
-		return laidDown{}, err
+		return fleetSetup{}, err
 	}
 	o, err := t.s.deps.Store.Create(ctx, layoutKey, value)
 	if errors.Is(err, store.ErrConflict) && o.Version != 0 {
 		err = nil
 	}
-	return decodeLaid(o, err)
+	return decodeSetup(o, err)
 }
 
-func (t *ledgerTask) newLaid() ([]byte, error) {
+func (t *ledgerTask) newSetup() ([]byte, error) {
 	ca, err := peer.NewAuthority("edge", time.UnixMilli(t.s.deps.VM.Now().Wall), authorityFor)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	value, err := json.Marshal(laidDown{quota.NewLayout(), authority{string(ca.Cert), string(ca.Key)}})
+	value, err := json.Marshal(fleetSetup{quota.NewLayout(), authority{string(ca.Cert), string(ca.Key)}})
 	return value, trace.Wrap(err)
 }
 
-func decodeLaid(o store.Object, err error) (laidDown, error) {
+func decodeSetup(o store.Object, err error) (fleetSetup, error) {
 	if err != nil {
-		return laidDown{}, err
+		return fleetSetup{}, err
 	}
 	layout, err := quota.DecodeLayout(o.Value)
 	if err != nil {
-		return laidDown{}, err
+		return fleetSetup{}, err
 	}
-	laid := laidDown{Layout: layout}
-	if err := json.Unmarshal(o.Value, &laid); err != nil {
-		return laidDown{}, fmt.Errorf("decode layout: %w", err)
+	setup := fleetSetup{Layout: layout}
+	if err := json.Unmarshal(o.Value, &setup); err != nil {
+		return fleetSetup{}, fmt.Errorf("decode layout: %w", err)
 	}
-	return laid, nil
+	return setup, nil
 }
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -66,7 +66,7 @@
 		}
 		l.Leave(left)
 		if t.s.claims != nil {
-			l.Bar(left)
+			l.PutTombstone(left)
 		}
 		err = t.write(ctx, ledgerKey(n), &st.stored, l.Encode())
 		if !errors.Is(err, store.ErrConflict) {
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -22,12 +22,12 @@
 var errNoPeers = errors.New("no address for other routers")
 
 // openPeers opens the transport to the other routers.
-func (s *Server) openPeers(laid laidDown) (*peer.Transport, error) {
+func (s *Server) openPeers(setup fleetSetup) (*peer.Transport, error) {
 	if s.cfg.PeerAddr == "" {
 		return nil, errNoPeers
 	}
 	now := time.UnixMilli(s.deps.VM.Now().Wall)
-	ca := laid.Authority.pair()
+	ca := setup.Authority.pair()
 	node, err := ca.Issue(s.cfg.VM, now, certificateFor)
 	if err != nil {
 		return nil, trace.Wrap(err, "issue certificate")
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -51,8 +51,8 @@
 	checked  time.Time
 	checkErr error
 
-	// came and hurry tell the writer that a claim waits.
-	came, hurry chan struct{}
+	// arrived and urgent tell the writer that a claim waits.
+	arrived, urgent chan struct{}
 }
 
 // waitingClaim is a claim that is not written yet.
@@ -72,7 +72,7 @@
 	return &writer{
 		s: s, tasks: newLedgerTask(s),
 		waiting: make(map[ident.RouterID]*waitingClaim), answered: make(map[ident.RouterID]time.Duration),
-		came: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
+		arrived: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -85,9 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
-	trigger(w.came)
-	if urgent(c) {
-		trigger(w.hurry)
+	trigger(w.arrived)
+	if isUrgent(c) {
+		trigger(w.urgent)
 	}
 	select {
 	case r := <-item.done:
@@ -97,7 +97,7 @@
 	}
 }
 
-func urgent(c *quota.Claim) bool {
+func isUrgent(c *quota.Claim) bool {
 	if c.Leaves {
 		return true
 	}
@@ -172,7 +172,7 @@
 	if !w.open {
 		return nil, errRefused
 	}
-	w.s.accounts.Meet(c, w.answered[c.Router], now)
+	w.s.accounts.NoteClaim(c, w.answered[c.Router], now)
 	if old := w.waiting[c.Router]; old != nil {
 		old.done <- claimResult{err: errRefused}
 	}
@@ -214,14 +214,14 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-w.came:
+	case <-w.arrived:
 	}
 	select {
 	case <-ctx.Done():
 		return false
 	case <-w.s.deps.Clock.After(gatherCalm):
 		return true
-	case <-w.hurry:
+	case <-w.urgent:
 		return w.s.sleep(ctx, gatherUrgent)
 	}
 }
@@ -362,7 +362,7 @@
 			return nil, err
 		}
 	}
-	l, err := st.take()
+	l, err := st.latest()
 	if err != nil {
 		return nil, err
 	}
@@ -385,7 +385,7 @@
 	if err := t.write(ctx, ledgerKey(n), &st.stored, l.Encode()); err != nil {
 		return nil, err
 	}
-	st.keep(l)
+	st.cache(l)
 	return grants, nil
 }
 
