Print what a known failing test logs

It logs the refusal that would tell why, but checktest prints the output of new failures only, so that the sighting told nothing.

Ruled out: a verbose run of all tests, whose output nobody reads.

Change: the output of a known failure follows its line. What counts as known, and the exit status, stay as they were.

Conclusion: the next sighting can be traced.

--- a/cmd/checktest/main.go
+++ b/cmd/checktest/main.go
@@ -118,7 +118,8 @@
 		fmt.Fprintf(w, "--- FAIL: %s\n%s", name, strings.Join(t.output[name], "")) //nolint:errcheck // report
 	}
 	for _, name := range t.known {
-		fmt.Fprintf(w, "known failure: %s\n", name) //nolint:errcheck // report
+		// A known failure that shows seldom is traced by what it prints.
+		fmt.Fprintf(w, "known failure: %s\n%s", name, strings.Join(t.output[name], "")) //nolint:errcheck // report
 	}
 	fmt.Fprintf(w, "%d passed, %d failed\n", t.passed, len(t.failed)+len(t.brokenP)) //nolint:errcheck // report
 }
