Wait for refused claims, not for a time, in TestRefusalKeepsLink

Cause: the test looked at the link each 10 ms for 4 s. A short wrong state between two looks would have passed, and the wait was longer than needed. Two tests of core/quota repeated how a claimant comes to be busy.

Ruled out: a shorter wait, with which the test once passed on the fault it is for.

Change: the test waits for two refused claims in the log and wants no line "store regained" before them, which is stricter. newBusyClaimant stands once.

Conclusion: one sleep less, the same bound.

--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -281,17 +281,23 @@
 	is.Equal(vm.accounts.Hold(claimOrg, 500, w.now).Verdict, Held)
 }
 
-// TestClaimRefused guards against a router that spends less and less while writers refuse its claims.
-func TestClaimRefused(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	w := newClaimWorld(t, 1, 1_000_000, 20)
-	vm, by := w.vms[3], w.vms[0]
+// newBusyClaimant returns a fleet in which one VM has claimed for its requests for some seconds, that VM, and its writer.
+func newBusyClaimant(t *testing.T) (w *claimWorld, vm, by *claimVM) {
+	w = newClaimWorld(t, 1, 1_000_000, 20)
+	vm, by = w.vms[3], w.vms[0]
 	for range 20 {
 		w.now += 200 * time.Millisecond
 		vm.accounts.Hold(claimOrg, 500, w.now)
 		w.claim(vm, by, works, works, works)
 	}
+	return w, vm, by
+}
+
+// TestClaimRefused guards against a router that spends less and less while writers refuse its claims.
+func TestClaimRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w, vm, by := newBusyClaimant(t)
 	before := vm.accounts.Balance(claimOrg)
 	age := vm.accounts.Age(w.now)
 	for range 20 {
@@ -382,13 +388,7 @@
 func TestUntouchedAllowances(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	w := newClaimWorld(t, 1, 1_000_000, 20)
-	vm, by := w.vms[3], w.vms[0]
-	for range 20 {
-		w.now += 200 * time.Millisecond
-		vm.accounts.Hold(claimOrg, 500, w.now)
-		w.claim(vm, by, works, works, works)
-	}
+	w, vm, by := newBusyClaimant(t)
 	before := vm.accounts.Balance(claimOrg)
 	age := vm.accounts.Age(w.now)
 	for range 20 {
--- a/io/edge/claims_test.go
+++ b/io/edge/claims_test.go
@@ -7,8 +7,8 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -134,10 +134,13 @@
 func TestRefusalKeepsLink(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	w := newWorldSet(t, peerSettings(40, 0))
+	var lines lineBuffer
+	w := newWorldSet(t, func(cfg *platform.Settings, d *Deps) {
+		peerSettings(40, 0)(cfg, d)
+		d.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+	})
 	w.store.SetFault(faultAll(stand.Busy))
-	w.await("the loss", w.server.link.isAway)
-	for end := time.Now().Add(2 * claimIntervals[quota.Settled]); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		is.True(w.server.link.isAway())
-	}
+	w.await("two refused claims", func() bool { return strings.Count(lines.about("claim not served"), "\n") >= 2 })
+	is.True(w.server.link.isAway())
+	is.Equal(lines.about("store regained"), "")
 }
