Read a refused stream to its end before giving it up

A router that refuses a stream whose first message it cannot read stopped the reading side at once. When that reaches the sender between its last byte and the end of its side, the end fails, and a sender that takes this for a lost call never reads the refusal.

Ruled out: load alone.

Change: the refusal ends its own side and then reads the rest, up to the largest message and for a second. The test stays as it was; how it connects stands once, for it and TestRefusedStreamEnds.

Conclusion: a fault of the transport, not of the test.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -208,19 +208,26 @@
 	}
 }
 
+// dialRaw connects to a router as one with the given name that speaks QUIC itself.
+func (f *fleet) dialRaw(name string, to *node) *quic.Conn {
+	is := is.New(f.tb)
+	pair := f.issue(name)
+	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
+	is.NoErr(err)
+	conn, err := quic.DialAddr(f.tb.Context(), to.Addr(), &tls.Config{
+		Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true, NextProtos: []string{"geraniumsaddle-peer/1"},
+	}, nil)
+	is.NoErr(err)
+	return conn
+}
+
 // TestRawPeer guards against a message under another router's name, and against a connection that is
 // lost when a newer release sends an unknown type. It uses a peer of its own that speaks QUIC.
 func TestRawPeer(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, clockwork.NewRealClock())
 	a := f.node("a.1", nil)
-	pair := f.issue("x")
-	cert, err := tls.X509KeyPair(pair.Cert, pair.Key)
-	is.NoErr(err)
-	conn, err := quic.DialAddr(t.Context(), a.Addr(), &tls.Config{
-		Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true, NextProtos: []string{"geraniumsaddle-peer/1"},
-	}, nil)
-	is.NoErr(err)
+	conn := f.dialRaw("x", a)
 	defer conn.CloseWithError(0, "")
 	call := func(b []byte) peer.Message {
 		s, err := conn.OpenStreamSync(t.Context())
@@ -246,6 +253,25 @@
 	is.Equal(a.Rejects(), peer.Rejects{UnknownType: 1, Malformed: 1, WrongSender: 1})
 }
 
+// TestRefusedStreamEnds guards against a refusal that fails the rest of the refused stream, so that a caller which has not
+// ended it yet takes the failed end for a lost call.
+func TestRefusedStreamEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, clockwork.NewRealClock())
+	conn := f.dialRaw("x", f.node("a.1", nil))
+	defer conn.CloseWithError(0, "")
+	s, err := conn.OpenStreamSync(t.Context())
+	is.NoErr(err)
+	_, err = s.Write(make([]byte, 100))
+	is.NoErr(err)
+	out, err := io.ReadAll(s)
+	is.NoErr(err)
+	env, err := peer.Decode(out)
+	is.NoErr(err)
+	is.Equal(env.Msg, peer.Failure{Code: "bad_message"})
+	is.NoErr(s.Close())
+}
+
 // TestByteBudget guards against low-priority traffic that uses up the budget of the others.
 func TestByteBudget(t *testing.T) {
 	is := is.New(t)
--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -23,6 +23,8 @@
 	streamIdle = 30 * time.Second
 	// streamQueue bounds the messages of the opening router that wait for the answering one.
 	streamQueue = 4
+	// refusedRest bounds the wait for the end of a stream that was refused.
+	refusedRest = time.Second
 )
 
 // StreamHandler is a Handler that also answers streams.
@@ -268,6 +270,10 @@
 		return
 	}
 	in.t.counts.sent(m.Type(), len(b))
+	// The end of the reading side would fail the peer's own end of the stream, and with it a call whose answer is on its way.
+	_ = q.Close()
+	_ = q.SetReadDeadline(time.Now().Add(refusedRest))
+	_, _ = io.CopyN(io.Discard, q, int64(MaxMessage))
 }
 
 // pump reads the messages of the opening side until it closes the stream.
