Refuse with "not loaded" while a budget may still come

Their lines show 402 "the organisation has no usable budget", and 503 "the router has no configuration yet": the tests send as soon as the model and the slot are known, before the router says that it is ready. The 503 is true. The 402 is not: the budget had not come yet, and a caller takes it for final. Unknown keys and models already have a refusal for that time; budgets had none.

Ruled out: load as the cause. It only makes the time between two kinds of objects longer.

Change: a refusal for lack of a budget is 503 with a time to come back until the configuration is whole; the words stand once.

TestBudgetNotLoaded fails without the change.

--- a/io/node/feeds.go
+++ b/io/node/feeds.go
@@ -209,7 +209,12 @@
 // absent refuses a request for something that the configuration does not have.
 func (n *Node) absent(format string, args ...any) error {
 	if !n.loaded.Load() {
-		return caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has not loaded its configuration yet").After(time.Second)
+		return notLoaded()
 	}
 	return caller.Refuse(caller.CodeNotFound, ident.OutcomeNotRun, format, args...)
 }
+
+// notLoaded refuses a request for what may come with the rest of the configuration.
+func notLoaded() *caller.Refusal {
+	return caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has not loaded its configuration yet").After(time.Second)
+}
--- /dev/null
+++ b/io/node/loaded_test.go
@@ -0,0 +1,26 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/escrow"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/caller"
+)
+
+// TestBudgetNotLoaded guards against a router that says that an organisation has no budget, which a caller takes for final,
+// while its own configuration is not whole.
+func TestBudgetNotLoaded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	n := &Node{}
+	none := &escrow.Refusal{Need: 100}
+	r := n.budgetRefusal(none, 100)
+	is.Equal(r.Code, caller.CodeUnavailable)
+	is.Equal(r.Outcome, ident.OutcomeNotRun)
+	is.True(r.RetryAfter > 0)
+	n.loaded.Store(true)
+	is.Equal(n.budgetRefusal(none, 100).Code, caller.CodeBudgetExhausted)
+}
--- a/io/node/traffic.go
+++ b/io/node/traffic.go
@@ -70,7 +70,7 @@
 	v := n.view.Load()
 	row, ok := v.keys[hex.EncodeToString(sum[:])]
 	if !ok && !n.loaded.Load() {
-		return caller.Identity{}, caller.Refuse(caller.CodeUnavailable, ident.OutcomeNotRun, "the router has no configuration yet")
+		return caller.Identity{}, notLoaded()
 	}
 	if !ok {
 		return caller.Identity{}, caller.Refuse(caller.CodeInvalidKey, ident.OutcomeNotRun, "the API key is not known or is revoked")
@@ -127,6 +127,9 @@
 // budgetRefusal says what was missing. Tokens that other routers hold, or that the platform has but does not answer
 // for, may come later, so those refusals name a time to retry.
 func (n *Node) budgetRefusal(ref *escrow.Refusal, need ident.Tokens) *caller.Refusal {
+	if ref.Entry == "" && !n.loaded.Load() {
+		return notLoaded() // The budget may not have come yet.
+	}
 	if ref.Entry == "" {
 		return caller.Refuse(caller.CodeBudgetExhausted, ident.OutcomeNotRun, "the organisation has no usable budget; %d tokens are needed", need)
 	}
