Bound the bytes that relay reads for one response

Change: a connection has a read limit: 64 KB for each head, 1 MB for all skipped bodies of one request. At the limit the connection is closed and the outcome is unknown, as after any broken answer.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -20,14 +21,26 @@
 const (
 	// readBufferSize is the size of the buffer through which response headers and bodies are read.
 	readBufferSize = 4 << 10
+	// maxHeadSize and maxDiscardedSize bound the bytes read for one response head, and for the bodies of all responses to
+	// other requests that are skipped while a response is awaited. A faulty target may send either without end.
+	maxHeadSize      = 64 << 10
+	maxDiscardedSize = 1 << 20
 	// receiveBufferSize bounds the part of a response that the kernel buffers while a slow caller doesn't read.
 	receiveBufferSize = 32 << 10
 )
 
+// errReadLimit means that a target has sent more bytes than a part of a response may have.
+var errReadLimit = errors.New("response exceeds the size limit")
+
+// noReadLimit is the value of conn.readLimit for a body, which its receiver bounds.
+const noReadLimit = -1
+
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// readLimit is the number of bytes that may still be read, or noReadLimit.
+	readLimit int
 	// idleSince is when the last response ended. targetIdleTimeout is the time after which the target closes an idle
 	// connection, or zero if unknown.
 	idleSince         time.Time
@@ -39,14 +52,23 @@
 }
 
 func newConn(raw net.Conn, cfg Config) *conn {
-	c := &conn{Conn: raw, meter: cfg.Meter, clock: cfg.Clock}
+	c := &conn{Conn: raw, readLimit: noReadLimit, meter: cfg.Meter, clock: cfg.Clock}
 	c.r = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
-// Read reads from the connection and counts the bytes.
+// Read reads from the connection within the read limit and counts the bytes.
 func (c *conn) Read(b []byte) (int, error) {
+	switch {
+	case c.readLimit == 0 && len(b) > 0:
+		return 0, errReadLimit
+	case c.readLimit > 0:
+		b = b[:min(len(b), c.readLimit)]
+	}
 	n, err := c.Conn.Read(b)
+	if c.readLimit != noReadLimit {
+		c.readLimit -= n
+	}
 	c.count(link.In, n)
 	return n, err
 }
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -121,10 +121,13 @@
 	return b
 }
 
-// readResponse returns the first response that belongs to the request.
+// readResponse returns the first response that belongs to the request. The bytes read up to the end of its head are
+// bounded, and the receiver of the response bounds its body.
 func (p *Pool) readResponse(c *conn, r Request) (*Response, error) {
 	req := &http.Request{Method: r.Method}
+	discardLimit := maxDiscardedSize
 	for range maxResponses {
+		c.readLimit = maxHeadSize
 		resp, err := http.ReadResponse(c.r, req) //nolint:bodyclose // Response.Close reuses or closes the connection.
 		if err != nil {
 			return nil, err
@@ -133,14 +136,17 @@
 			continue
 		}
 		if r.Matches(resp.StatusCode, resp.Header) {
+			c.readLimit = noReadLimit
 			return p.newResponse(c, r, resp), nil
 		}
 		if resp.Close {
 			return nil, errUnmatched
 		}
+		c.readLimit = discardLimit
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
+		discardLimit = c.readLimit
 	}
 	return nil, errUnmatched
 }
