Bound answers of targets, bodies of callers and heads of the store in edge

Cause: errors, refusals and repeated events of a target were read without end or up to 8 MB, a non-stream answer over the limit was passed on cut, a body that did not come kept its request beyond the deadline, and a head of the store could have 10 MB. Change: errors, refusals and events that are skipped get 1 MB, an event 256 KB, a head of the store 64 KB; a stream ends when it has more events than the request's maximum output. A refusal that is too large counts as an unknown outcome. Bodies of callers end at the deadline with 408.

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -26,6 +26,8 @@
 	memoryLimitFraction = 0.5
 	// gcPercent is below Go's default of 100: it trades CPU time for memory, which is scarcer on entry VMs.
 	gcPercent = 50
+	// maxStoreHeadSize is the maximum size in bytes of the head of a response of the store.
+	maxStoreHeadSize = 64 << 10
 	// storeTimeout limits one call to the store, which usually takes a few milliseconds.
 	storeTimeout = time.Second
 	// watchGrace limits how long the answer to a watch may take after the watch's wait time.
@@ -116,10 +118,11 @@
 		Timeout:    storeTimeout,
 		WatchGrace: watchGrace,
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     10 * time.Second,
-			DisableCompression:  true,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        10 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxStoreHeadSize,
 		},
 	})
 }
--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -10,8 +10,12 @@
 	"geraniumsaddle/platform"
 )
 
-// maxAnswerSize is the maximum size in bytes of an answer that is buffered before it is passed on.
-const maxAnswerSize = 8 << 20
+const (
+	// maxAnswerSize is the maximum size in bytes of an answer that is buffered before it is passed on.
+	maxAnswerSize = 8 << 20
+	// maxErrorSize is the maximum size in bytes of a server error or a refusal of a target.
+	maxErrorSize = 1 << 20
+)
 
 var errAnswerTooLarge = errors.New("answer exceeds the size limit")
 
@@ -74,21 +78,13 @@
 		return nil, !errors.Is(err, send.ErrNotSent), err
 	}
 	if sent.answerHeaders.NotRun {
-		x.endRefusedSend(sent)
-		return nil, true, place.ErrFull
-	}
-	body, err := io.ReadAll(io.LimitReader(sent.answer.Body, maxAnswerSize+1))
-	if err == nil && len(body) > maxAnswerSize {
-		err = errAnswerTooLarge
+		return nil, true, x.endRefusedSend(sent)
 	}
+	a, err = x.readAnswer(sent)
 	if err != nil {
-		sent.answer.Close(0)
-		x.failSend(c, err)
 		return nil, true, err
 	}
-	x.billable = true
-	a = &bufferedAnswer{sent.answer.Status, sent.answer.Header, body}
-	if a.status >= http.StatusInternalServerError {
+	if retryable(a) {
 		x.endSend(sent, place.ResultFailed)
 		return a, true, nil
 	}
@@ -96,14 +92,42 @@
 	return a, true, nil
 }
 
-// endRefusedSend ends a send that the target refused without running the request.
-func (x *exchange) endRefusedSend(sent *sentRequest) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(sent.answer.Body, maxAnswerSize)); err != nil {
+// readAnswer reads the complete answer of a target. If that fails, or the answer is too large, it ends the send.
+func (x *exchange) readAnswer(sent *sentRequest) (*bufferedAnswer, error) {
+	limit := int64(maxAnswerSize)
+	if sent.answer.Status >= http.StatusInternalServerError {
+		limit = maxErrorSize
+	}
+	body, err := io.ReadAll(io.LimitReader(sent.answer.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		sent.answer.Close(0)
+		x.failSend(sent.choice, err)
+		return nil, err
+	}
+	x.billable = true
+	return &bufferedAnswer{sent.answer.Status, sent.answer.Header, body}, nil
+}
+
+// endRefusedSend ends a send that the target refused without running the request, and returns place.ErrFull. A refusal
+// that is too large is no answer, so that the request may have run.
+func (x *exchange) endRefusedSend(sent *sentRequest) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(sent.answer.Body, maxErrorSize+1))
+	if n > maxErrorSize {
+		x.recordArrival()
+		sent.answer.Close(0)
+		x.failSend(sent.choice, errAnswerTooLarge)
+		return errAnswerTooLarge
+	}
+	if err != nil {
 		x.s.deps.Log.Debug("body of the target's refusal not read", "id", x.requestHeaders.ID, "error", err)
 	}
 	x.s.deps.Log.Info("target refused the request", "id", x.requestHeaders.ID, "target", sent.choice.Target.ID,
 		"status", sent.answer.Status, "misdirected", sent.answerHeaders.Misdirected)
 	x.endSend(sent, place.ResultFull)
+	return place.ErrFull
 }
 
 // writeAnswer passes a buffered answer on to the caller.
--- /dev/null
+++ b/io/edge/endless_test.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/platform/fakes"
+)
+
+// socketBuffers bounds what the kernel takes of a connection that is not read.
+const socketBuffers = 8 << 20
+
+// TestEndlessAnswers guards against reading an answer of a target without end, and against an outcome other than
+// unknown for a request that was sent to such a target.
+func TestEndlessAnswers(t *testing.T) {
+	t.Parallel()
+	const (
+		head     = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nEngine-Stamp: stamp\r\n"
+		failed   = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: ID\r\n"
+		notFound = "HTTP/1.1 404 Not Found\r\nAttempt-Id: ID\r\n"
+		notRun   = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ID\r\nNot-Run: 1\r\n"
+		length   = "Content-Length: 9999999999\r\n\r\n"
+	)
+	cases := []struct {
+		name     string
+		response fakes.EndlessResponse
+		req      testRequest
+		second   bool // whether the service has a second, healthy target
+		want     string
+		maxRead  int
+	}{
+		{"header of a booking", fakes.EndlessResponse{Start: head + "X: ", Pattern: "x"}, book, true, "unknown", 64 << 10},
+		{"body of a booking", fakes.EndlessResponse{Start: head + length, Pattern: "x"}, book, true, "unknown", maxAnswerSize},
+		{"error of a booking", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, book, true, "unknown", maxErrorSize},
+		{"refusal of a booking", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, book, true, "unknown", maxErrorSize},
+		{"error of a look-up", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, look, true, "whole", maxErrorSize},
+		{"refusal of a look-up", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, look, true, "whole", maxErrorSize},
+		{"error of a chat", fakes.EndlessResponse{Start: notFound + length, Pattern: "x"}, chat, true, "unknown", maxAnswerSize},
+		{"event", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, true, "unknown", maxEventSize},
+		{"repeated event", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, true, "broken", maxErrorSize},
+		{"events without number", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "data: x\n\n"}, chat, true, "broken", maxErrorSize},
+		{"event of a resumable stream", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, true, "whole", maxEventSize},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnv(t)
+			first, service := "desk-1", "desk"
+			if c.req.promptTokens > 0 {
+				first, service = "llm-1", "llm"
+			}
+			env.targets[first].SetEndless(c.response)
+			a := env.doViaFaultyTarget(c.req, first, service, c.second)
+			is.Equal(env.classify(a, c.req), c.want)
+			is.True(env.targets[first].EndlessSent() <= c.maxRead+socketBuffers)
+		})
+	}
+}
+
+// TestEndlessRequests guards against reading a request without end, and against a caller that keeps a request beyond
+// its deadline by not sending the body.
+func TestEndlessRequests(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	const head = "POST /book/1 HTTP/1.1\r\nHost: " + fakes.Host + "\r\nAttempt-Id: a\r\nAuthorization: Token key1\r\n"
+	cases := []struct {
+		name, start, pattern string
+		status               int // 0: the connection is closed without an answer
+		maxRead              int
+	}{
+		{"header", head + "X: ", "x", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
+		{"headers", head, "X: y\r\n", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
+		{"chunked body", head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n",
+			http.StatusRequestEntityTooLarge, 5 << 20},
+		{"chunk line", head + "Transfer-Encoding: chunked\r\n\r\n", "0", http.StatusBadRequest, 5 << 20},
+		{"body that does not come", head + "Deadline-Ms: 50\r\nContent-Length: 10\r\n\r\nx", "", http.StatusRequestTimeout, 1 << 20},
+		{"chunk that does not come", head + "Deadline-Ms: 50\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx", "",
+			http.StatusRequestTimeout, 1 << 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", env.server.CallerAddr())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.SetDeadline(time.Now().Add(waitTimeout)))
+			sent := make(chan int, 1)
+			go func() { sent <- sendEndless(conn, c.start, c.pattern) }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+				is.Equal(resp.StatusCode, c.status)
+			} else {
+				t.Log(fmt.Errorf("the answer was lost when the connection was closed: %w", err))
+				is.True(c.pattern != "")
+			}
+			is.True(<-sent <= c.maxRead+socketBuffers)
+		})
+	}
+}
+
+// sendEndless writes start and then repeats a pattern until the connection is closed. It returns the bytes written.
+func sendEndless(w io.Writer, start, pattern string) int {
+	total, err := io.WriteString(w, start)
+	if pattern == "" {
+		return total
+	}
+	pattern = strings.Repeat(pattern, 1+4096/len(pattern))
+	for err == nil && total < 64<<20 {
+		var n int
+		n, err = io.WriteString(w, pattern)
+		total += n
+	}
+	return total
+}
--- a/io/edge/event.go
+++ b/io/edge/event.go
@@ -9,8 +9,8 @@
 	"sync"
 )
 
-// maxEventSize is the maximum size of one event of a stream in bytes.
-const maxEventSize = 1 << 20
+// maxEventSize is the maximum size of one event of a stream in bytes. An event holds a few tokens.
+const maxEventSize = 256 << 10
 
 // eventBufferSize is the size of the buffer of an eventReader in bytes.
 const eventBufferSize = 2 << 10
@@ -44,9 +44,12 @@
 	return e
 }
 
-// release returns the reader to the pool.
+// release returns the reader to the pool, without a buffer that an unusually large event has made grow.
 func (e *eventReader) release() {
 	e.r.Reset(nil)
+	if cap(e.raw) > eventBufferSize {
+		e.raw = nil
+	}
 	eventReaders.Put(e)
 }
 
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -127,7 +128,14 @@
 	x.versions = x.s.releases.pickVersions(x.service, x.started)
 	x.s.countRequest(x.service)
 	x.deadline = x.started.Add(x.timeout())
-	return x.readBody(limits.MaxBody)
+	// A caller that sends its body slowly or without end must not keep the request beyond its deadline.
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.deadline)
+	refused, ok := x.readBody(limits.MaxBody)
+	if ok {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return refused, ok
 }
 
 // timeout returns the shorter of the timeouts of the route and of the caller.
@@ -164,20 +172,28 @@
 	if x.r.ContentLength > 0 {
 		x.body = make([]byte, x.r.ContentLength)
 		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
-			return refuseUnreadableBody, false
+			return bodyRefusal(err), false
 		}
 		return refusal{}, true
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
+	if err != nil {
+		return bodyRefusal(err), false
+	}
+	x.body = body
+	return refusal{}, true
+}
+
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return refuseBodyTooLarge, false
-	case err != nil:
-		return refuseUnreadableBody, false
+		return refuseBodyTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuseBodyTimeout
 	}
-	x.body = body
-	return refusal{}, true
+	return refuseUnreadableBody
 }
 
 // usesPrepaidTokens reports whether the request consumes prepaid tokens.
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -26,6 +26,7 @@
 	refuseHeadersTooLarge = refusal{http.StatusRequestHeaderFieldsTooLarge, "headers exceed the limit", 0}
 	refuseBodyTooLarge    = refusal{http.StatusRequestEntityTooLarge, "body exceeds the limit", 0}
 	refuseUnreadableBody  = refusal{http.StatusBadRequest, "body cannot be read", 0}
+	refuseBodyTimeout     = refusal{http.StatusRequestTimeout, "the body was not received before the deadline", 0}
 	refuseTokensExhausted = refusal{http.StatusPaymentRequired, "prepaid tokens do not cover the request", 0}
 	refuseTokensHeld      = refusal{http.StatusServiceUnavailable, "prepaid tokens are held by other routers", time.Second}
 	refuseNoTarget        = refusal{http.StatusServiceUnavailable, "no target serves the request", 500 * time.Millisecond}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -57,8 +57,7 @@
 	})
 	if err != nil {
 		if !errors.Is(err, send.ErrNotSent) {
-			x.sends++
-			x.mayHaveRun = true
+			x.recordArrival()
 			x.billable = x.billable || x.ctx.Err() == nil
 		}
 		return nil, err
@@ -68,12 +67,17 @@
 		x.s.targets.ReportLoad(c.Target.ID, answerHeaders.Load, x.s.deps.Clock.Now())
 	}
 	if !answerHeaders.NotRun {
-		x.sends++
-		x.mayHaveRun = true
+		x.recordArrival()
 	}
 	return &sentRequest{choice: c, answer: a, answerHeaders: answerHeaders}, nil
 }
 
+// recordArrival records that a target may have run the request.
+func (x *exchange) recordArrival() {
+	x.sends++
+	x.mayHaveRun = true
+}
+
 // isAnswerToRequest reports whether an answer belongs to this request. Refusals may lack the request ID.
 func (x *exchange) isAnswerToRequest(status int, h http.Header) bool {
 	headers := platform.ReadResponseHeaders(status, h)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -20,6 +20,8 @@
 	lastID       string
 	lastNumber   int64
 	callerFailed bool
+	// events is the number of events that were passed on.
+	events int
 }
 
 // serveStream passes on a stream of events. If the route allows it, an interrupted stream resumes at another target
@@ -67,8 +69,7 @@
 		return false, !errors.Is(err, send.ErrNotSent), nil, err
 	}
 	if sent.answerHeaders.NotRun {
-		x.endRefusedSend(sent)
-		return false, true, nil, place.ErrFull
+		return false, true, nil, x.endRefusedSend(sent)
 	}
 	if sent.answer.Status != http.StatusOK {
 		return stream.relayNonStream(sent)
@@ -91,14 +92,10 @@
 	done, arrived bool, lastAnswer *bufferedAnswer, err error,
 ) {
 	x := stream.x
-	body, err := io.ReadAll(io.LimitReader(sent.answer.Body, maxAnswerSize))
+	a, err := x.readAnswer(sent)
 	if err != nil {
-		sent.answer.Close(0)
-		x.failSend(sent.choice, err)
 		return false, true, nil, err
 	}
-	x.billable = true
-	a := &bufferedAnswer{sent.answer.Status, sent.answer.Header, body}
 	if !retryable(a) && !stream.headWritten {
 		x.endSend(sent, place.ResultOK)
 		x.writeAnswer(a)
@@ -113,6 +110,7 @@
 	x := stream.x
 	r := newEventReader(sent.answer.Body)
 	defer r.release()
+	discarded := 0
 	for {
 		e, err := r.next()
 		if errors.Is(err, io.EOF) {
@@ -127,8 +125,14 @@
 			return err
 		}
 		if !isNew {
+			if discarded += len(e.raw); discarded > maxErrorSize {
+				return errAnswerTooLarge
+			}
 			continue
 		}
+		if stream.events++; x.exceedsMaxOutput(stream.events) {
+			return errAnswerTooLarge
+		}
 		if !stream.headWritten {
 			sent.choice.PrefillDone()
 		}
@@ -202,6 +206,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// exceedsMaxOutput reports whether a stream has more events than an answer to the request can have. Each event of an
+// engine holds at least one token; extraEvents allows for events without output, such as the one that ends a stream.
+func (x *exchange) exceedsMaxOutput(events int) bool {
+	const extraEvents = 64
+	p := x.requestHeaders.Prompt
+	return p != nil && x.route.UsesEngine && ident.Tokens(events) > p.MaxOutput+extraEvents
+}
+
 // countOutput counts the tokens of one delivered event. The service's configuration says how many tokens an event of
 // its engine holds; settleTokens applies the limit of the request.
 func (x *exchange) countOutput() {
