--- a/cmd/checktest/main.go
+++ b/cmd/checktest/main.go
@@ -16,12 +16,15 @@
 // knownFailuresFile lists the accepted failures. It is read from the working directory and may be missing.
 const knownFailuresFile = "KNOWN-RED.txt"
 
-// testEvent is an event of "go test -json". Test is empty for an event of a whole package.
+// testEvent is an event of "go test -json". Test is empty for an event of a whole package. ImportPath names the build of
+// a build event, and FailedBuild the build that failed a package.
 type testEvent struct {
-	Action  string
-	Package string
-	Test    string
-	Output  string
+	Action      string
+	Package     string
+	Test        string
+	Output      string
+	ImportPath  string
+	FailedBuild string
 }
 
 // summary collects the results of a run. Names have the form "package.Test".
@@ -88,6 +91,7 @@
 func readEvents(r io.Reader, known map[string]bool) *summary {
 	result := &summary{output: make(map[string][]string)}
 	hasFailedTest := make(map[string]bool)
+	panicked := make(map[string]bool)
 	dec := json.NewDecoder(r)
 	for {
 		var e testEvent
@@ -95,8 +99,13 @@
 			return result
 		}
 		name := e.Package + "." + e.Test
+		if e.Action == "output" && strings.HasPrefix(e.Output, "panic: ") {
+			panicked[e.Package] = true
+		}
 		switch {
-		case e.Action == "output" || e.Action == "build-output":
+		case e.Action == "build-output":
+			result.output[e.ImportPath] = append(result.output[e.ImportPath], e.Output)
+		case e.Action == "output":
 			result.output[name] = append(result.output[name], e.Output)
 		case e.Action == "pass" && e.Test != "":
 			result.passed++
@@ -104,7 +113,9 @@
 		case e.Action == "fail" && e.Test != "":
 			hasFailedTest[e.Package] = true
 			result.recordFailure(name, known)
-		case e.Action == "fail" && !hasFailedTest[e.Package]:
+		case e.Action == "fail" && (!hasFailedTest[e.Package] || panicked[e.Package]):
+			// A panic ends the process, so that some tests of the package have not run.
+			result.output[name] = append(result.output[name], result.output[e.FailedBuild]...)
 			result.failedPackages = append(result.failedPackages, name)
 		}
 	}
--- a/core/canary/buckets.go
+++ b/core/canary/buckets.go
@@ -7,9 +7,9 @@
 
 const (
 	// LatencyBuckets is the number of latency buckets of each kind.
-	LatencyBuckets = 24
+	LatencyBuckets = 54
 	// firstBound is the upper bound of the lowest bucket. Three buckets double the latency, so the bounds of the
-	// buckets reach from 1 ms to 203 ms.
+	// buckets reach from 1 ms to more than 3 minutes.
 	firstBound         = time.Millisecond
 	bucketsPerDoubling = 3
 )
--- a/core/canary/simulation_test.go
+++ b/core/canary/simulation_test.go
@@ -16,7 +16,9 @@
 type quality struct {
 	Errors float64 `json:"errors"`
 	Median float64 `json:"median_ms"`
-	Sigma  float64 `json:"sigma"`
+	// BetweenTokens is the time between tokens. Zero derives it from the time to first token.
+	BetweenTokens float64 `json:"between_tokens_ms"`
+	Sigma         float64 `json:"sigma"`
 }
 
 // fault changes the answers of versions in a part of the window, optionally in one route or band only.
@@ -190,6 +192,9 @@
 	if !s.Failed {
 		s.FirstToken = time.Duration(q.Median * math.Exp(q.Sigma*sim.rnd.NormFloat64()) * float64(time.Millisecond))
 		s.BetweenTokens = s.FirstToken / 20
+		if q.BetweenTokens > 0 {
+			s.BetweenTokens = time.Duration(q.BetweenTokens * float64(time.Millisecond))
+		}
 	}
 }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -50,7 +50,7 @@
 // HandleCall passes a claim to this router's writer and answers with its outcome.
 func (h peerHandler) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
 	claim, ok := m.(peer.TokenClaim)
-	if !ok || claim.Router != from.ID || claim.Allowances == nil && !claim.Probe {
+	if !ok || claim.Router != from.ID || !claim.Probe && string(claim.VM) != from.ID.Name() || claim.Allowances == nil && !claim.Probe {
 		return nil, peer.Failure{Code: "bad_message"}
 	}
 	outcome, err := h.s.writer.submit(ctx, &claim.Claim)
--- a/io/node/chat.go
+++ b/io/node/chat.go
@@ -63,8 +63,8 @@
 	// and this one only copies its answer.
 	journaled bool
 	joined    bool
-	// earlierOutcome is the outcome of the attempts before the current one, or empty if none can have reached a target.
-	earlierOutcome ident.Outcome
+	// earlier is the outcome of the attempts before the current one.
+	earlier attemptOutcome
 }
 
 // Chat implements caller.Backend.
@@ -115,9 +115,9 @@
 		if err == nil || !c.mayRetry(ctx, err, attempt) {
 			break
 		}
-		c.recordAttemptOutcome(err)
+		c.earlier.record(err)
 	}
-	err = c.withEarlierOutcome(err)
+	err = c.earlier.apply(err)
 	c.settle(err)
 	return err
 }
@@ -137,26 +137,6 @@
 	return errors.As(err, &r) && !c.answerBegun && attempt < maxAttempts && ctx.Err() == nil && c.n.poolQueues.allowRetry(c.n.clock.Now())
 }
 
-// recordAttemptOutcome records the outcome of a failed attempt that may have reached its target.
-func (c *chat) recordAttemptOutcome(err error) {
-	var r *retryableError
-	if !errors.As(err, &r) || r.refusal.Outcome == ident.OutcomeNotRun || c.earlierOutcome == ident.OutcomeRun {
-		return
-	}
-	c.earlierOutcome = r.refusal.Outcome
-}
-
-// withEarlierOutcome replaces the outcome not_run of the last attempt when an earlier one may have reached a target.
-func (c *chat) withEarlierOutcome(err error) error {
-	var refusal *caller.Refusal
-	if c.earlierOutcome == "" || !errors.As(err, &refusal) || refusal.Outcome != ident.OutcomeNotRun {
-		return err
-	}
-	out := *refusal
-	out.Outcome = c.earlierOutcome
-	return &out
-}
-
 // attempt sends the request to one target and copies the answer. If no target of this failure domain can take it,
 // it is offered to other failure domains.
 func (c *chat) attempt(ctx context.Context) error {
--- a/io/node/load_reports_test.go
+++ b/io/node/load_reports_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -147,6 +148,7 @@
 	leaving := slices.Clone(live)
 	leaving[1].State = store.VMLeaving
 	watcher.applyVMList(vmListEvent{vms: leaving}, now)
+	f.putVMs(leaving)                          // the control loop polls the list too, at any time from its start on
 	is.Equal(len(watcher.vmList.changedAt), 1) // only the change is pushed
 
 	other.vmList.receive(peer.VMs{Rows: []peer.VMRow{{Name: "vm-e1", Domain: "a", State: "leaving"}}}, now)
@@ -169,6 +171,26 @@
 	is.Equal(answer, peer.VMs{Hash: full.Hash}) // nothing to send
 }
 
+// putVMs stores a VM list at the platform.
+func (f *fixture) putVMs(vms []store.VM) {
+	f.t.Helper()
+	for _, vm := range vms {
+		body := fmt.Sprintf(`{"name":%q,"domain":%q,"state":%q}`, vm.Name, vm.Domain, vm.State)
+		r, err := http.NewRequest(http.MethodPut, f.platformURL+"/v1/vms/"+string(vm.Name), strings.NewReader(body))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode >= http.StatusBadRequest {
+			f.t.Fatalf("put of VM %s: status %d", vm.Name, resp.StatusCode)
+		}
+	}
+}
+
 // TestPoolTotals guards against a failure domain that counts as having free slots although its totals report none, and
 // against one that counts as fresh without a report.
 func TestPoolTotals(t *testing.T) {
--- a/io/node/orders_test.go
+++ b/io/node/orders_test.go
@@ -232,8 +232,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t)
+			var cfg fakeengine.Config
+			if tc.loaded {
+				// The router also learns this by polling the engines, at any time from the start of its control loop on.
+				cfg.Versions = []string{"v1", "v2"}
+			}
 			for i := range 2 {
-				f.engine(fmt.Sprint("e", i), "a", fakeengine.Config{}, "v1", "v2")
+				f.engine(fmt.Sprint("e", i), "a", cfg, "v1", "v2")
 			}
 			n := f.router("r", "a", "--weight-bytes-per-second", fmt.Sprint(tc.rate))
 			if tc.loaded {
--- a/io/node/service.go
+++ b/io/node/service.go
@@ -75,9 +75,12 @@
 func (n *Node) callIdempotent(ctx context.Context, r caller.ServiceRequest, route object.ServiceRoute) (caller.ServiceAnswer, error) {
 	n.poolQueues.recordAttempt()
 	var tried []ident.TargetID
+	var earlier attemptOutcome
 	for attempt := 1; ; attempt++ {
 		c := &serviceCall{n: n, r: r, route: route, triedTargets: tried}
 		ans, err := c.run(ctx)
+		earlier.record(err)
+		err = earlier.apply(err)
 		var retryErr *retryableError
 		if err == nil || !errors.As(err, &retryErr) || attempt >= maxAttempts || ctx.Err() != nil || !n.poolQueues.allowRetry(n.clock.Now()) {
 			return ans, err
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -195,8 +195,9 @@
 	// version; it is always zero, because Latency holds the distribution.
 	Timed uint64 `cbor:"7,keyasint,omitempty"`
 	Slow  uint64 `cbor:"8,keyasint,omitempty"`
-	// Latency holds the cumulative latency histograms of canary.Cell, if the sender has them.
-	Latency []uint64 `cbor:"9,keyasint,omitempty"`
+	// Latency holds the cumulative latency histograms of canary.Cell, if the sender has them. Key 9 was that of histograms
+	// with fewer buckets, which must not be merged with these.
+	Latency []uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Evidence carries the canary counters of one failure domain.
