Hold prepaid tokens at few holders of each organisation in large fleets

Cause: each router of a large fleet held a share of each organisation's tokens that is smaller than a long prompt. While the store was out of reach requests were refused as "held by other routers" although most tokens were granted to nobody. Routers that hold nothing make no claims, and a new large fleet has one ledger.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -73,10 +73,15 @@
 	return append(leaders, rest...)
 }
 
+// Avoided reports whether a member is in backoff.
+func (s *Selector) Avoided(vm ident.VMID, now time.Time) bool {
+	return now.Before(s.failures[vm].until)
+}
+
 // Pick returns the first member that is not in backoff, and false if all are.
 func (s *Selector) Pick(now time.Time) (Member, bool) {
 	for _, m := range s.members {
-		if !now.Before(s.failures[m.VM].until) {
+		if !s.Avoided(m.VM, now) {
 			return m, true
 		}
 	}
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -44,12 +44,13 @@
 
 // HoldResult is the result of a request for tokens.
 type HoldResult struct {
-	Verdict Verdict
+	Verdict Verdict `cbor:"1,keyasint,omitempty"`
 	// Granted reports that the tokens are granted and that only the allowance is too small. NextWriteMayCover reports
 	// that, as far as is known, the next write of the ledger can grant them. GrowthDelay is the time after which they
 	// can be spent while the store stays unreachable, or zero if growth never covers them.
-	Granted, NextWriteMayCover bool
-	GrowthDelay                time.Duration
+	Granted           bool          `cbor:"2,keyasint,omitempty"`
+	NextWriteMayCover bool          `cbor:"3,keyasint,omitempty"`
+	GrowthDelay       time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // account holds what this router knows and may spend of one organisation's tokens.
@@ -83,6 +84,8 @@
 	newDemand   ident.Tokens
 	rate        float64
 	requestSize float64
+	// holders is the number of routers that hold the organisation's tokens, zero if all do, or notHolder.
+	holders int
 	// want adds up the tokens of the requests that were not served since the last write of the allowances. It is reset
 	// then, because waiting requests ask again after each write.
 	want ident.Tokens
@@ -167,10 +170,26 @@
 	return acc
 }
 
-// Hold reserves n tokens if this router may spend them at the uptime now.
+// Hold reserves n tokens if this router may spend them at the uptime now. Otherwise it reports the request as waiting in
+// the next write.
 func (a *Accounts) Hold(org ident.OrgID, n ident.Tokens, now time.Duration) HoldResult {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	result := a.tryHold(org, n, now)
+	if result.Verdict == Insufficient && !a.stopped {
+		a.accountFor(org).want += n
+	}
+	return result
+}
+
+// TryHold reserves n tokens if this router may spend them at the uptime now.
+func (a *Accounts) TryHold(org ident.OrgID, n ident.Tokens, now time.Duration) HoldResult {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tryHold(org, n, now)
+}
+
+func (a *Accounts) tryHold(org ident.OrgID, n ident.Tokens, now time.Duration) HoldResult {
 	acc := a.accountFor(org)
 	acc.recordRequestSize(n)
 	used := acc.spent + acc.held
@@ -184,7 +203,6 @@
 	case acc.spent+acc.spentByOthers+n > acc.total:
 		return HoldResult{Verdict: Exhausted}
 	}
-	acc.want += n
 	return HoldResult{
 		Verdict:           Insufficient,
 		Granted:           used+n <= acc.granted,
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -42,6 +42,9 @@
 	// Rate is the demand in tokens per second, and Size the average request in tokens.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
 	Size float64 `cbor:"6,keyasint,omitempty"`
+	// Holders is the number of routers that hold the organisation's tokens, zero if all do, or negative if the claimant
+	// isn't one of them.
+	Holders int `cbor:"7,keyasint,omitempty"`
 }
 
 // Outcome answers a claim with what was confirmed. The row of an organisation that is missing from Grants may be the
@@ -120,7 +123,7 @@
 		if acc.needsReport() {
 			acc.granted = acc.floor()
 			c.Needs[id] = Need{Floor: acc.granted, Used: acc.spent + acc.held, Spent: acc.spent, Want: acc.want,
-				Rate: acc.rate, Size: acc.requestSize}
+				Rate: acc.rate, Size: acc.requestSize, Holders: acc.holders}
 		}
 		wanted := a.wantedAllowance(acc)
 		bound := wanted.clamp(acc.granted, acc.spent+acc.held)
@@ -140,6 +143,9 @@
 
 // needsReport reports whether the next claim has to include the organisation.
 func (acc *account) needsReport() bool {
+	if acc.unused() {
+		return false
+	}
 	rate := float64(acc.row.Rate)
 	return !acc.rowKnown || acc.want > 0 || acc.spent != acc.row.Spent || acc.entitlement < acc.granted ||
 		math.Abs(acc.rate-rate) > rateChange*max(acc.rate, rate)
@@ -254,6 +260,9 @@
 			oldRow := next.Rows[id]
 			grants[id] = a.grant(d, id, c.Router, n, oldRow)
 			next.Rows[id] = grants[id].Row
+			if grants[id].Row == (Row{}) {
+				delete(next.Rows, id)
+			}
 			d.replaceRow(c.Router, id, oldRow, grants[id].Row)
 			l.Holders[c.Router] = next
 		}
@@ -264,7 +273,7 @@
 // grant returns a claimant's grant of one organisation. It never takes back tokens that the claimant may be spending.
 func (a *Accounts) grant(d *Division, id ident.OrgID, holder ident.RouterID, n Need, oldRow Row) Grant {
 	total := a.orgs[id].total
-	row, demand := a.planRow(d, id, holder, holderNeed{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size}, oldRow)
+	row, demand := a.planRow(d, id, holder, holderNeed{total: total, used: n.Used, spent: n.Spent, want: n.Want, rate: n.Rate, size: n.Size, holders: n.Holders}, oldRow)
 	target := row.Granted
 	row.Granted = max(row.Granted, min(n.Floor, oldRow.Granted))
 	return Grant{
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -281,7 +281,7 @@
 func (a *Accounts) wantedAllowance(acc *account) Allowance {
 	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize)))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
-	idle := float64(a.idleGrant(acc.total)) / idleGrowthTime.Seconds()
+	idle := float64(a.idleGrant(acc.total, acc.holders)) / idleGrowthTime.Seconds()
 	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle)
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
@@ -313,10 +313,13 @@
 	total, used, spent, want ident.Tokens
 	// rate is the demand in tokens per second, and size the average request.
 	rate, size float64
+	// holders is as in account.
+	holders int
 }
 
 func (acc *account) need() holderNeed {
-	return holderNeed{total: acc.total, used: acc.spent + acc.held, spent: acc.spent, want: acc.want, rate: acc.rate, size: acc.requestSize}
+	return holderNeed{total: acc.total, used: acc.spent + acc.held, spent: acc.spent, want: acc.want, rate: acc.rate, size: acc.requestSize,
+		holders: acc.holders}
 }
 
 // planRow returns the next row of a holder for an organisation and the demand of all routers in tokens per second. The
@@ -326,7 +329,7 @@
 	unallotted := n.total - d.sumsFor(id).granted
 	remaining := max(n.total-d.sumsFor(id).spent, 0)
 	share, othersWant, demand := d.share(id, holder, n, oldRow, remaining)
-	granted := used + n.want + max(tokensFor(n.rate, a.cfg.GrantHorizon), a.minGrant(n.size, remaining), a.idleGrant(n.total))
+	granted := used + n.want + max(tokensFor(n.rate, a.cfg.GrantHorizon), a.minGrant(n, remaining), a.idleGrant(n.total, n.holders))
 	// While much is unallotted, a grant may exceed the holder's share.
 	surplus := oldRow.Granted + ident.Tokens(float64(unallotted)-scarceShare*float64(remaining))/surplusSteps
 	neededGrant := used + n.want
@@ -349,16 +352,19 @@
 // minGrant returns what a router is granted for an organisation without steady demand: the tokens of
 // minGrantedRequests average requests. All routers together take at most scarceShare of the remaining tokens for this,
 // except that each may take one average request.
-func (a *Accounts) minGrant(size float64, remaining ident.Tokens) ident.Tokens {
-	part := scarceShare * float64(remaining) / float64(a.routerCount())
-	return ident.Tokens(max(min(minGrantedRequests*size, part), size))
+func (a *Accounts) minGrant(n holderNeed, remaining ident.Tokens) ident.Tokens {
+	part := scarceShare * float64(remaining) / float64(a.holderCount(n.holders))
+	return ident.Tokens(max(min(minGrantedRequests*n.size, part), n.size))
 }
 
-// idleGrant returns what a router is granted of a total without demand. The routers of a large fleet together get less,
-// because the few requests that each grant serves are not worth what routers with demand lose.
-func (a *Accounts) idleGrant(total ident.Tokens) ident.Tokens {
-	part := a.cfg.IdleShare * min(fullIdleRouters/float64(a.routerCount()), 1)
-	return ident.Tokens(float64(total) * part / float64(a.routerCount()))
+// idleGrant returns what a router is granted of a total without demand. Many routers together get less, because the few
+// requests that each grant serves are not worth what routers with demand lose.
+func (a *Accounts) idleGrant(total ident.Tokens, holders int) ident.Tokens {
+	if holders == notHolder {
+		return 0
+	}
+	n := float64(a.holderCount(holders))
+	return ident.Tokens(float64(total) * a.cfg.IdleShare * min(fullIdleRouters/n, 1) / n)
 }
 
 // tokensFor returns the tokens that a demand of rate tokens per second uses in d.
@@ -376,6 +382,9 @@
 	others, rate, othersWant := d.others(holder, id, oldRow)
 	demand = rate + n.rate
 	part := equalShare / float64(others+1)
+	if n.holders > 0 {
+		part = equalShare / float64(n.holders)
+	}
 	if demand > 0 {
 		part += (1 - equalShare) * n.rate / demand
 	}
--- a/core/quota/shard.go
+++ b/core/quota/shard.go
@@ -13,6 +13,9 @@
 	// newFleetShards is the number of ledgers of a new fleet. There are several, so that the writes of one ledger do not
 	// delay those of the others. There are few, so that each write shows a router much of the state of the others.
 	newFleetShards = 4
+	// largeFleetShards is the number of ledgers of a new fleet whose routers write through one of them. Its writes do not
+	// conflict, and each of them is one call of the store.
+	largeFleetShards = 1
 	// maxShards bounds the number of shards in a stored layout.
 	maxShards = 4096
 )
@@ -27,11 +30,16 @@
 	Shards int `json:"shards"`
 }
 
-// NewLayout returns the layout of a new fleet.
+// NewLayout returns the layout of a new fleet whose routers write by themselves.
 func NewLayout() Layout {
 	return Layout{Format: Format, Shards: newFleetShards}
 }
 
+// NewLargeLayout returns the layout of a new fleet whose routers write through one of them.
+func NewLargeLayout() Layout {
+	return Layout{Format: Format, Shards: largeFleetShards}
+}
+
 // DecodeLayout decodes a stored layout.
 func DecodeLayout(b []byte) (Layout, error) {
 	var l Layout
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -58,6 +58,7 @@
 	s.claims = &claimSender{
 		s: s, ledgers: lc, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
+	s.startLending(fleet.members)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -132,7 +133,7 @@
 	}
 	for {
 		left := claimCheckInterval
-		if cs.s.table.Load() != nil {
+		if cs.s.table.Load() != nil && !cs.s.accounts.Unused() {
 			left = claimIntervals[cs.s.accounts.ClaimUrgency()] - cs.s.deps.Clock.Since(cs.sentAt)
 		}
 		if left <= 0 {
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -13,6 +13,9 @@
 	}
 	for _, o := range cfg.Orgs {
 		if o.Metered {
+			if l := s.lending.Load(); l != nil {
+				l.holdersOf(o.ID)
+			}
 			s.accounts.SetTotal(o.ID, o.Prepaid)
 		}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -86,6 +86,8 @@
 	peerTransport *peer.Transport
 	claims        *claimSender
 	writer        *claimWriter
+	// lending is set once a large fleet spends tokens through the holders of each organisation.
+	lending       atomic.Pointer[lending]
 	tokensChanged *broadcast
 	// watchRestart makes all watches list their objects again.
 	watchRestart *broadcast
@@ -182,6 +184,10 @@
 	s.shutdown(server)
 	stopTasks()
 	tasks.Wait()
+	if l := s.lending.Load(); l != nil {
+		l.waitSettled()
+		l.close()
+	}
 	s.returnTokens()
 	if s.peerTransport != nil {
 		_ = s.peerTransport.Close()
@@ -276,6 +282,9 @@
 		}
 		s.checkLink()
 		s.pool.Sweep()
+		if l := s.lending.Load(); l != nil {
+			l.expire()
+		}
 		s.targets.Expire(s.deps.Clock.Now())
 		if t := s.table.Load(); t != nil {
 			s.idleConns.closeExpired(s.deps.Clock.Now(), t.Limits().IdleTimeout)
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"time"
 
+	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
-	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/platform"
 )
@@ -20,14 +20,6 @@
 const (
 	// defaultTimeout is the timeout of a request for which neither the route nor the caller sets one.
 	defaultTimeout = 30 * time.Second
-	// maxTokenWait limits the wait for tokens from the ledger. A write takes a few milliseconds.
-	maxTokenWait = 400 * time.Millisecond
-	// minTokenRetryAfter and maxTokenRetryAfter limit the Retry-After of a refusal for lack of tokens.
-	minTokenRetryAfter = 200 * time.Millisecond
-	maxTokenRetryAfter = 3 * time.Second
-	// tokenWaitDivisor limits the wait for tokens to a fraction of the remaining time of the request:
-	// 1/tokenWaitDivisor.
-	tokenWaitDivisor = 4
 	// writeMargin is the time after the deadline of a request within which its answer may still be written.
 	writeMargin = 200 * time.Millisecond
 )
@@ -55,6 +47,9 @@
 	// caller.
 	heldTokens   ident.Tokens
 	outputTokens ident.Tokens
+	// lender is the router that holds the tokens for this one, or nil. holdTTL is the time after which they count as used.
+	lender  *elect.Member
+	holdTTL time.Duration
 	// mayHaveRun says that a target may have run the request. billable says that a target may have produced a token: a
 	// part of an answer arrived, or the connection failed while the caller was still waiting.
 	mayHaveRun, billable bool
@@ -196,102 +191,6 @@
 	return refuseUnreadableBody
 }
 
-// usesPrepaidTokens reports whether the request consumes prepaid tokens.
-func (x *exchange) usesPrepaidTokens() bool {
-	return x.org != nil && x.org.Metered && x.requestHeaders.Prompt != nil && x.route.UsesEngine
-}
-
-// holdTokens reserves the maximum number of tokens that the request can consume. If they are not available, it waits as
-// tokenWait determines.
-func (x *exchange) holdTokens() (refusal, bool) {
-	if !x.usesPrepaidTokens() {
-		return refusal{}, true
-	}
-	need := x.requestHeaders.Prompt.MaxTokens()
-	start := x.s.deps.Clock.Now()
-	waitUntil := start.Add(min(maxTokenWait, x.deadline.Sub(start)/tokenWaitDivisor))
-	for {
-		changed := x.s.tokensChanged.channel()
-		result := x.s.accounts.Hold(x.org.ID, need, x.s.deps.VMClock.Now().Uptime)
-		switch result.Verdict {
-		case quota.Held:
-			x.heldTokens = need
-			x.tokenWaitTime = x.s.deps.Clock.Since(start)
-			return refusal{}, true
-		case quota.Exhausted:
-			x.logTokenShortage(need, result)
-			return refuseTokensExhausted, false
-		}
-		if result.Granted {
-			trigger(x.s.allowancesNow)
-		} else {
-			trigger(x.s.grantsNow)
-		}
-		wait, ok := x.tokenWait(result, waitUntil)
-		if !ok {
-			x.logTokenShortage(need, result)
-			return x.tokenShortage(result), false
-		}
-		select {
-		case <-changed:
-		case <-x.ctx.Done():
-			return refuseDeadlinePassed, false
-		case <-x.s.deps.Clock.After(wait):
-		}
-	}
-}
-
-// tokenWait returns how long a request that lacks tokens waits before it tries again, or false if it is refused
-// immediately. While the store is unreachable, tokens become available only as time passes. Tokens that other routers
-// hold are not worth waiting for, because it takes several writes of those routers to return them.
-func (x *exchange) tokenWait(result quota.HoldResult, waitUntil time.Time) (time.Duration, bool) {
-	remaining := waitUntil.Sub(x.s.deps.Clock.Now())
-	if !x.s.storeMonitor.isUnreachable() {
-		return remaining, remaining > 0 && (result.NextWriteMayCover || result.Granted)
-	}
-	return result.GrowthDelay, result.GrowthDelay > 0 && result.GrowthDelay <= remaining
-}
-
-// tokenShortage returns the refusal of a request that lacks tokens, with the time after which tokens are expected. If
-// they depend on the store becoming reachable again, it is the longest Retry-After.
-func (x *exchange) tokenShortage(result quota.HoldResult) refusal {
-	refused := refuseTokensHeld
-	switch {
-	case result.GrowthDelay > 0:
-		refused.retryAfter = min(max(result.GrowthDelay, minTokenRetryAfter), maxTokenRetryAfter)
-	case x.s.storeMonitor.isUnreachable():
-		refused.retryAfter = maxTokenRetryAfter
-	}
-	return refused
-}
-
-// logTokenShortage logs the state on which a refusal for lack of tokens is based.
-func (x *exchange) logTokenShortage(need ident.Tokens, result quota.HoldResult) {
-	balance := x.s.accounts.Balance(x.org.ID)
-	x.s.deps.Log.Info("request refused for lack of prepaid tokens", "id", x.requestHeaders.ID, "organisation", x.org.ID,
-		"need", need, "verdict", result.Verdict, "near", result.NextWriteMayCover,
-		"grows_ms", result.GrowthDelay.Milliseconds(),
-		"total", balance.Total, "spent", balance.Spent, "held", balance.Held, "granted", balance.Granted,
-		"limit", balance.Limit, "growth", balance.Growth, "elsewhere", balance.SpentByOthers, "free", balance.Unallotted,
-		"allowance_age_ms", x.s.accounts.Age(x.s.deps.VMClock.Now().Uptime).Milliseconds(),
-		"store_away", x.s.storeMonitor.isUnreachable())
-}
-
-// settleTokens bills the used tokens and releases the rest of the reservation. The used tokens are the prompt and the
-// delivered output, up to the maximum output that the request declares. A request whose context ended before the first
-// event is not billed: an engine starts to run a request with its first token.
-func (x *exchange) settleTokens() {
-	if x.heldTokens == 0 {
-		return
-	}
-	var used ident.Tokens
-	if x.billable {
-		used = x.requestHeaders.Prompt.Input + min(x.outputTokens, x.requestHeaders.Prompt.MaxOutput)
-	}
-	x.s.accounts.Settle(x.org.ID, x.heldTokens, used)
-	x.s.deps.Metrics.countBilledTokens(x.org.ID, used)
-}
-
 // finish settles the reserved tokens, and records and logs the outcome of the request.
 func (x *exchange) finish() {
 	x.settleTokens()
@@ -312,7 +211,7 @@
 	x.s.deps.Log.Info("request", "id", x.requestHeaders.ID, "route", routeName, "config", version, "organisation", org,
 		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner,
 		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "tokens_held", x.heldTokens,
-		"input", x.inputTokens(), "output", x.outputTokens, "token_wait_ms", x.tokenWaitTime.Milliseconds(),
+		"input", x.inputTokens(), "output", x.outputTokens, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(),
 		"first_ms", x.timeToFirstByte.Milliseconds(), "total_ms", total.Milliseconds())
 }
 
--- a/io/edge/join.go
+++ b/io/edge/join.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return fleetInfo{}, err
 	}
-	setup, err := lc.loadOrCreateSetup(ctx)
+	setup, err := lc.loadOrCreateSetup(ctx, len(members))
 	return fleetInfo{members, setup}, err
 }
 
@@ -147,14 +147,14 @@
 }
 
 // loadOrCreateSetup returns the stored setup of the fleet, or stores a new one if there is none.
-func (lc *ledgerClient) loadOrCreateSetup(ctx context.Context) (fleetSetup, error) {
+func (lc *ledgerClient) loadOrCreateSetup(ctx context.Context, routers int) (fleetSetup, error) {
 	if !lc.s.cfg.FirstStart {
 		o, err := lc.s.deps.Store.Get(ctx, setupKey)
 		if !errors.Is(err, store.ErrAbsent) {
 			return decodeSetup(o, err)
 		}
 	}
-	value, err := lc.newSetup()
+	value, err := lc.newSetup(routers)
 	if err != nil {
 		return fleetSetup{}, err
 	}
@@ -166,12 +166,16 @@
 }
 
 // newSetup encodes a new setup with a new certificate authority.
-func (lc *ledgerClient) newSetup() ([]byte, error) {
+func (lc *ledgerClient) newSetup(routers int) ([]byte, error) {
 	ca, err := peer.NewAuthority("edge", time.UnixMilli(lc.s.deps.VMClock.Now().Wall), authorityValidity)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	value, err := json.Marshal(fleetSetup{quota.NewLayout(), authority{string(ca.Cert), string(ca.Key)}})
+	layout := quota.NewLayout()
+	if routers > lc.s.deps.DirectFleet {
+		layout = quota.NewLargeLayout()
+	}
+	value, err := json.Marshal(fleetSetup{layout, authority{string(ca.Cert), string(ca.Key)}})
 	return value, trace.Wrap(err)
 }
 
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -22,6 +22,7 @@
 	sends           *prometheus.CounterVec
 	billedTokens    *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
+	holds           *prometheus.CounterVec
 }
 
 const (
@@ -42,8 +43,9 @@
 		sends:           counter("sends_total", "Sends to targets by service and result.", "service", "result"),
 		billedTokens:    counter("billed_tokens_total", "Tokens billed by organisation.", "organisation"),
 		storeCalls:      counter("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
+		holds:           counter("hold_calls_total", "Calls to holders of prepaid tokens by kind and result.", "call", "result"),
 	}
-	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls)
+	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds)
 	return m
 }
 
@@ -91,3 +93,12 @@
 	}
 	m.storeCalls.WithLabelValues(call, result).Inc()
 }
+
+// countHold counts a call to a holder of prepaid tokens by its result.
+func (m *Metrics) countHold(call string, err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.holds.WithLabelValues(call, result).Inc()
+}
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -47,10 +47,30 @@
 // HandleMessage ignores one-way messages, which the routers of this package do not send.
 func (peerHandler) HandleMessage(peer.Sender, peer.Message) {}
 
-// HandleCall passes a claim to this router's writer and answers with its outcome.
+// HandleCall passes a claim to this router's writer, and serves the holds of other routers.
 func (h peerHandler) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
-	claim, ok := m.(peer.TokenClaim)
-	if !ok || claim.Router != from.ID || !claim.Probe && string(claim.VM) != from.ID.Name() || claim.Allowances == nil && !claim.Probe {
+	lending := h.s.lending.Load()
+	switch m := m.(type) {
+	case peer.TokenClaim:
+		return h.handleClaim(ctx, from, m)
+	case peer.TokenHold:
+		if lending == nil {
+			return nil, peer.Failure{Code: codeRefused, Message: "this router has not joined the fleet yet"}
+		}
+		return lending.serveHold(ctx, from.ID, m)
+	case peer.TokenSettle:
+		if lending != nil {
+			lending.serveSettle(from.ID, m)
+		}
+		return peer.Done{}, nil
+	}
+	return nil, peer.Failure{Code: "bad_message"}
+}
+
+// handleClaim passes a claim to this router's writer and answers with its outcome.
+func (h peerHandler) handleClaim(ctx context.Context, from peer.Sender, claim peer.TokenClaim) (peer.Message, error) {
+	wrongVM := !claim.Probe && string(claim.VM) != from.ID.Name()
+	if claim.Router != from.ID || wrongVM || claim.Allowances == nil && !claim.Probe {
 		return nil, peer.Failure{Code: "bad_message"}
 	}
 	outcome, err := h.s.writer.submit(ctx, &claim.Claim)
--- a/io/edge/tokenwait_test.go
+++ b/io/edge/tokenwait_test.go
@@ -41,8 +41,8 @@
 			is := is.New(t)
 			monitor := newStoreMonitor(nil, nil, nil)
 			monitor.unreachable = c.unreachable
-			x := &exchange{s: &Server{deps: Deps{Clock: clockwork.NewFakeClockAt(now)}, storeMonitor: monitor}}
-			wait, ok := x.tokenWait(c.answer, now.Add(left))
+			s := &Server{deps: Deps{Clock: clockwork.NewFakeClockAt(now)}, storeMonitor: monitor}
+			wait, ok := s.tokenWait(c.answer, now.Add(left))
 			is.Equal(ok, c.ok)
 			is.Equal(wait, c.want)
 		})
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -287,6 +287,33 @@
 // TokenOutcome answers TokenClaim with what was written.
 type TokenOutcome struct{ quota.Outcome }
 
+// TokenHold asks a holder of an organisation's prepaid tokens to hold the tokens of one request of the sender. It is a
+// call; TokenHeld answers it. The tokens count as used in full when no TokenSettle arrives within TTL.
+type TokenHold struct {
+	Request ident.RequestID `cbor:"1,keyasint"`
+	Org     ident.OrgID     `cbor:"2,keyasint"`
+	Tokens  ident.Tokens    `cbor:"3,keyasint"`
+	TTL     time.Duration   `cbor:"4,keyasint"`
+	// Wait is how long the holder may wait for tokens before it answers. If it is zero, a lack of tokens is not reported
+	// as demand.
+	Wait time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// TokenHeld answers TokenHold.
+type TokenHeld struct {
+	Result quota.HoldResult `cbor:"1,keyasint"`
+	// Total is what the organisation has paid for as the holder knows it.
+	Total ident.Tokens `cbor:"2,keyasint,omitempty"`
+	// StoreUnreachable says that the holder cannot reach the store.
+	StoreUnreachable bool `cbor:"3,keyasint,omitempty"`
+}
+
+// TokenSettle ends the hold of a request, also one that has not arrived yet. It is a call; Done answers it.
+type TokenSettle struct {
+	Request ident.RequestID `cbor:"1,keyasint"`
+	Used    ident.Tokens    `cbor:"2,keyasint,omitempty"`
+}
+
 // Done answers a call that has no other reply.
 type Done struct{}
 
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -37,6 +37,9 @@
 	TypeVMs
 	TypeTokenClaim
 	TypeTokenOutcome
+	TypeTokenHold
+	TypeTokenHeld
+	TypeTokenSettle
 	typeEnd
 )
 
@@ -87,6 +90,9 @@
 	TypeVMs:           {"vms", priorityHigh, func(b []byte) (Message, error) { var m VMs; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeTokenClaim:    {"token_claim", priorityHigh, func(b []byte) (Message, error) { var m TokenClaim; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeTokenOutcome:  {"token_outcome", priorityHigh, func(b []byte) (Message, error) { var m TokenOutcome; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeTokenHold:     {"token_hold", priorityHigh, func(b []byte) (Message, error) { var m TokenHold; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeTokenHeld:     {"token_held", priorityHigh, func(b []byte) (Message, error) { var m TokenHeld; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeTokenSettle:   {"token_settle", priorityHigh, func(b []byte) (Message, error) { var m TokenSettle; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -196,6 +202,15 @@
 // Type implements Message.
 func (TokenOutcome) Type() Type { return TypeTokenOutcome }
 
+// Type implements Message.
+func (TokenHold) Type() Type { return TypeTokenHold }
+
+// Type implements Message.
+func (TokenHeld) Type() Type { return TypeTokenHeld }
+
+// Type implements Message.
+func (TokenSettle) Type() Type { return TypeTokenSettle }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -228,3 +243,6 @@
 func (VMs) message()           {}
 func (TokenClaim) message()    {}
 func (TokenOutcome) message()  {}
+func (TokenHold) message()     {}
+func (TokenHeld) message()     {}
+func (TokenSettle) message()   {}
