Make large fleets call the store less often

Cause: after each outage every router listed all objects again, all watches of a large fleet were short, and claims that nobody waits for reached the writer at all times, one write each. Change: a watch without an answer is repeated from its version, and lists only when the history is gone. Watches of targets and releases of a large fleet last 25 s, its changes of targets are collected for 0.9 s, and claims that nobody waits for are made at common times.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -134,7 +134,7 @@
 	for {
 		left := claimCheckInterval
 		if cs.s.table.Load() != nil && !cs.s.accounts.Unused() {
-			left = claimIntervals[cs.s.accounts.ClaimUrgency()] - cs.s.deps.Clock.Since(cs.sentAt)
+			left = untilClaim(cs.s.accounts.ClaimUrgency(), cs.sentAt, cs.s.deps.Clock.Now())
 		}
 		if left <= 0 {
 			return true
@@ -149,6 +149,19 @@
 	}
 }
 
+// untilClaim returns the time until the next claim is due. All routers make the claims that no request waits for at the
+// same times of day, so that a writer collects many of them for one write.
+func untilClaim(urgency quota.Urgency, sentAt, now time.Time) time.Duration {
+	interval := claimIntervals[urgency]
+	if urgency >= quota.TokensLow {
+		return interval - now.Sub(sentAt)
+	}
+	if slot := now.Truncate(interval); sentAt.Before(slot) {
+		return 0
+	}
+	return now.Truncate(interval).Add(interval).Sub(now)
+}
+
 // runRound offers a claim to the writers in turn, and writes directly when none has served for some rounds.
 func (cs *claimSender) runRound(ctx context.Context) error {
 	cs.checkStore(ctx)
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -24,22 +24,26 @@
 
 // defaultWatchTimeouts suits a store with a latency of a few milliseconds. If the store compacts its history, a watch
 // may get no answer. A change of the configuration has to be known within 2 s, so the watch of the configuration is
-// short, and its failure restarts the other watches.
+// short, and its failure restarts the other watches. largeWatchTimeouts are for a large fleet, whose calls cost more.
 var defaultWatchTimeouts = WatchTimeouts{
 	platform.KindConfig:  2 * time.Second,
 	platform.KindTarget:  4 * time.Second,
 	platform.KindRelease: 10 * time.Second,
 }
 
+var largeWatchTimeouts = WatchTimeouts{
+	platform.KindConfig:  5 * time.Second,
+	platform.KindTarget:  25 * time.Second,
+	platform.KindRelease: 25 * time.Second,
+}
+
 const (
 	// coalesceDelay is the pause after the answer to a watch, so that one call returns many changes. It adds to the
 	// time until a change is known. coalesceDelayLarge is the pause in a large fleet, whose calls cost more.
 	coalesceDelay      = 200 * time.Millisecond
-	coalesceDelayLarge = 600 * time.Millisecond
+	coalesceDelayLarge = 900 * time.Millisecond
 	// recoveryWatchTimeout is the maximum timeout of the first watch after a failure.
 	recoveryWatchTimeout = 50 * time.Millisecond
-	// largeFleetFactor is the factor by which a large fleet extends the timeouts of watches.
-	largeFleetFactor = 2.5
 )
 
 // errWatchRestarted means that a watch was canceled because another one has failed.
@@ -95,7 +99,7 @@
 		return min(recoveryWatchTimeout, s.watchTimeouts[kind])
 	}
 	if s.isLargeFleet() {
-		return time.Duration(float64(s.watchTimeouts[kind]) * largeFleetFactor)
+		return largeWatchTimeouts[kind]
 	}
 	return s.watchTimeouts[kind]
 }
@@ -143,14 +147,15 @@
 	ev, err := s.deps.Store.Poll(ctx, kind, from, wait)
 	switch {
 	case errors.Is(context.Cause(ctx), errWatchRestarted):
-		return 0, errWatchRestarted
+		return from, errWatchRestarted
 	case errors.Is(err, store.ErrCompacted):
 		s.deps.Log.Info("history of changes was compacted; listing the objects again", "kind", kind, "from", from)
 		s.watchRestart.wakeAll()
 		return 0, nil
 	case errors.Is(err, context.DeadlineExceeded):
+		// The next watch tells whether the store was unreachable or has compacted its history.
 		s.watchRestart.wakeAll()
-		return 0, err
+		return from, err
 	case err != nil:
 		return from, err
 	}
