Claim top-ups at once, and let callers that lack tokens return later

Cause: a holder claimed a top-up only when a request lacked tokens, so that a store lost meanwhile kept it from being spent; and a request that no holder expects tokens for was asked back after 1 s, only to be refused again.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -84,6 +84,8 @@
 	newDemand   ident.Tokens
 	rate        float64
 	requestSize float64
+	// claimedTotal is the total when tokens were last granted in answer to a claim.
+	claimedTotal ident.Tokens
 	// holders is the number of routers that hold the organisation's tokens, zero if all do, or notHolder.
 	holders int
 	// want adds up the tokens of the requests that were not served since the last write of the allowances. It is reset
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -92,7 +92,8 @@
 	switch {
 	case acc.want > 0:
 		return TokensLacking
-	case acc.floor() < acc.granted, // other routers wait for the difference
+	case acc.toppedUp(),
+		acc.floor() < acc.granted, // other routers wait for the difference
 		acc.allowance.Limit-used < spare && acc.allowance.Limit < acc.granted,
 		acc.unallotted > 0 && acc.granted-used < tokensFor(acc.rate, a.cfg.LowHorizon)/2:
 		return TokensLow
@@ -147,10 +148,16 @@
 		return false
 	}
 	rate := float64(acc.row.Rate)
-	return !acc.rowKnown || acc.want > 0 || acc.spent != acc.row.Spent || acc.entitlement < acc.granted ||
+	return !acc.rowKnown || acc.want > 0 || acc.toppedUp() || acc.spent != acc.row.Spent || acc.entitlement < acc.granted ||
 		math.Abs(acc.rate-rate) > rateChange*max(acc.rate, rate)
 }
 
+// toppedUp reports whether a holder has learned of tokens that were paid for since its last claim. They are claimed soon,
+// because a router that loses the store can spend only what it was granted.
+func (acc *account) toppedUp() bool {
+	return acc.holders != notHolder && acc.rowKnown && acc.total > acc.claimedTotal
+}
+
 // floor returns what the router keeps of its grant, which is less than all of it if the last division gave it less.
 func (acc *account) floor() ident.Tokens {
 	if !acc.rowKnown {
@@ -185,6 +192,7 @@
 		acc.row, acc.granted, acc.entitlement = g.Row, g.Row.Granted, g.Entitlement
 		acc.spentByOthers, acc.unallotted, acc.demand = g.SpentByOthers, g.Unallotted, g.Demand
 		acc.asOf = now
+		acc.claimedTotal = acc.total
 	}
 	for vm, wall := range out.Clocks {
 		a.reportedClocks[vm] = clockOffset{offset: wall - now.Milliseconds(), at: now}
--- /dev/null
+++ b/core/quota/holders_test.go
@@ -0,0 +1,64 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/ident"
+)
+
+// TestTopUpOfHolder guards against a holder that claims the tokens of a top-up only when requests lack them: a store that
+// is lost meanwhile would keep them from being spent.
+func TestTopUpOfHolder(t *testing.T) {
+	cases := []struct {
+		name   string
+		holder bool
+		want   Urgency
+	}{
+		{"holder", true, TokensLow},
+		{"another router", false, UpToDate},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newClaimSimulation(t, 1, 1000, 2)
+			vm, writer := s.vms[0], s.vms[1]
+			vm.accounts.SetHolders(claimOrg, 1, c.holder)
+			for range 3 {
+				s.claim(vm, writer, succeeds, succeeds, succeeds)
+				s.now += time.Second
+			}
+			is.Equal(vm.accounts.ClaimUrgency(), UpToDate)
+			is.Equal(vm.accounts.Unused(), !c.holder)
+			vm.accounts.SetTotal(claimOrg, 2000)
+			is.Equal(vm.accounts.ClaimUrgency(), c.want)
+		})
+	}
+}
+
+// TestHoldersDivideTokens guards against a holder whose part shrinks with the number of routers that hold nothing.
+func TestHoldersDivideTokens(t *testing.T) {
+	is := is.New(t)
+	const total, routers, holders = 600_000, 60, 3
+	s := newClaimSimulation(t, 1, total, routers)
+	for round := range 3 {
+		for i, vm := range s.vms {
+			vm.accounts.SetHolders(claimOrg, holders, i < holders)
+			vm.accounts.SetRouterCount(routers)
+			if round == 0 || !vm.accounts.Unused() {
+				s.claim(vm, s.vms[routers-1], succeeds, succeeds, succeeds)
+			}
+		}
+		s.now += time.Second
+	}
+	for i, vm := range s.vms {
+		granted := vm.accounts.Balance(claimOrg).Granted
+		if i < holders {
+			is.True(granted > total/20) // enough for the largest requests
+		} else {
+			is.Equal(granted, ident.Tokens(0))
+		}
+	}
+}
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -62,8 +62,19 @@
 	return other
 }
 
-// startRouter starts the router and waits until it serves requests.
+// startRouter starts the router and waits until it serves requests with tokens of its own.
 func (env *testEnv) startRouter(set func(*platform.Settings, *Deps)) {
+	env.t.Helper()
+	env.startRouterWithoutTokens(set)
+	env.waitFor("tokens", func() bool {
+		b := env.server.accounts.Balance("org1")
+		return b.Granted > 0 && b.Growth > 0
+	})
+}
+
+// startRouterWithoutTokens starts the router and waits until it serves requests and, if it is one of a large fleet, has
+// joined that fleet.
+func (env *testEnv) startRouterWithoutTokens(set func(*platform.Settings, *Deps)) {
 	cfg := platform.Settings{
 		VM: "vm-1", Domain: "a", CallerAddr: "127.0.0.1:0", ReadyAddr: "127.0.0.1:0", FirstStart: true,
 		Bounds: platform.Bounds{ShutdownGrace: 1600 * time.Millisecond, RegistryRestoreTime: 200 * time.Millisecond,
@@ -106,10 +117,9 @@
 	env.waitFor("targets", func() bool {
 		return env.server.targets.ServingCount("llm") > 0 && env.server.targets.ServingCount("desk") > 0
 	})
-	env.waitFor("tokens", func() bool {
-		b := env.server.accounts.Balance("org1")
-		return b.Granted > 0 && b.Growth > 0
-	})
+	if deps.DirectFleet == 0 {
+		env.waitFor("the fleet", func() bool { return env.server.lending.Load() != nil })
+	}
 }
 
 func (env *testEnv) putConfig(version, timeoutMS, prepaid int) {
--- a/io/edge/tokens.go
+++ b/io/edge/tokens.go
@@ -54,7 +54,7 @@
 	if result.Result.Verdict == quota.Exhausted {
 		return refuseTokensExhausted, false
 	}
-	return tokenShortage(result), false
+	return tokenShortage(result, x.s.lending.Load() != nil), false
 }
 
 // borrowTokens asks the holders of the organisation's tokens in turn. If none has them at hand, the first that answered
@@ -162,13 +162,14 @@
 }
 
 // tokenShortage returns the refusal of a request that lacks tokens, with the time after which tokens are expected. If
-// they depend on the store becoming reachable again, it is the longest Retry-After.
-func tokenShortage(held peer.TokenHeld) refusal {
+// they depend on the store becoming reachable again, or no holder expects any, it is the longest Retry-After.
+func tokenShortage(held peer.TokenHeld, allHoldersAsked bool) refusal {
 	refused := refuseTokensHeld
+	result := held.Result
 	switch {
-	case held.Result.GrowthDelay > 0:
-		refused.retryAfter = min(max(held.Result.GrowthDelay, minTokenRetryAfter), maxTokenRetryAfter)
-	case held.StoreUnreachable:
+	case result.GrowthDelay > 0:
+		refused.retryAfter = min(max(result.GrowthDelay, minTokenRetryAfter), maxTokenRetryAfter)
+	case held.StoreUnreachable, allHoldersAsked && !result.Granted && !result.NextWriteMayCover:
 		refused.retryAfter = maxTokenRetryAfter
 	}
 	return refused
