Find holders and organisations without sorting and without a scan

Change: one pass that keeps the first two members of each failure domain, and a map of organisations in route.Table. Holders are the same.

--- a/core/lend/holders.go
+++ b/core/lend/holders.go
@@ -27,37 +27,50 @@
 // HoldersOf ranks the members by rendezvous hashing, so that all routers agree on the holders of an organisation and a
 // member that comes or goes changes few of them.
 func HoldersOf(org ident.OrgID, members []elect.Member, self elect.Member) Holders {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b elect.Member) int {
-		return cmp.Or(cmp.Compare(weight(org, b.VM), weight(org, a.VM)), cmp.Compare(a.VM, b.VM))
-	})
-	byDomain := make(map[ident.DomainID][]elect.Member)
-	var tops []elect.Member
-	for _, m := range ranked {
-		if m.Addr == "" {
-			continue // it cannot be asked
+	byDomain := make(map[ident.DomainID][]ranked)
+	for _, m := range members {
+		if m.Addr != "" { // others cannot be asked
+			byDomain[m.Domain] = insertRanked(byDomain[m.Domain], ranked{m, weight(org, m.VM)})
 		}
-		if len(byDomain[m.Domain]) == 0 {
-			tops = append(tops, m)
+	}
+	var tops []ranked
+	for domain, best := range byDomain {
+		if domain != self.Domain {
+			tops = append(tops, best[0])
 		}
-		byDomain[m.Domain] = append(byDomain[m.Domain], m)
 	}
+	slices.SortFunc(tops, compareRanks)
 	own := byDomain[self.Domain]
-	h := Holders{Count: len(tops), Self: len(own) > 0 && own[0] == self}
+	h := Holders{Count: len(byDomain), Self: len(own) > 0 && own[0].Member == self}
 	if len(own) > 0 {
-		h.Asked = append(h.Asked, own[0])
+		h.Asked = append(h.Asked, own[0].Member)
 	}
-	for _, m := range tops {
-		if m.Domain != self.Domain && len(h.Asked) < maxAlternatives-1 {
-			h.Asked = append(h.Asked, m)
-		}
+	for _, m := range tops[:min(len(tops), maxAlternatives-2)] {
+		h.Asked = append(h.Asked, m.Member)
 	}
 	if len(own) > 1 {
-		h.Asked = slices.Insert(h.Asked, min(2, len(h.Asked)), own[1])
+		h.Asked = slices.Insert(h.Asked, min(2, len(h.Asked)), own[1].Member)
 	}
 	return h
 }
 
+// ranked is a member with its weight for an organisation. The one with the highest weight comes first.
+type ranked struct {
+	elect.Member
+	weight uint64
+}
+
+func compareRanks(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.VM, b.VM))
+}
+
+// insertRanked inserts a member into the first two of its failure domain.
+func insertRanked(best []ranked, m ranked) []ranked {
+	i, _ := slices.BinarySearchFunc(best, m, compareRanks)
+	best = slices.Insert(best, i, m)
+	return best[:min(len(best), 2)]
+}
+
 func weight(org ident.OrgID, vm ident.VMID) uint64 {
 	return xxhash.Sum64String(string(org) + "\x00" + string(vm))
 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -14,6 +14,7 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[ident.ServiceID]*Service
 	byKey    map[string]*Org
+	byID     map[ident.OrgID]*Org
 }
 
 // New returns the table of a configuration. The table keeps references into cfg, which must not change afterwards.
@@ -23,6 +24,7 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[ident.ServiceID]*Service, len(cfg.Services)),
 		byKey:    make(map[string]*Org),
+		byID:     make(map[ident.OrgID]*Org, len(cfg.Orgs)),
 	}
 	for i := range t.cfg.Routes {
 		r := &t.cfg.Routes[i]
@@ -35,6 +37,7 @@
 		t.services[t.cfg.Services[i].ID] = &t.cfg.Services[i]
 	}
 	for i := range t.cfg.Orgs {
+		t.byID[t.cfg.Orgs[i].ID] = &t.cfg.Orgs[i]
 		for _, key := range t.cfg.Orgs[i].Keys {
 			t.byKey[key] = &t.cfg.Orgs[i]
 		}
@@ -51,6 +54,9 @@
 // Orgs returns the organisations. The caller must not change them.
 func (t *Table) Orgs() []Org { return t.cfg.Orgs }
 
+// Org returns the organisation with the given ID, or nil.
+func (t *Table) Org(id ident.OrgID) *Org { return t.byID[id] }
+
 // Services returns the services. The caller must not change them.
 func (t *Table) Services() []Service { return t.cfg.Services }
 
--- a/io/edge/lending.go
+++ b/io/edge/lending.go
@@ -13,7 +13,6 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/lend"
 	"geraniumsaddle/core/quota"
-	"geraniumsaddle/core/route"
 	"geraniumsaddle/io/peer"
 )
 
@@ -195,7 +194,11 @@
 // knowsOrg reports whether the configuration of this router has the organisation with prepaid tokens.
 func (l *lending) knowsOrg(org ident.OrgID) bool {
 	t := l.s.table.Load()
-	return t != nil && slices.ContainsFunc(t.Orgs(), func(o route.Org) bool { return o.ID == org && o.Metered })
+	if t == nil {
+		return false
+	}
+	o := t.Org(org)
+	return o != nil && o.Metered
 }
 
 func (l *lending) check(id lend.ID) lend.Open {
