Leave returned tokens to the holder that lacks them

Cause: a router of the program router returned half of its idle tokens for another one's unmet need, fell below three quarters of its own target and took them back at once. Change: while other holders have an unmet need, a holder wants nothing above its own need.

--- a/core/escrow/account.go
+++ b/core/escrow/account.go
@@ -51,6 +51,7 @@
 	peers           map[HolderID]*peerCounters
 	expiresAt       time.Time
 	othersNeed      ident.Tokens        // what other holders lack while nothing is unallotted, plus Entry.PendingReduction
+	othersUnmet     ident.Tokens        // what other holders lack
 	recalledVersion ident.ObjectVersion // the entry version that the last Rebalance used
 	seq             uint64
 	journalPeer     ident.RouterID
@@ -195,8 +196,9 @@
 		a.expiresAt = e.ExpiresAt
 		a.othersNeed = e.PendingReduction
 		a.equalShare, a.remaining = e.equalShare(), e.remaining()
+		a.othersUnmet = e.UnmetNeedExcept(a.cfg.Holder)
 		if e.Unallotted() <= 0 {
-			a.othersNeed += e.UnmetNeedExcept(a.cfg.Holder)
+			a.othersNeed += a.othersUnmet
 		}
 		a.setState(stateExpired, !a.expiresAt.IsZero() && !now.Before(a.expiresAt))
 	}
--- a/core/escrow/demand.go
+++ b/core/escrow/demand.go
@@ -93,11 +93,12 @@
 
 // want returns the tokens that bring the account to its target, and the tokens that it lacks to reach the policy's
 // minimum. It wants none until the free tokens are below the minimum or below three quarters of the target, so that the
-// account makes at most one call for each quarter of the demand during Cover.Partition.
+// account makes at most one call for each quarter of the demand during Cover.Partition. While other holders lack tokens it
+// wants none above the minimum, or it would take back what it has just returned for them.
 func (a *Account) want() (want, need ident.Tokens) {
 	d := a.currentDemand()
 	target, threshold, free := a.cfg.Policy.targetFree(d), a.cfg.Policy.minFree(d), a.Free()
-	if free < target-target/4 || free < threshold {
+	if free < threshold || free < target-target/4 && a.othersUnmet <= 0 {
 		want = max(0, target-free, threshold-free)
 	}
 	return min(want, object.MaxTokens), max(0, min(threshold-free, object.MaxTokens))
--- a/core/escrow/surplus_test.go
+++ b/core/escrow/surplus_test.go
@@ -50,3 +50,25 @@
 	is.True(back >= 50000 && back < 100000) // the rest covers its share of the entry
 	is.Equal(a.Free(), 100000-back)
 }
+
+// TestReturnedTokensReachOthers guards against a holder that returns tokens for another one's need and then takes them
+// back again and again, so that the other one's need is never met and the counters never come to rest.
+func TestReturnedTokensReachOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := accountWithGrant(16000, 8000, now)
+	e := escrow.Entry{ID: "b", RowsOpened: 2, Holders: []escrow.Holder{
+		{ID: "r.1", RowNumber: 1, Seq: 1, Granted: 8000},
+		{ID: "s.1", RowNumber: 2, Seq: 1, Granted: 8000, UnmetNeed: 7614},
+	}}
+	_, _ = e.ApplyOp(escrow.Op{ID: "paid", Kind: escrow.OpTopUp, Tokens: 16000})
+	a.ApplyEntry(2, &e, now)
+	back := a.Rebalance()
+	is.True(back > 0) // the other holder lacks tokens
+	e.Holders[0].Returned = back
+	a.ApplyEntry(3, &e, now)
+	is.Equal(a.Report().Want, ident.Tokens(0))
+	e.Holders[1].UnmetNeed = 0
+	a.ApplyEntry(4, &e, now)
+	is.True(a.Report().Want > 0) // the need is met, so that the rest is free to be taken
+}
