--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -84,10 +84,7 @@
 			t.Parallel()
 			is := is.New(t)
 			env := newTestEnv(t)
-			first, service := "desk-1", "desk"
-			if c.req.promptTokens > 0 {
-				first, service = "llm-1", "llm"
-			}
+			first, service := c.req.firstTarget()
 			env.targets[first].SetMode(c.mode)
 			a := env.doViaFaultyTarget(c.req, first, service, c.second)
 			is.Equal(env.runCount(a.id), c.runs)
@@ -96,6 +93,14 @@
 	}
 }
 
+// firstTarget returns the target that newTestEnv starts for the request, and its service.
+func (req testRequest) firstTarget() (id, service string) {
+	if req.promptTokens > 0 {
+		return "llm-1", "llm"
+	}
+	return "desk-1", "desk"
+}
+
 // runCount returns how many times targets have started to run a request.
 func (env *testEnv) runCount(id string) int {
 	n := 0
--- a/io/edge/endless_test.go
+++ b/io/edge/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -33,33 +32,29 @@
 		name     string
 		response fakes.EndlessResponse
 		req      testRequest
-		second   bool // whether the service has a second, healthy target
 		want     string
 		maxRead  int
 	}{
-		{"header of a booking", fakes.EndlessResponse{Start: head + "X: ", Pattern: "x"}, book, true, "unknown", 64 << 10},
-		{"body of a booking", fakes.EndlessResponse{Start: head + length, Pattern: "x"}, book, true, "unknown", maxAnswerSize},
-		{"error of a booking", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, book, true, "unknown", maxErrorSize},
-		{"refusal of a booking", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, book, true, "unknown", maxErrorSize},
-		{"error of a look-up", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, look, true, "whole", maxErrorSize},
-		{"refusal of a look-up", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, look, true, "whole", maxErrorSize},
-		{"error of a chat", fakes.EndlessResponse{Start: notFound + length, Pattern: "x"}, chat, true, "unknown", maxAnswerSize},
-		{"event", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, true, "unknown", maxEventSize},
-		{"repeated event", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, true, "broken", maxErrorSize},
-		{"events without number", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "data: x\n\n"}, chat, true, "broken", maxErrorSize},
-		{"event of a resumable stream", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, true, "whole", maxEventSize},
+		{"header of a booking", fakes.EndlessResponse{Start: head + "X: ", Pattern: "x"}, book, "unknown", 64 << 10},
+		{"body of a booking", fakes.EndlessResponse{Start: head + length, Pattern: "x"}, book, "unknown", maxAnswerSize},
+		{"error of a booking", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, book, "unknown", maxErrorSize},
+		{"refusal of a booking", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, book, "unknown", maxErrorSize},
+		{"error of a look-up", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, look, "whole", maxErrorSize},
+		{"refusal of a look-up", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, look, "whole", maxErrorSize},
+		{"error of a chat", fakes.EndlessResponse{Start: notFound + length, Pattern: "x"}, chat, "unknown", maxAnswerSize},
+		{"event", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, "unknown", maxEventSize},
+		{"repeated event", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, "broken", maxErrorSize},
+		{"events without number", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "data: x\n\n"}, chat, "broken", maxErrorSize},
+		{"event of a resumable stream", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, "whole", maxEventSize},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			env := newTestEnv(t)
-			first, service := "desk-1", "desk"
-			if c.req.promptTokens > 0 {
-				first, service = "llm-1", "llm"
-			}
+			first, service := c.req.firstTarget()
 			env.targets[first].SetEndless(c.response)
-			a := env.doViaFaultyTarget(c.req, first, service, c.second)
+			a := env.doViaFaultyTarget(c.req, first, service, true)
 			is.Equal(env.classify(a, c.req), c.want)
 			is.True(env.targets[first].EndlessSent() <= c.maxRead+socketBuffers)
 		})
@@ -100,7 +95,7 @@
 				defer func() { _ = resp.Body.Close() }()
 				is.Equal(resp.StatusCode, c.status)
 			} else {
-				t.Log(fmt.Errorf("the answer was lost when the connection was closed: %w", err))
+				t.Log("the answer was lost when the connection was closed:", err)
 				is.True(c.pattern != "")
 			}
 			is.True(<-sent <= c.maxRead+socketBuffers)
