Let the finish time of the demo's and the session's releases follow the load

Cause: a version is shown good by a number of requests. TestSessions/release gave them 8 s and the tour 12 s, whatever the machine serves; beside load both ended with 'too late: the finish time came at a share of 1%'. Change: the window is as long as the load needs for that number of requests at the pace it has when the release starts, and the old length at least.

--- a/cmd/geraniumsaddle/release_test.go
+++ b/cmd/geraniumsaddle/release_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,13 +44,18 @@
 	}
 }
 
-// cmdRelease creates a release that starts now and has its finish time WINDOW later:
-// release PLATFORM_URL RELEASE VERSION REPLACES WINDOW.
+// cmdRelease creates a release that starts now and has its finish time WINDOW later. With LOAD and COUNT, the window is
+// at least as long as that load takes for COUNT requests, because a version is shown good by a number of requests:
+// release PLATFORM_URL RELEASE VERSION REPLACES WINDOW [LOAD COUNT].
 func cmdRelease(ts *testscript.TestScript, _ bool, args []string) {
 	st, err := store.New(store.Config{URL: args[0]}, clockwork.NewRealClock())
 	ts.Check(err)
 	window, err := time.ParseDuration(args[4])
 	ts.Check(err)
+	if len(args) > 5 {
+		window = max(window, loadDuration(ts, args[5], args[6]))
+	}
+	ts.Logf("release %s: window %s", args[1], window)
 	now := time.Now().UTC()
 	putObject(ts, st, object.Release{
 		Format: 1, ID: ident.ReleaseID(args[1]), StartAt: now, FinishAt: now.Add(window),
@@ -57,12 +63,26 @@
 	})
 }
 
-// cmdOutcome waits until the recorded outcome of a release has a final verdict for DOMAINS failure domains, and prints
-// these verdicts: outcome PLATFORM_URL RELEASE DOMAINS.
+// loadDuration returns how long a load takes for a number of requests, which it measures over a sample of them.
+func loadDuration(ts *testscript.TestScript, name, count string) time.Duration {
+	const sample = 300
+	n, err := strconv.Atoi(count)
+	ts.Check(err)
+	start := time.Now()
+	cmdWaitLoad(ts, false, []string{name, "+" + strconv.Itoa(sample)})
+	return time.Since(start) * time.Duration(n) / sample
+}
+
+// cmdOutcome waits until the recorded outcome of a release has a final verdict for DOMAINS failure domains, at most
+// pollTimeout after the finish time, and prints these verdicts: outcome PLATFORM_URL RELEASE DOMAINS.
 func cmdOutcome(ts *testscript.TestScript, _ bool, args []string) {
 	st, err := store.New(store.Config{URL: args[0]}, clockwork.NewRealClock())
 	ts.Check(err)
-	deadline := time.Now().Add(pollTimeout)
+	var release object.Release
+	obj, err := st.Get(context.Background(), object.Key{Kind: object.KindRelease, Name: args[1]})
+	ts.Check(err)
+	ts.Check(json.Unmarshal(obj.Value, &release))
+	deadline := release.FinishAt.Add(pollTimeout)
 	for {
 		var outcome object.ReleaseOutcome
 		obj, err := st.Get(context.Background(), object.Key{Kind: object.KindOutcome, Name: args[1]})
