Read the changes of the store through few watchers of each failure domain

Cause: in a large fleet every router watched configuration, targets and releases in the store; calls grew with the VMs. Change: core/change keeps the latest changes of a kind; two routers of each failure domain, picked by rendezvous hashing (core/elect), watch the store and pass the changes on over the connections between routers. A router whose watchers don't answer, don't have the changes or can't reach the store watches it itself.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -59,6 +59,7 @@
 		s: s, ledgers: lc, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
 	s.startLending(fleet.members)
+	s.changes.Store(newChangeFeed(s, fleet.members))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -87,7 +87,9 @@
 	claims        *claimSender
 	writer        *claimWriter
 	// lending is set once a large fleet spends tokens through the holders of each organisation.
-	lending       atomic.Pointer[lending]
+	lending atomic.Pointer[lending]
+	// changes is set once a large fleet reads the changes of the store through few watchers.
+	changes       atomic.Pointer[changeFeed]
 	tokensChanged *broadcast
 	// watchRestart makes all watches list their objects again.
 	watchRestart *broadcast
@@ -136,12 +138,20 @@
 		s.watchTimeouts = defaultWatchTimeouts
 	}
 	s.writer = newClaimWriter(s)
-	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.targets.SetStoreUnreachable)
+	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain,
 		"uptime_ms", now.Uptime.Milliseconds(), "boot", now.Boot, "first_start", cfg.FirstStart)
 	return s
 }
 
+// storeChanged handles a store that has become unreachable or reachable.
+func (s *Server) storeChanged(unreachable bool, now time.Time) {
+	s.targets.SetStoreUnreachable(unreachable, now)
+	if feed := s.changes.Load(); feed != nil {
+		feed.changed.wakeAll()
+	}
+}
+
 // Listen listens on the addresses for callers and for readiness checks. It must be called before Run.
 func (s *Server) Listen() error {
 	callers, err := net.Listen("tcp", s.cfg.CallerAddr)
--- a/io/edge/lending_test.go
+++ b/io/edge/lending_test.go
@@ -11,13 +11,15 @@
 	"geraniumsaddle/platform"
 )
 
-// newDomainFleet starts routers of one failure domain, of which one holds the tokens. No other test uses their addresses.
-func newDomainFleet(t *testing.T, n int) []*testEnv {
+// newDomainFleet starts routers of one failure domain, of which one holds the tokens. No other test uses their addresses,
+// of which the first has the given host number. set changes the settings of the router with an index.
+func newDomainFleet(t *testing.T, host, n int, set func(int, *platform.Settings, *Deps)) []*testEnv {
 	t.Helper()
 	inDomain := func(i int) func(*platform.Settings, *Deps) {
 		return logOnFailure(t, func(cfg *platform.Settings, d *Deps) {
-			peerSettings(60, i)(cfg, d)
+			peerSettings(host, i)(cfg, d)
 			cfg.Domain = "a"
+			set(i, cfg, d)
 		})
 	}
 	envs := []*testEnv{newTestEnvWith(t, inDomain(0))}
@@ -48,7 +50,7 @@
 func TestBorrowedTokens(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	envs := newDomainFleet(t, 3)
+	envs := newDomainFleet(t, 60, 3, func(int, *platform.Settings, *Deps) {})
 	const requests = 4
 	for _, env := range envs {
 		// A router that has just joined refuses until its first claim is answered or it has a connection to a holder.
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -23,6 +23,7 @@
 	billedTokens    *prometheus.CounterVec
 	storeCalls      *prometheus.CounterVec
 	holds           *prometheus.CounterVec
+	changesCalls    *prometheus.CounterVec
 }
 
 const (
@@ -44,8 +45,9 @@
 		billedTokens:    counter("billed_tokens_total", "Tokens billed by organisation.", "organisation"),
 		storeCalls:      counter("store_calls_total", "Calls of the platform's store by kind and result.", "call", "result"),
 		holds:           counter("hold_calls_total", "Calls to holders of prepaid tokens by kind and result.", "call", "result"),
+		changesCalls:    counter("changes_calls_total", "Calls to watchers of the store by result.", "result"),
 	}
-	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds)
+	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls)
 	return m
 }
 
@@ -96,9 +98,15 @@
 
 // countHold counts a call to a holder of prepaid tokens by its result.
 func (m *Metrics) countHold(call string, err error) {
-	result := "ok"
+	m.holds.WithLabelValues(call, callResult(err)).Inc()
+}
+
+// countChangesCall counts a call to a watcher of the store by its result.
+func (m *Metrics) countChangesCall(err error) { m.changesCalls.WithLabelValues(callResult(err)).Inc() }
+
+func callResult(err error) string {
 	if err != nil {
-		result = "error"
+		return "error"
 	}
-	m.holds.WithLabelValues(call, result).Inc()
+	return "ok"
 }
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -63,6 +63,11 @@
 			lending.serveSettle(from.ID, m)
 		}
 		return peer.Done{}, nil
+	case peer.ChangesWanted:
+		if feed := h.s.changes.Load(); feed != nil {
+			return feed.serve(ctx, m)
+		}
+		return nil, peer.Failure{Code: codeNoHistory}
 	}
 	return nil, peer.Failure{Code: "bad_message"}
 }
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -39,9 +39,11 @@
 
 const (
 	// coalesceDelay is the pause after the answer to a watch, so that one call returns many changes. It adds to the
-	// time until a change is known. coalesceDelayLarge is the pause in a large fleet, whose calls cost more.
-	coalesceDelay      = 200 * time.Millisecond
-	coalesceDelayLarge = 900 * time.Millisecond
+	// time until a change is known. In a large fleet, whose calls cost more, coalesceDelayWatcher is the pause of a
+	// watcher, and coalesceDelayLarge that of a router that has no watcher to follow.
+	coalesceDelay        = 200 * time.Millisecond
+	coalesceDelayWatcher = 400 * time.Millisecond
+	coalesceDelayLarge   = 900 * time.Millisecond
 	// recoveryWatchTimeout is the maximum timeout of the first watch after a failure.
 	recoveryWatchTimeout = 50 * time.Millisecond
 )
@@ -68,7 +70,6 @@
 			continue
 		}
 		s.storeMonitor.observe(err)
-		s.deps.Metrics.countStoreCall("watch "+string(kind), err)
 		if err == nil {
 			failures = 0
 			s.sleep(ctx, s.coalesceDelayFor(kind))
@@ -83,13 +84,17 @@
 // isLargeFleet reports whether the fleet has more than DirectFleet routers. Their calls of the store are then costly.
 func (s *Server) isLargeFleet() bool { return s.accounts.RouterCount() > s.deps.DirectFleet }
 
-// coalesceDelayFor returns the pause after the answer to a watch. A large fleet pauses longer only for targets, because
-// changes of the configuration are rare and have to be known soon.
+// coalesceDelayFor returns the pause after the answer to a watch. It is longer only for targets, because changes of the
+// configuration are rare and have to be known soon, and not for changes that a watcher passes on.
 func (s *Server) coalesceDelayFor(kind object.Kind) time.Duration {
-	if s.isLargeFleet() && kind == platform.KindTarget {
-		return coalesceDelayLarge
+	feed := s.changes.Load()
+	switch {
+	case !s.isLargeFleet() || kind != platform.KindTarget || feed.follows():
+		return coalesceDelay
+	case feed.watches():
+		return coalesceDelayWatcher
 	}
-	return coalesceDelay
+	return coalesceDelayLarge
 }
 
 // watchTimeout returns the time after which the store answers a watch without changes. After a failure it is short,
@@ -98,7 +103,7 @@
 	if failures > 0 {
 		return min(recoveryWatchTimeout, s.watchTimeouts[kind])
 	}
-	if s.isLargeFleet() {
+	if s.isLargeFleet() && !s.changes.Load().watches() {
 		return largeWatchTimeouts[kind]
 	}
 	return s.watchTimeouts[kind]
@@ -111,6 +116,7 @@
 	after := ""
 	for {
 		p, err := s.deps.Store.List(ctx, kind, after)
+		s.deps.Metrics.countStoreCall("list "+string(kind), err)
 		if err != nil {
 			return 0, err
 		}
@@ -144,7 +150,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	ev, err := s.deps.Store.Poll(ctx, kind, from, wait)
+	ev, err := s.nextChanges(ctx, kind, from, wait)
 	switch {
 	case errors.Is(context.Cause(ctx), errWatchRestarted):
 		return from, errWatchRestarted
@@ -168,6 +174,25 @@
 	return max(from, ev.Version), nil
 }
 
+// nextChanges returns the next changes of a kind, from a watcher of the store if this router follows one.
+func (s *Server) nextChanges(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
+	feed := s.changes.Load()
+	watches := feed.watches()
+	if feed != nil && !watches {
+		res, ok := feed.follow(ctx, kind, from)
+		feed.following.Store(ok)
+		if ok {
+			return res, nil
+		}
+	}
+	res, err := s.deps.Store.Poll(ctx, kind, from, wait)
+	s.deps.Metrics.countStoreCall("watch "+string(kind), err)
+	if err == nil && watches {
+		feed.append(kind, from, res)
+	}
+	return res, err
+}
+
 // configHandler applies changes of the operator's configuration.
 type configHandler struct{ s *Server }
 
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/change"
 	"geraniumsaddle/core/config"
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
@@ -67,12 +68,20 @@
 		peer.TokenOutcome{Outcome: quota.Outcome{AllowancesStored: true, Clocks: map[ident.VMID]int64{"b": 5},
 			Grants:     map[ident.OrgID]quota.Grant{"o": {Row: quota.Row{Granted: 1, Spent: 2, Rate: 3, Want: 4}, Entitlement: 5, SpentByOthers: 6, Unallotted: -7}},
 			Allowances: map[ident.OrgID]quota.Allowance{"o": {Limit: 6, Growth: 7}}}},
+		peer.TokenHold{Request: "r1", Org: "o", Tokens: 7, TTL: time.Second, Wait: time.Millisecond},
+		peer.TokenHeld{Result: quota.HoldResult{Verdict: quota.Insufficient}, Total: 9, StoreUnreachable: true},
+		peer.TokenSettle{Request: "r1", Used: 5},
+		peer.ChangesWanted{Kind: "targets", From: 7},
+		peer.Changes{Batch: change.Batch{Version: 9, Events: []change.Event{
+			{Name: "t1", Version: 8, Value: []byte("{}"), Status: []byte("1")}, {Name: "t2", Version: 9, Deleted: true},
+		}}},
 	}
 }
 
-// TestRoundTrip guards against fields that are lost in encoding and against types without a decoder.
+// TestRoundTrip guards against fields that are lost in encoding and against types without a decoder or a sample.
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
+	is.Equal(peer.Type(len(sampleMessages())+1).String(), "unknown")
 	for i, m := range sampleMessages() {
 		is.Equal(int(m.Type()), i+1) // one sample for each type
 		b, err := peer.Encode("a.1", m)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"geraniumsaddle/core/change"
 	"geraniumsaddle/core/config"
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
@@ -314,6 +315,16 @@
 	Used    ident.Tokens    `cbor:"2,keyasint,omitempty"`
 }
 
+// ChangesWanted asks a router that watches the store for the changes of a kind of objects after a version. It is a call;
+// Changes answers it when there is a change, or after a while without any.
+type ChangesWanted struct {
+	Kind object.Kind         `cbor:"1,keyasint"`
+	From ident.ObjectVersion `cbor:"2,keyasint"`
+}
+
+// Changes answers ChangesWanted.
+type Changes struct{ change.Batch }
+
 // Done answers a call that has no other reply.
 type Done struct{}
 
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -40,6 +40,8 @@
 	TypeTokenHold
 	TypeTokenHeld
 	TypeTokenSettle
+	TypeChangesWanted
+	TypeChanges
 	typeEnd
 )
 
@@ -93,6 +95,8 @@
 	TypeTokenHold:     {"token_hold", priorityHigh, func(b []byte) (Message, error) { var m TokenHold; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeTokenHeld:     {"token_held", priorityHigh, func(b []byte) (Message, error) { var m TokenHeld; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeTokenSettle:   {"token_settle", priorityHigh, func(b []byte) (Message, error) { var m TokenSettle; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeChangesWanted: {"changes_wanted", priorityHigh, func(b []byte) (Message, error) { var m ChangesWanted; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeChanges:       {"changes", priorityHigh, func(b []byte) (Message, error) { var m Changes; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -211,6 +215,12 @@
 // Type implements Message.
 func (TokenSettle) Type() Type { return TypeTokenSettle }
 
+// Type implements Message.
+func (ChangesWanted) Type() Type { return TypeChangesWanted }
+
+// Type implements Message.
+func (Changes) Type() Type { return TypeChanges }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -246,3 +256,5 @@
 func (TokenHold) message()     {}
 func (TokenHeld) message()     {}
 func (TokenSettle) message()   {}
+func (ChangesWanted) message() {}
+func (Changes) message()       {}
