Spare calls of the store while watchers say that it is unreachable

Change: a router that has found the store away itself believes its watchers for 3 s; a watcher's history begins before its first poll ends; a router without history calls once, shortly.

--- a/core/elect/elect.go
+++ b/core/elect/elect.go
@@ -56,11 +56,6 @@
 	return &Selector{members: domainsFirst(sorted), failures: make(map[ident.VMID]failureState)}
 }
 
-// NewRanked returns a selector that keeps the order of the members.
-func NewRanked(members []Member) *Selector {
-	return &Selector{members: members, failures: make(map[ident.VMID]failureState)}
-}
-
 func hash(vm ident.VMID) uint64 { return xxhash.Sum64String(string(vm)) }
 
 // domainsFirst moves the first member of each failure domain to the front.
--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -28,6 +28,9 @@
 	changesTimeout = 300 * time.Millisecond
 	// watcherTTL is how long a router that another one has asked for changes goes on watching the store.
 	watcherTTL = 10 * time.Second
+	// storeRetry is the pause between the calls with which a router finds out itself whether the store is reachable while
+	// the watchers say that it is not.
+	storeRetry = 3 * time.Second
 )
 
 // The failure codes of a watcher.
@@ -36,6 +39,13 @@
 	codeNoHistory = "no_history"
 )
 
+// The errors of following a watcher.
+var (
+	errNoWatcher = errors.New("no watcher answers")
+	errNoHistory = errors.New("no watcher has all of the changes")
+	errStoreAway = errors.New("the watchers cannot reach the store")
+)
+
 // errChangesAnswer means that the answer to a call for changes has an unexpected type.
 var errChangesAnswer = errors.New("answer to a call for changes has an unexpected type")
 
@@ -50,11 +60,15 @@
 	// changed wakes the calls that wait for a change of any kind, or for the store to become unreachable.
 	changed *broadcast
 
-	mu       sync.Mutex
-	watchers *elect.Selector
-	// askedAt is when another router last asked for changes.
-	askedAt   time.Time
-	histories map[object.Kind]*change.History
+	watchers []elect.Member
+
+	mu sync.Mutex
+	// failures keeps the watchers that did not answer from being asked for a while.
+	failures *elect.Selector
+	// askedAt is when another router last asked for changes, and storeFailedAt when the store last failed to answer this
+	// router, or zero after an answer.
+	askedAt, storeFailedAt time.Time
+	histories              map[object.Kind]*change.History
 }
 
 func newChangeFeed(s *Server, members []elect.Member) *changeFeed {
@@ -62,7 +76,7 @@
 	isWatcher := slices.ContainsFunc(watchers, func(m elect.Member) bool { return m.VM == s.selfMember().VM })
 	s.deps.Log.Info("changes of the store come through watchers", "watchers", watchers, "watcher", isWatcher)
 	return &changeFeed{
-		s: s, isWatcher: isWatcher, changed: newBroadcast(), watchers: elect.NewRanked(watchers),
+		s: s, isWatcher: isWatcher, changed: newBroadcast(), watchers: watchers, failures: elect.New(watchers),
 		histories: make(map[object.Kind]*change.History),
 	}
 }
@@ -81,7 +95,26 @@
 // follows reports whether this router gets the changes from a watcher.
 func (f *changeFeed) follows() bool { return f != nil && f.following.Load() }
 
-// append records changes that this router has read from the store.
+// trustsStoreAway reports whether this router believes watchers that say that the store is unreachable, because it has
+// found so itself not long ago.
+func (f *changeFeed) trustsStoreAway() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.isWatcher && f.s.deps.Clock.Since(f.storeFailedAt) < storeRetry
+}
+
+// recordStoreCall records the result of a call of the store by a router that has no watcher to follow.
+func (f *changeFeed) recordStoreCall(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeFailedAt = time.Time{}
+	if err != nil {
+		f.storeFailedAt = f.s.deps.Clock.Now()
+	}
+}
+
+// append records changes that this router has read from the store. Without changes it marks the version from which the
+// history begins.
 func (f *changeFeed) append(kind object.Kind, from ident.ObjectVersion, res store.PollResult) {
 	b := change.Batch{Version: res.Version}
 	for _, e := range res.Events {
@@ -138,29 +171,37 @@
 	return h.Since(from)
 }
 
-// follow asks a watcher for the next changes of a kind. It returns false if none has them.
-func (f *changeFeed) follow(ctx context.Context, kind object.Kind, from ident.ObjectVersion) (store.PollResult, bool) {
-	for range watchersPerDomain {
-		f.mu.Lock()
-		watcher, ok := f.watchers.Pick(f.s.deps.Clock.Now())
-		f.mu.Unlock()
-		if !ok {
-			break
-		}
-		b, err := f.call(ctx, watcher, peer.ChangesWanted{Kind: kind, From: from})
+// follow asks the watchers in turn for the next changes of a kind. The error is errNoWatcher if none answers, and
+// errStoreAway if all that answer say that the store is unreachable.
+func (f *changeFeed) follow(ctx context.Context, kind object.Kind, from ident.ObjectVersion) (store.PollResult, error) {
+	err := errNoWatcher
+	for _, watcher := range f.candidates() {
+		b, callErr := f.call(ctx, watcher, peer.ChangesWanted{Kind: kind, From: from})
 		if ctx.Err() != nil {
-			break
+			return store.PollResult{}, ctx.Err()
 		}
-		f.recordAnswer(watcher.VM, err)
-		if err == nil {
-			return pollResult(kind, b), true
+		f.recordAnswer(watcher.VM, callErr)
+		if callErr == nil {
+			return pollResult(kind, b), nil
 		}
 		var failure peer.Failure
-		if errors.As(err, &failure) && failure.Code == codeNoStore {
-			break // this router then finds out whether the store is unreachable for it too
+		switch {
+		case !errors.As(callErr, &failure):
+		case failure.Code == codeNoHistory:
+			err = errNoHistory
+		case failure.Code == codeNoStore && !errors.Is(err, errNoHistory):
+			err = errStoreAway
 		}
 	}
-	return store.PollResult{}, false
+	return store.PollResult{}, err
+}
+
+// candidates returns the watchers that are not in backoff.
+func (f *changeFeed) candidates() []elect.Member {
+	now := f.s.deps.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.watchers), func(m elect.Member) bool { return f.failures.Avoided(m.VM, now) })
 }
 
 func (f *changeFeed) call(ctx context.Context, watcher elect.Member, m peer.ChangesWanted) (change.Batch, error) {
@@ -184,10 +225,10 @@
 	defer f.mu.Unlock()
 	var failure peer.Failure
 	if err == nil || errors.As(err, &failure) {
-		f.watchers.RecordSuccess(vm)
+		f.failures.RecordSuccess(vm)
 		return
 	}
-	f.watchers.RecordFailure(vm, f.s.deps.Clock.Now())
+	f.failures.RecordFailure(vm, f.s.deps.Clock.Now())
 }
 
 func pollResult(kind object.Kind, b change.Batch) store.PollResult {
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -186,7 +186,7 @@
 // writers, so they are cleared when the store is reachable again.
 func (cs *claimSender) checkStore(ctx context.Context) {
 	unreachable := cs.s.storeMonitor.isUnreachable()
-	if unreachable {
+	if unreachable && !cs.s.changes.Load().trustsStoreAway() {
 		// A refusal for any reason counts as a store that is still unreachable.
 		unreachable = cs.s.writer.checkStore(ctx) != nil
 	}
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -174,22 +174,42 @@
 	return max(from, ev.Version), nil
 }
 
-// nextChanges returns the next changes of a kind, from a watcher of the store if this router follows one.
+// nextChanges returns the next changes of a kind: from the store in a small fleet and on a watcher, otherwise from a
+// watcher if there is one that has them.
 func (s *Server) nextChanges(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
 	feed := s.changes.Load()
-	watches := feed.watches()
-	if feed != nil && !watches {
-		res, ok := feed.follow(ctx, kind, from)
-		feed.following.Store(ok)
-		if ok {
-			return res, nil
+	switch {
+	case feed == nil:
+		return s.pollStore(ctx, kind, from, wait)
+	case feed.watches():
+		feed.append(kind, from, store.PollResult{Version: from})
+		res, err := s.pollStore(ctx, kind, from, wait)
+		if err == nil {
+			feed.append(kind, from, res)
 		}
+		return res, err
+	}
+	res, err := feed.follow(ctx, kind, from)
+	feed.following.Store(err == nil)
+	switch {
+	case err == nil || ctx.Err() != nil:
+		return res, err
+	case errors.Is(err, errStoreAway) && feed.trustsStoreAway():
+		return res, &store.Error{Kind: store.ErrUnavailable, Call: "watch " + string(kind), Err: err}
+	}
+	if !errors.Is(err, errNoWatcher) {
+		wait = min(wait, recoveryWatchTimeout) // a watcher answers, so this router follows it again after one call
 	}
+	res, err = s.pollStore(ctx, kind, from, wait)
+	if ctx.Err() == nil {
+		feed.recordStoreCall(err)
+	}
+	return res, err
+}
+
+func (s *Server) pollStore(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
 	res, err := s.deps.Store.Poll(ctx, kind, from, wait)
 	s.deps.Metrics.countStoreCall("watch "+string(kind), err)
-	if err == nil && watches {
-		feed.append(kind, from, res)
-	}
 	return res, err
 }
 
