Apply the configured time limit for the heads of callers' requests

Cause: header_timeout_ms was decoded and never used; a head could take 10 s whatever the operator had set, because http.Server reads its timeout once. Change: callerConn, which wraps each connection of a caller, brings the deadline forward while a head is read. Measured: TestSlowHead fails without the change (nothing closed after 4 s with a limit of 3 s) and passes with it.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -42,6 +42,8 @@
 	idleShare = 0.4
 	// livenessTimeout is how long a router counts in the division of tokens after its last write to the ledger.
 	livenessTimeout = 15 * time.Second
+	// maxHeadTimeout limits how long a caller may take to send the head of a request. The configuration may set less.
+	maxHeadTimeout = 10 * time.Second
 	// drainDelay is the time between SIGTERM and the closing of the listener. It is long enough for the load balancer
 	// to see twice that the router is not ready.
 	drainDelay = 2500 * time.Millisecond
@@ -180,7 +182,9 @@
 	server := s.callerServer()
 	readyServer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(meteredListener{s.callerListener, s.linkMeter, s.deps.Clock}) }()
+	go func() {
+		failed <- server.Serve(callerListener{s.callerListener, s.linkMeter, s.deps.Clock, s.headTimeout})
+	}()
 	go func() { failed <- readyServer.Serve(s.readyListener) }()
 	var tasks sync.WaitGroup
 	s.startTasks(taskCtx, &tasks)
@@ -243,8 +247,8 @@
 	return &http.Server{
 		Handler:           alice.New(s.countRunningRequests).Then(http.HandlerFunc(s.serveCaller)),
 		MaxHeaderBytes:    maxHeader,
-		ReadHeaderTimeout: 10 * time.Second, // limits how slowly a caller may send its headers
-		ConnState:         s.idleConns.trackState,
+		ReadHeaderTimeout: maxHeadTimeout,
+		ConnState:         s.trackState,
 		ErrorLog:          slog.NewLogLogger(s.deps.Log.Handler(), slog.LevelDebug),
 	}
 }
--- a/io/edge/idle.go
+++ b/io/edge/idle.go
@@ -26,7 +26,7 @@
 	return &idleConns{clock: clock, idleSince: make(map[net.Conn]time.Time)}
 }
 
-// trackState records when a connection becomes idle. It is the ConnState hook of the server.
+// trackState records when a connection becomes idle.
 func (c *idleConns) trackState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
