Let a holder's first requests pass without a write

Cause: the allowance of a holder without demand covered one request, and its borrowers arrive together. Change: the holders of an organisation together may spend 1.5% of the rest without demand and without a write; that is what a crash of all strands. Measured: TestHolderServesFirstRequests fails without it (no request held) and passes with it.

--- a/core/quota/holders_test.go
+++ b/core/quota/holders_test.go
@@ -62,3 +62,29 @@
 		}
 	}
 }
+
+// TestHolderServesFirstRequests guards against a holder whose allowance without demand covers none of the requests that
+// arrive together when a fleet starts, which borrow from it and would all wait for a write.
+func TestHolderServesFirstRequests(t *testing.T) {
+	is := is.New(t)
+	const total, holders, requests, size = 600_000, 6, 20, 40
+	s := newClaimSimulation(t, 1, total, holders)
+	for _, vm := range s.vms {
+		vm.accounts.SetHolders(claimOrg, holders, true)
+		vm.accounts.SetRouterCount(holders)
+	}
+	for range 3 {
+		for _, vm := range s.vms {
+			s.claim(vm, s.vms[0], succeeds, succeeds, succeeds)
+		}
+		s.now += time.Second
+	}
+	var limits ident.Tokens
+	for _, vm := range s.vms {
+		limits += vm.accounts.Balance(claimOrg).Limit
+	}
+	is.True(limits <= total/50) // what a crash of all holders strands
+	for range requests {
+		is.Equal(s.vms[1].accounts.TryHold(claimOrg, size, s.now).Verdict, Held)
+	}
+}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -34,6 +34,9 @@
 	// spareShare is the fraction of an organisation's remaining tokens that all routers together may spend without a
 	// write, where that lasts longer than Config.SpareHorizon. A crash of all routers makes no more than this unusable.
 	spareShare = 0.05
+	// idleSpareShare is the fraction of an organisation's remaining tokens that all of its holders together may spend
+	// without a write and without demand, for requests of many routers that arrive together.
+	idleSpareShare = 0.015
 	// maxSpareTime bounds the time for which spare tokens last, unless Config.SpareHorizon is longer.
 	maxSpareTime = 4 * time.Second
 	// fullIdleRouters is the largest number of routers for which the whole Config.IdleShare is granted without demand.
@@ -279,13 +282,22 @@
 
 // wantedAllowance returns the allowance for the current demand, without the limit of the grant.
 func (a *Accounts) wantedAllowance(acc *account) Allowance {
-	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize)))
+	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize), acc.idleSpare()))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
 	idle := float64(a.idleGrant(acc.total, acc.holders)) / idleGrowthTime.Seconds()
 	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle)
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
 
+// idleSpare returns the spare tokens of a holder without demand. Where every router holds tokens there are none.
+func (acc *account) idleSpare() ident.Tokens {
+	if acc.holders <= 0 {
+		return 0
+	}
+	remaining := max(acc.total-acc.spent-acc.spentByOthers, 0)
+	return ident.Tokens(idleSpareShare * float64(remaining) / float64(acc.holders))
+}
+
 // spareTime returns how long the spare tokens of an allowance last at the current demand. It is longer while the
 // remaining tokens last long, because a crash then makes only a small fraction of them unusable.
 func (a *Accounts) spareTime(acc *account) time.Duration {
