--- a/io/edge/tokenwait_test.go
+++ b/io/edge/tokenwait_test.go
@@ -56,10 +56,10 @@
 	is := is.New(t)
 	l := quota.NewLedger()
 	l.Holders["vm-2.1"] = &quota.Holder{VM: "vm-2", Writes: 1, Rows: map[ident.OrgID]quota.Row{"org1": {Granted: 999_900}}}
-	env := newTestEnvWith(t, func(_ *platform.Settings, d *Deps) {
+	env := newTestEnvWith(t, logOnFailure(t, func(_ *platform.Settings, d *Deps) {
 		_, err := d.Store.Create(context.Background(), ledgerKey(quota.NewLayout().ShardOf("org1")), l.Encode())
 		is.NoErr(err)
-	})
+	}))
 	a := env.do(chat)
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.Equal(strings.TrimSpace(a.body), refuseTokensHeld.reason)
