Take an answer of the store for an answer, also a refusal

Change: only errors without an answer count; the watch of the configuration calls the store again after 2 s; a watcher without history ends the round, because another one may lack changes without knowing.

--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -16,6 +16,7 @@
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
+	"geraniumsaddle/platform"
 )
 
 const (
@@ -30,7 +31,7 @@
 	watcherTTL = 10 * time.Second
 	// storeRetry is the pause between the calls with which a router finds out itself whether the store is reachable while
 	// the watchers say that it is not.
-	storeRetry = 3 * time.Second
+	storeRetry = 2 * time.Second
 )
 
 // The failure codes of a watcher.
@@ -42,7 +43,7 @@
 // The errors of following a watcher.
 var (
 	errNoWatcher = errors.New("no watcher answers")
-	errNoHistory = errors.New("no watcher has all of the changes")
+	errNoHistory = errors.New("the watcher does not have all of the changes")
 	errStoreAway = errors.New("the watchers cannot reach the store")
 )
 
@@ -96,11 +97,14 @@
 func (f *changeFeed) follows() bool { return f != nil && f.following.Load() }
 
 // trustsStoreAway reports whether this router believes watchers that say that the store is unreachable, because it has
-// found so itself not long ago.
-func (f *changeFeed) trustsStoreAway() bool {
+// found so itself. Only the watch of the configuration, which has to be known soonest, finds out again from time to time.
+func (f *changeFeed) trustsStoreAway(kind object.Kind) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.isWatcher && f.s.deps.Clock.Since(f.storeFailedAt) < storeRetry
+	if f.isWatcher || f.storeFailedAt.IsZero() {
+		return false
+	}
+	return kind != platform.KindConfig || f.s.deps.Clock.Since(f.storeFailedAt) < storeRetry
 }
 
 // recordStoreCall records the result of a call of the store by a router that has no watcher to follow.
@@ -108,7 +112,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeFailedAt = time.Time{}
-	if err != nil {
+	if meansUnreachable(err) {
 		f.storeFailedAt = f.s.deps.Clock.Now()
 	}
 }
@@ -171,8 +175,8 @@
 	return h.Since(from)
 }
 
-// follow asks the watchers in turn for the next changes of a kind. The error is errNoWatcher if none answers, and
-// errStoreAway if all that answer say that the store is unreachable.
+// follow asks the watchers in turn for the next changes of a kind. The error is errNoWatcher if none answers,
+// errNoHistory if one does not have all of them, and errStoreAway if all say that the store is unreachable.
 func (f *changeFeed) follow(ctx context.Context, kind object.Kind, from ident.ObjectVersion) (store.PollResult, error) {
 	err := errNoWatcher
 	for _, watcher := range f.candidates() {
@@ -188,8 +192,9 @@
 		switch {
 		case !errors.As(callErr, &failure):
 		case failure.Code == codeNoHistory:
-			err = errNoHistory
-		case failure.Code == codeNoStore && !errors.Is(err, errNoHistory):
+			// The watcher has listed the objects anew. Another one that has not may lack changes without knowing it.
+			return store.PollResult{}, errNoHistory
+		case failure.Code == codeNoStore:
 			err = errStoreAway
 		}
 	}
--- a/io/edge/changes_test.go
+++ b/io/edge/changes_test.go
@@ -14,45 +14,56 @@
 	"geraniumsaddle/platform"
 )
 
-// pollCounter counts the polls of a store.
+// pollCounter counts the polls of a store, and fails them while it is away.
 type pollCounter struct {
 	store.PollingStore
 	polls atomic.Int64
+	away  atomic.Bool
 }
 
 func (c *pollCounter) Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
 	c.polls.Add(1)
+	if c.away.Load() {
+		return store.PollResult{}, &store.Error{Kind: store.ErrUnavailable, Call: "poll"}
+	}
 	return c.PollingStore.Poll(ctx, kind, from, wait)
 }
 
-// TestWatchers guards against routers of a large fleet that all watch the store, and against changes that do not reach a
-// router whose watchers have gone.
-func TestWatchers(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
+// newWatchedFleet starts routers of one failure domain that count their polls, and returns the index of one that follows
+// the watchers.
+func newWatchedFleet(t *testing.T, host int) (envs []*testEnv, counters []pollCounter, follower int) {
+	t.Helper()
 	const routers = 6
-	counters := make([]pollCounter, routers)
-	envs := newDomainFleet(t, 70, routers, func(i int, _ *platform.Settings, d *Deps) {
+	counters = make([]pollCounter, routers)
+	envs = newDomainFleet(t, host, routers, func(i int, _ *platform.Settings, d *Deps) {
 		counters[i].PollingStore = d.Store
 		d.Store = &counters[i]
 	})
-	// The last router knows all members. It follows unless it is a watcher itself, and then the one before it follows.
-	follower := -1
-	for i := routers - 1; i > 0 && follower < 0; i-- {
+	// The later a router has started, the more members it knows.
+	for i := routers - 1; i > 0; i-- {
 		envs[i].waitFor("the watchers", func() bool { return envs[i].server.changes.Load() != nil })
-		if !envs[i].server.changes.Load().isWatcher {
-			follower = i
+		if feed := envs[i].server.changes.Load(); !feed.isWatcher {
+			envs[i].waitFor("a watcher that answers", feed.follows)
+			return envs, counters, i
 		}
 	}
-	is.True(follower > 0)
-	env := envs[follower]
-	env.waitFor("a watcher that answers", env.server.changes.Load().follows)
+	t.Fatal("every router is a watcher")
+	return nil, nil, 0
+}
+
+func (env *testEnv) configVersion() int { return int(env.server.table.Load().Version()) }
 
-	configVersion := func() int { return int(env.server.table.Load().Version()) }
+// TestWatchers guards against routers of a large fleet that all watch the store, and against changes that do not reach a
+// router whose watchers have gone.
+func TestWatchers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	envs, counters, follower := newWatchedFleet(t, 70)
+	env := envs[follower]
 	polls := counters[follower].polls.Load()
-	env.putConfig(configVersion()+1, 1500, 5000)
-	want := configVersion() + 1
-	env.waitFor("the configuration through a watcher", func() bool { return configVersion() == want })
+	want := env.configVersion() + 1
+	env.putConfig(want, 1500, 5000)
+	env.waitFor("the configuration through a watcher", func() bool { return env.configVersion() == want })
 	is.Equal(counters[follower].polls.Load(), polls) // the follower did not call the store
 
 	for i, other := range envs {
@@ -61,5 +72,28 @@
 		}
 	}
 	env.putConfig(want+1, 1500, 5000)
-	env.waitFor("the configuration without a watcher", func() bool { return configVersion() == want+1 })
+	env.waitFor("the configuration without a watcher", func() bool { return env.configVersion() == want+1 })
+}
+
+// TestWatchersWithoutStore guards against a router that believes watchers that cannot reach the store although it can
+// reach the store itself, and so keeps an old configuration.
+func TestWatchersWithoutStore(t *testing.T) {
+	t.Parallel()
+	const inForce = 3 * time.Second // config_ms of a large fleet
+	is := is.New(t)
+	envs, counters, follower := newWatchedFleet(t, 80)
+	env := envs[follower]
+	for i := range counters {
+		counters[i].away.Store(i != follower)
+	}
+	for change := range 4 {
+		if change%2 == 1 {
+			env.store.Compact()
+		}
+		want := env.configVersion() + 1
+		env.putConfig(want, 1500, 5000)
+		start := time.Now()
+		env.waitFor("the configuration", func() bool { return env.configVersion() == want })
+		is.True(time.Since(start) < inForce)
+	}
 }
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -9,6 +9,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
+	"geraniumsaddle/platform"
 )
 
 const (
@@ -186,7 +187,7 @@
 // writers, so they are cleared when the store is reachable again.
 func (cs *claimSender) checkStore(ctx context.Context) {
 	unreachable := cs.s.storeMonitor.isUnreachable()
-	if unreachable && !cs.s.changes.Load().trustsStoreAway() {
+	if unreachable && !cs.s.changes.Load().trustsStoreAway(platform.KindConfig) {
 		// A refusal for any reason counts as a store that is still unreachable.
 		unreachable = cs.s.writer.checkStore(ctx) != nil
 	}
--- a/io/edge/storemonitor.go
+++ b/io/edge/storemonitor.go
@@ -36,8 +36,7 @@
 // observe records the result of a call. An answer that refuses the call for another reason than a rate limit shows that
 // the store is reachable. A canceled call shows nothing.
 func (m *storeMonitor) observe(err error) {
-	unreachable := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) ||
-		errors.Is(err, store.ErrRateLimited)
+	unreachable := meansUnreachable(err)
 	if errors.Is(err, context.Canceled) {
 		return
 	}
@@ -57,6 +56,11 @@
 	m.log.Info("store is reachable again", "away_ms", now.Sub(m.unreachableSince).Milliseconds())
 }
 
+// meansUnreachable reports whether a call that ended with the error got no answer of the store, or only that it is busy.
+func meansUnreachable(err error) bool {
+	return errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrRateLimited)
+}
+
 // isUnreachable reports whether the last conclusive call showed that the store is unreachable.
 func (m *storeMonitor) isUnreachable() bool {
 	m.mu.Lock()
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -194,7 +194,7 @@
 	switch {
 	case err == nil || ctx.Err() != nil:
 		return res, err
-	case errors.Is(err, errStoreAway) && feed.trustsStoreAway():
+	case errors.Is(err, errStoreAway) && feed.trustsStoreAway(kind):
 		return res, &store.Error{Kind: store.ErrUnavailable, Call: "watch " + string(kind), Err: err}
 	}
 	if !errors.Is(err, errNoWatcher) {
