--- a/io/edge/callerconn_test.go
+++ b/io/edge/callerconn_test.go
@@ -46,18 +46,17 @@
 	t.Parallel()
 	env := newTestEnv(t)
 	const (
-		head  = "GET /look/1 HTTP/1.1\r\nHost: " + fakes.Host + "\r\n"
 		limit = 3 * time.Second // of the configuration
 		late  = time.Second
 	)
-	for _, first := range []string{"", head + "Attempt-Id: a\r\n\r\n"} {
+	for _, first := range []string{"", fakes.LookHead + "\r\n"} {
 		t.Run("after "+first, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			conn, err := net.Dial("tcp", env.server.CallerAddr())
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
-			_, err = io.WriteString(conn, first+head)
+			_, err = io.WriteString(conn, first+fakes.LookHead)
 			is.NoErr(err)
 			start := time.Now()
 			is.NoErr(conn.SetReadDeadline(start.Add(limit + late)))
--- a/io/edge/endless_test.go
+++ b/io/edge/endless_test.go
@@ -22,13 +22,7 @@
 // unknown for a request that was sent to such a target.
 func TestEndlessAnswers(t *testing.T) {
 	t.Parallel()
-	const (
-		head     = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nEngine-Stamp: stamp\r\n"
-		failed   = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: ID\r\n"
-		notFound = "HTTP/1.1 404 Not Found\r\nAttempt-Id: ID\r\n"
-		notRun   = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ID\r\nNot-Run: 1\r\n"
-		length   = "Content-Length: 9999999999\r\n\r\n"
-	)
+	const length = "Content-Length: 9999999999\r\n\r\n"
 	cases := []struct {
 		name     string
 		response fakes.EndlessResponse
@@ -36,17 +30,17 @@
 		want     string
 		maxRead  int
 	}{
-		{"header of a booking", fakes.EndlessResponse{Start: head + "X: ", Pattern: "x"}, book, "unknown", 64 << 10},
-		{"body of a booking", fakes.EndlessResponse{Start: head + length, Pattern: "x"}, book, "unknown", maxAnswerSize},
-		{"error of a booking", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, book, "unknown", maxErrorSize},
-		{"refusal of a booking", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, book, "unknown", maxErrorSize},
-		{"error of a look-up", fakes.EndlessResponse{Start: failed + length, Pattern: "x"}, look, "whole", maxErrorSize},
-		{"refusal of a look-up", fakes.EndlessResponse{Start: notRun + length, Pattern: "x"}, look, "whole", maxErrorSize},
-		{"error of a chat", fakes.EndlessResponse{Start: notFound + length, Pattern: "x"}, chat, "unknown", maxAnswerSize},
-		{"event", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, "unknown", maxEventSize},
-		{"repeated event", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, "broken", maxErrorSize},
-		{"events without number", fakes.EndlessResponse{Start: head + "\r\n", Pattern: "data: x\n\n"}, chat, "broken", maxErrorSize},
-		{"event of a resumable stream", fakes.EndlessResponse{Start: head + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, "whole", maxEventSize},
+		{"header of a booking", fakes.EndlessResponse{Start: fakes.AnswerHead + "X: ", Pattern: "x"}, book, "unknown", 64 << 10},
+		{"body of a booking", fakes.EndlessResponse{Start: fakes.AnswerHead + length, Pattern: "x"}, book, "unknown", maxAnswerSize},
+		{"error of a booking", fakes.EndlessResponse{Start: fakes.FailureHead + length, Pattern: "x"}, book, "unknown", maxErrorSize},
+		{"refusal of a booking", fakes.EndlessResponse{Start: fakes.RefusalHead + length, Pattern: "x"}, book, "unknown", maxErrorSize},
+		{"error of a look-up", fakes.EndlessResponse{Start: fakes.FailureHead + length, Pattern: "x"}, look, "whole", maxErrorSize},
+		{"refusal of a look-up", fakes.EndlessResponse{Start: fakes.RefusalHead + length, Pattern: "x"}, look, "whole", maxErrorSize},
+		{"error of a chat", fakes.EndlessResponse{Start: fakes.NotFoundHead + length, Pattern: "x"}, chat, "unknown", maxAnswerSize},
+		{"event", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, "unknown", maxEventSize},
+		{"repeated event", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, "broken", maxErrorSize},
+		{"events without number", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\n", Pattern: "data: x\n\n"}, chat, "broken", maxErrorSize},
+		{"event of a resumable stream", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, "whole", maxEventSize},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -73,19 +67,18 @@
 	callers := env.server.callerServer()
 	go func() { _ = callers.Serve(counter.Listener(ln)) }()
 	t.Cleanup(func() { _ = callers.Close() })
-	const head = "POST /book/1 HTTP/1.1\r\nHost: " + fakes.Host + "\r\nAttempt-Id: a\r\nAuthorization: Token key1\r\n"
 	cases := []struct {
 		name, start, pattern string
 		status               int // 0: the connection is closed without an answer
 		maxRead              int
 	}{
-		{"header", head + "X: ", "x", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
-		{"headers", head, "X: y\r\n", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
-		{"chunked body", head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n",
+		{"header", fakes.BookHead + "X: ", "x", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
+		{"headers", fakes.BookHead, "X: y\r\n", http.StatusRequestHeaderFieldsTooLarge, 128 << 10},
+		{"chunked body", fakes.BookHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n",
 			http.StatusRequestEntityTooLarge, 5 << 20},
-		{"chunk line", head + "Transfer-Encoding: chunked\r\n\r\n", "0", http.StatusBadRequest, 5 << 20},
-		{"body that does not come", head + "Deadline-Ms: 50\r\nContent-Length: 10\r\n\r\nx", "", http.StatusRequestTimeout, 1 << 20},
-		{"chunk that does not come", head + "Deadline-Ms: 50\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx", "",
+		{"chunk line", fakes.BookHead + "Transfer-Encoding: chunked\r\n\r\n", "0", http.StatusBadRequest, 5 << 20},
+		{"body that does not come", fakes.BookHead + fakes.ShortDeadline + "Content-Length: 10\r\n\r\nx", "", http.StatusRequestTimeout, 1 << 20},
+		{"chunk that does not come", fakes.BookHead + fakes.ShortDeadline + "Transfer-Encoding: chunked\r\n\r\n5\r\nx", "",
 			http.StatusRequestTimeout, 1 << 20},
 	}
 	for _, c := range cases {
