Give a follower's own calls time for a large configuration

A follower's own call had 550 ms for the whole answer, failed, and its failure made the router believe watchers that were cut off, for targets too.

--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -16,7 +16,6 @@
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
-	"geraniumsaddle/platform"
 )
 
 const (
@@ -32,6 +31,9 @@
 	// storeRetry is the pause between the calls with which a router finds out itself whether the store is reachable while
 	// the watchers say that it is not.
 	storeRetry = 2 * time.Second
+	// followerWait is how long the store may wait for a change when a follower calls it. The time limit of the call grows
+	// with it, and a large configuration takes long to arrive.
+	followerWait = time.Second
 )
 
 // The failure codes of a watcher.
@@ -66,10 +68,11 @@
 	mu sync.Mutex
 	// failures keeps the watchers that did not answer from being asked for a while.
 	failures *elect.Selector
-	// askedAt is when another router last asked for changes, and storeFailedAt when the store last failed to answer this
-	// router, or zero after an answer.
-	askedAt, storeFailedAt time.Time
-	histories              map[object.Kind]*change.History
+	// askedAt is when another router last asked for changes.
+	askedAt time.Time
+	// storeFailedAt is when the store last failed to answer this router about a kind, and empty after an answer.
+	storeFailedAt map[object.Kind]time.Time
+	histories     map[object.Kind]*change.History
 }
 
 func newChangeFeed(s *Server, members []elect.Member) *changeFeed {
@@ -78,7 +81,7 @@
 	s.deps.Log.Info("changes of the store come through watchers", "watchers", watchers, "watcher", isWatcher)
 	return &changeFeed{
 		s: s, isWatcher: isWatcher, changed: newBroadcast(), watchers: watchers, failures: elect.New(watchers),
-		histories: make(map[object.Kind]*change.History),
+		histories: make(map[object.Kind]*change.History), storeFailedAt: make(map[object.Kind]time.Time),
 	}
 }
 
@@ -97,24 +100,22 @@
 func (f *changeFeed) follows() bool { return f != nil && f.following.Load() }
 
 // trustsStoreAway reports whether this router believes watchers that say that the store is unreachable, because it has
-// found so itself. Only the watch of the configuration, which has to be known soonest, finds out again from time to time.
+// found so itself not long ago.
 func (f *changeFeed) trustsStoreAway(kind object.Kind) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.isWatcher || f.storeFailedAt.IsZero() {
-		return false
-	}
-	return kind != platform.KindConfig || f.s.deps.Clock.Since(f.storeFailedAt) < storeRetry
+	return !f.isWatcher && f.s.deps.Clock.Since(f.storeFailedAt[kind]) < storeRetry
 }
 
 // recordStoreCall records the result of a call of the store by a router that has no watcher to follow.
-func (f *changeFeed) recordStoreCall(err error) {
+func (f *changeFeed) recordStoreCall(kind object.Kind, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storeFailedAt = time.Time{}
 	if meansUnreachable(err) {
-		f.storeFailedAt = f.s.deps.Clock.Now()
+		f.storeFailedAt[kind] = f.s.deps.Clock.Now()
+		return
 	}
+	clear(f.storeFailedAt)
 }
 
 // append records changes that this router has read from the store. Without changes it marks the version from which the
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -198,11 +198,11 @@
 		return res, &store.Error{Kind: store.ErrUnavailable, Call: "watch " + string(kind), Err: err}
 	}
 	if !errors.Is(err, errNoWatcher) {
-		wait = min(wait, recoveryWatchTimeout) // a watcher answers, so this router follows it again after one call
+		wait = followerWait // a watcher answers, so this router follows it again after one call
 	}
 	res, err = s.pollStore(ctx, kind, from, wait)
 	if ctx.Err() == nil {
-		feed.recordStoreCall(err)
+		feed.recordStoreCall(kind, err)
 	}
 	return res, err
 }
