Read the configuration when its changes don't arrive in time

Change: a watch of the configuration that ran out of time is followed by a read of the object. Measured: TestConfigAfterManyChanges fails without the change and passes.

--- a/io/edge/changes_test.go
+++ b/io/edge/changes_test.go
@@ -14,11 +14,11 @@
 	"geraniumsaddle/platform"
 )
 
-// pollCounter counts the polls of a store, and fails them while it is away.
+// pollCounter counts the polls of a store. They fail while it is away, and take too long while it is late.
 type pollCounter struct {
 	store.PollingStore
-	polls atomic.Int64
-	away  atomic.Bool
+	polls      atomic.Int64
+	away, late atomic.Bool
 }
 
 func (c *pollCounter) Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
@@ -26,6 +26,9 @@
 	if c.away.Load() {
 		return store.PollResult{}, &store.Error{Kind: store.ErrUnavailable, Call: "poll"}
 	}
+	if c.late.Load() {
+		return store.PollResult{}, &store.Error{Kind: store.ErrUnavailable, Call: "poll", Err: context.DeadlineExceeded}
+	}
 	return c.PollingStore.Poll(ctx, kind, from, wait)
 }
 
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -207,10 +207,20 @@
 	return res, err
 }
 
+// pollStore polls the store itself. If the configuration does not arrive in time it is read instead: the changes of an
+// outage are many whole configurations, of which only the last one matters.
 func (s *Server) pollStore(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
 	res, err := s.deps.Store.Poll(ctx, kind, from, wait)
 	s.deps.Metrics.countStoreCall("watch "+string(kind), err)
-	return res, err
+	if kind != platform.KindConfig || !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+		return res, err
+	}
+	o, getErr := s.deps.Store.Get(ctx, platform.ConfigKey)
+	s.deps.Metrics.countStoreCall("get "+string(kind), getErr)
+	if getErr != nil || o.Version < from {
+		return res, err
+	}
+	return store.PollResult{Version: o.Version, Events: []store.Event{{Object: o}}}, nil
 }
 
 // configHandler applies changes of the operator's configuration.
--- a/io/edge/watch_test.go
+++ b/io/edge/watch_test.go
@@ -28,3 +28,18 @@
 	env.waitFor("the store to be reachable", func() bool { return !env.server.storeMonitor.isUnreachable() })
 	is.True(env.server.writer.checkServing() == nil)
 }
+
+// TestConfigAfterManyChanges guards against a router that keeps an old configuration because the changes that it has
+// missed do not arrive within the time limit of a watch.
+func TestConfigAfterManyChanges(t *testing.T) {
+	t.Parallel()
+	var counter pollCounter
+	env := newTestEnvWith(t, func(_ *platform.Settings, d *Deps) {
+		counter.PollingStore = d.Store
+		d.Store = &counter
+	})
+	counter.late.Store(true)
+	want := env.configVersion() + 1
+	env.putConfig(want, 20_000, 1_000_000)
+	env.waitFor("the configuration", func() bool { return env.configVersion() == want })
+}
