Say truly why a draining watcher has no changes

A draining watcher answered that the store was unreachable, so that its followers called the store themselves instead of asking the other one.

--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -40,6 +40,7 @@
 const (
 	codeNoStore   = "store_unreachable"
 	codeNoHistory = "no_history"
+	codeDraining  = "draining"
 )
 
 // The errors of following a watcher.
@@ -146,7 +147,10 @@
 	timeout := f.s.deps.Clock.After(changesWait)
 	for waiting := true; ; {
 		changed := f.changed.channel()
-		if f.s.storeMonitor.isUnreachable() || f.s.draining.Load() {
+		switch {
+		case f.s.draining.Load():
+			return nil, peer.Failure{Code: codeDraining}
+		case f.s.storeMonitor.isUnreachable():
 			return nil, peer.Failure{Code: codeNoStore}
 		}
 		b, ok := f.since(m.Kind, m.From)
