--- a/core/elect/watchers.go
+++ b/core/elect/watchers.go
@@ -19,16 +19,19 @@
 			domain = append(domain, m)
 		}
 	}
-	sortByHash(domain, "watcher")
+	sortByWeight(domain, "watcher")
 	domain = domain[:min(len(domain), n)]
-	sortByHash(domain, string(self.VM))
+	sortByWeight(domain, string(self.VM))
 	return domain
 }
 
-// sortByHash orders members by a hash of their VM and a key.
-func sortByHash(members []Member, key string) {
-	weight := func(vm ident.VMID) uint64 { return xxhash.Sum64String(key + "\x00" + string(vm)) }
+// Weight returns the weight of a VM for a key in rendezvous hashing: a VM that comes or goes leaves the order of the
+// others as it is.
+func Weight(key string, vm ident.VMID) uint64 { return xxhash.Sum64String(key + "\x00" + string(vm)) }
+
+// sortByWeight orders members by their weight for a key.
+func sortByWeight(members []Member, key string) {
 	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(weight(a.VM), weight(b.VM)), cmp.Compare(a.VM, b.VM))
+		return cmp.Or(cmp.Compare(Weight(key, a.VM), Weight(key, b.VM)), cmp.Compare(a.VM, b.VM))
 	})
 }
--- a/core/lend/holders.go
+++ b/core/lend/holders.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 )
@@ -30,7 +28,7 @@
 	byDomain := make(map[ident.DomainID][]ranked)
 	for _, m := range members {
 		if m.Addr != "" { // others cannot be asked
-			byDomain[m.Domain] = insertRanked(byDomain[m.Domain], ranked{m, weight(org, m.VM)})
+			byDomain[m.Domain] = insertRanked(byDomain[m.Domain], ranked{m, elect.Weight(string(org), m.VM)})
 		}
 	}
 	var tops []ranked
@@ -70,7 +68,3 @@
 	best = slices.Insert(best, i, m)
 	return best[:min(len(best), 2)]
 }
-
-func weight(org ident.OrgID, vm ident.VMID) uint64 {
-	return xxhash.Sum64String(string(org) + "\x00" + string(vm))
-}
