Let a conflict of the store be as large as any response

A conflict carries the stored object, which the limit for errors of 1 MB could cut. callerConn reads the clock that it is given.

--- a/io/cmds/edge_store_test.go
+++ b/io/cmds/edge_store_test.go
@@ -28,6 +28,7 @@
 		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", maxStoreHeadSize},
 		{"body", "HTTP/1.1 200 OK\r\n\r\n", "[", 8 << 20},
 		{"body of an error", "HTTP/1.1 503 Service Unavailable\r\n\r\n", "x", 1 << 20},
+		{"body of a conflict", "HTTP/1.1 409 Conflict\r\n\r\n", "x", 8 << 20},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/edge/callerconn.go
+++ b/io/edge/callerconn.go
@@ -53,7 +53,7 @@
 // SetReadDeadline sets the deadline, or an earlier one while the head of a request is read.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	if limit := c.listener.headTimeout(); limit > 0 && !t.IsZero() && !c.active.Load() {
-		if end := time.Now().Add(limit); end.Before(t) {
+		if end := c.listener.clock.Now().Add(limit); end.Before(t) {
 			t = end
 		}
 	}
