Count the polls of every kind in TestWatchers again

Cause: counted only those for the configuration, so that a follower that goes on watching targets or releases itself would have passed. What the test has to allow is the start, until the watchers have a history of each kind, and the repeated change covers that. Change: all polls count.

--- a/io/edge/changes_test.go
+++ b/io/edge/changes_test.go
@@ -14,8 +14,7 @@
 	"geraniumsaddle/platform"
 )
 
-// pollCounter counts the polls of a store for the configuration. All polls fail while it is away, and take too long while
-// it is late.
+// pollCounter counts the polls of a store. They fail while it is away, and take too long while it is late.
 type pollCounter struct {
 	store.PollingStore
 	polls      atomic.Int64
@@ -23,9 +22,7 @@
 }
 
 func (c *pollCounter) Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
-	if kind == platform.KindConfig {
-		c.polls.Add(1)
-	}
+	c.polls.Add(1)
 	if c.away.Load() {
 		return store.PollResult{}, &store.Error{Kind: store.ErrUnavailable, Call: "poll"}
 	}
@@ -71,7 +68,7 @@
 		env.putConfig(want, 1500, 5000)
 		env.waitFor("the configuration", func() bool { return env.configVersion() == want })
 	}
-	// A follower calls the store until its watchers have a history.
+	// A follower calls the store for a kind until its watchers have a history of it.
 	env.waitFor("a change without a call of the store", func() bool {
 		polls := counters[follower].polls.Load()
 		change()
