--- a/core/escrow/budgets_bench_test.go
+++ b/core/escrow/budgets_bench_test.go
@@ -28,37 +28,45 @@
 	}
 }
 
-func simulateBudgets(b *testing.B, budgets int) {
-	const domains, tokensPerSecond, reportSeconds = 6, 520_000, 5
-	// Shards are independent of each other, so one in eight is simulated and the calls are multiplied.
-	const sampled = 8
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	accounts := make([][domains]*Account, budgets)
+// benchDomains is the number of failure domains, each with one holder of every budget.
+const benchDomains = 6
+
+func newBudgetAccounts(budgets int) [][benchDomains]*Account {
+	accounts := make([][benchDomains]*Account, budgets)
 	for i := range accounts {
-		for d := range domains {
+		for d := range benchDomains {
 			accounts[i][d] = NewAccount(AccountConfig{
 				Entry: EntryID(fmt.Sprintf("budget-%05d", i)), Holder: HolderID(fmt.Sprintf("router-%d.1", d)), Policy: DefaultRecall,
 			})
 		}
 	}
+	return accounts
+}
+
+func simulateBudgets(b *testing.B, budgets int) {
+	const tokensPerSecond, reportSeconds = 520_000, 5
+	// Shards are independent of each other, so one in eight is simulated and the calls are multiplied.
+	const sampled = 8
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	accounts := newBudgetAccounts(budgets)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	var shards [ShardCount]Shard
 	var accountsOfShard [ShardCount][]int
-	share := ident.Tokens(tokensPerSecond / domains / budgets)
+	share := ident.Tokens(tokensPerSecond / benchDomains / budgets)
 	for i := range accounts {
 		id := accounts[i][0].Entry()
 		n := ShardNumber(id)
-		shards[n] = Shard{Format: Format, Entries: append(shards[n].Entries, Entry{ID: id, Paid: 10_000 * domains * (share + 1)})}
+		shards[n] = Shard{Format: Format, Entries: append(shards[n].Entries, Entry{ID: id, Paid: 10_000 * benchDomains * (share + 1)})}
 		accountsOfShard[n] = append(accountsOfShard[n], i)
 	}
 	calls, flushes, size := 0, 0, 0
 	for sec := 0; sec < 7200; sec += reportSeconds {
 		now := time.Unix(1e9+int64(sec), 0)
 		for n := 0; n < ShardCount; n += sampled {
-			for d := range domains {
+			for d := range benchDomains {
 				batch := Batch{Now: now}
 				for _, i := range accountsOfShard[n] {
 					a := accounts[i][d]
@@ -99,7 +107,7 @@
 		}
 		size = max(size, len(out))
 	}
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(budgets*domains), "B/budget")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(budgets*benchDomains), "B/budget")
 	b.ReportMetric(sampled*float64(calls)/3600, "calls/s")
 	b.ReportMetric(sampled*float64(flushes)/3600, "flushes/s")
 	b.ReportMetric(float64(size), "shard_bytes")
