--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,12 +29,14 @@
 
 var cases = map[string]caseFunc{
 	"cutanswer": playCutAnswer,
+	"idleclose": playIdleClose,
 }
 
 // standIns are the servers and the store that a case starts as processes of their own.
 var standIns = map[string]func(args []string) error{
-	"store":     runStore,
-	"cutserver": runCutServer,
+	"store":      runStore,
+	"cutserver":  runCutServer,
+	"deskserver": runDeskServer,
 }
 
 func main() {
