Close idle connections of callers by the deadline of their read

Cause: a connection counted as idle until net/http's state hook ran, which is after the head of the next request was read. closeExpired closed all expired connections under the lock that this hook takes. http.Server.Shutdown, used by edge and router, closes by the same late state in each planned stop.

Change: io/conns applies the idle timeout and a shutdown as the deadline of the read that waits for the next request. A read returns bytes or the expiry, so a request is either taken or was never read. A changed limit sets the deadlines of open connections anew without a lock that requests of other connections wait for.

--- a/io/caller/chat_writer.go
+++ b/io/caller/chat_writer.go
@@ -23,6 +23,9 @@
 // BoundSendBuffer limits the kernel memory used by a caller that reads slowly. It is to be set as the ConnContext of an
 // http.Server.
 func BoundSendBuffer(ctx context.Context, c net.Conn) context.Context {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
 	if t, ok := c.(*net.TCPConn); ok {
 		// The error is ignored: if the connection is already closed, its first read fails.
 		_ = t.SetWriteBuffer(sendBufferBytes)
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -20,6 +20,7 @@
 		}
 	}
 	s.table.Store(route.New(cfg))
+	s.callers.SetIdleLimit(cfg.Limits.IdleTimeout)
 	trigger(s.grantsNow)
 	s.deps.Log.Info("configuration in force", "version", cfg.Version, "revision", revision, "routes", len(cfg.Routes),
 		"organisations", len(cfg.Orgs))
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/retry"
 	"geraniumsaddle/core/route"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/io/store"
@@ -73,11 +73,11 @@
 	self          ident.RouterID
 	watchTimeouts WatchTimeouts
 
-	table     atomic.Pointer[route.Table]
-	targets   *place.Fleet
-	accounts  *quota.Accounts
-	pool      *relay.Pool
-	idleConns *idleConns
+	table    atomic.Pointer[route.Table]
+	targets  *place.Fleet
+	accounts *quota.Accounts
+	pool     *relay.Pool
+	callers  *conns.Set
 	// linkMeter measures the traffic on the VM's network link, and shedder decides when the link is busy or full.
 	linkMeter    *link.Meter
 	shedder      *link.Shedder
@@ -131,7 +131,6 @@
 		pool:          relay.New(relay.Config{Clock: deps.Clock, Meter: linkMeter}),
 		linkMeter:     linkMeter,
 		shedder:       link.NewShedder(cfg.LinkRate),
-		idleConns:     newIdleConns(deps.Clock),
 		releases:      newReleases(),
 		tokensChanged: newBroadcast(),
 		watchRestart:  newBroadcast(),
@@ -143,6 +142,7 @@
 	if s.watchTimeouts == nil {
 		s.watchTimeouts = defaultWatchTimeouts
 	}
+	s.callers = conns.New(conns.Config{Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout})
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
 	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
@@ -186,21 +186,23 @@
 	defer stopTasks()
 	server := s.callerServer()
 	readyServer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
-	failed := make(chan error, 2)
-	go func() {
-		failed <- server.Serve(callerListener{s.callerListener, s.linkMeter, s.deps.Clock, s.headTimeout})
-	}()
+	served, failed := make(chan error, 1), make(chan error, 1)
+	go func() { served <- server.Serve(s.callers.Listener(s.callerListener)) }()
 	go func() { failed <- readyServer.Serve(s.readyListener) }()
 	var tasks sync.WaitGroup
 	s.startTasks(taskCtx, &tasks)
 	select {
+	case err := <-served:
+		stopTasks()
+		tasks.Wait()
+		return trace.Wrap(err, "serve callers")
 	case err := <-failed:
 		stopTasks()
 		tasks.Wait()
-		return trace.Wrap(err, "serve")
+		return trace.Wrap(err, "serve readiness checks")
 	case <-ctx.Done():
 	}
-	s.shutdown(server)
+	s.shutdown(server, served)
 	stopTasks()
 	tasks.Wait()
 	if l := s.lending.Load(); l != nil {
@@ -253,7 +255,7 @@
 		Handler:           alice.New(s.countRunningRequests).Then(http.HandlerFunc(s.serveCaller)),
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: maxHeadTimeout,
-		ConnState:         s.trackState,
+		ConnState:         s.callers.TrackState,
 		ErrorLog:          slog.NewLogLogger(s.deps.Log.Handler(), slog.LevelDebug),
 	}
 }
@@ -271,8 +273,17 @@
 	})
 }
 
-// shutdown reports the router as not ready, waits for running requests and closes the callers' connections.
-func (s *Server) shutdown(server *http.Server) {
+// headTimeout returns the configured time limit for the head of a request, or zero without a configuration.
+func (s *Server) headTimeout() time.Duration {
+	if t := s.table.Load(); t != nil {
+		return t.Limits().HeaderTimeout
+	}
+	return 0
+}
+
+// shutdown reports the router as not ready, waits for running requests and closes the callers' connections. served
+// receives the result of the server's Serve.
+func (s *Server) shutdown(server *http.Server, served <-chan error) {
 	s.deps.Log.Info("router is shutting down", "router", s.self, "running", s.runningRequests.Load())
 	s.draining.Store(true)
 	grace := s.gracePeriod()
@@ -280,15 +291,17 @@
 	s.deps.Clock.Sleep(min(drainDelay, grace/2))
 	ctx, cancel := clockwork.WithDeadline(context.Background(), s.deps.Clock, end)
 	defer cancel()
-	err := server.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	_ = s.callerListener.Close()
+	<-served
+	s.callers.CloseIdle()
+	if err := s.callers.Wait(ctx); err != nil {
 		s.deps.Log.Warn("grace period ended; cutting off the running requests", "running", s.runningRequests.Load())
 	}
 	_ = server.Close()
 }
 
-// runMaintenance regularly checks the load of the link, closes idle connections, and removes targets whose entries were
-// not renewed after an outage of the store.
+// runMaintenance regularly checks the load of the link, closes idle connections to targets, and removes targets whose
+// entries were not renewed after an outage of the store.
 func (s *Server) runMaintenance(ctx context.Context) {
 	const interval = 500 * time.Millisecond
 	tick := s.deps.Clock.NewTicker(interval)
@@ -305,9 +318,6 @@
 			l.expire()
 		}
 		s.targets.Expire(s.deps.Clock.Now())
-		if t := s.table.Load(); t != nil {
-			s.idleConns.closeExpired(s.deps.Clock.Now(), t.Limits().IdleTimeout)
-		}
 	}
 }
 
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -27,9 +28,12 @@
 	storeAddr string
 	server    *Server
 	targets   map[string]*fakes.Engine
-	stop      func()
-	client    *http.Client
-	requests  int
+	// cancel begins the graceful shutdown, and stop also waits for its end.
+	cancel, stop func()
+	client       *http.Client
+	requests     int
+	// wrapCallers, if set, wraps the listener for callers.
+	wrapCallers func(net.Listener) net.Listener
 }
 
 // newTestEnv starts a store, one target of each service and a router.
@@ -41,7 +45,12 @@
 
 // newTestEnvWith does the same as newTestEnv, but set may change the settings and the dependencies of the router.
 func newTestEnvWith(t testing.TB, set func(*platform.Settings, *Deps)) *testEnv {
-	env := &testEnv{t: t, store: fakes.NewStore(2), targets: make(map[string]*fakes.Engine)}
+	return newTestEnvOn(t, nil, set)
+}
+
+// newTestEnvOn does the same as newTestEnvWith, with a wrapped listener for callers.
+func newTestEnvOn(t testing.TB, wrapCallers func(net.Listener) net.Listener, set func(*platform.Settings, *Deps)) *testEnv {
+	env := &testEnv{t: t, store: fakes.NewStore(2), targets: make(map[string]*fakes.Engine), wrapCallers: wrapCallers}
 	srv := httptest.NewServer(env.store)
 	env.storeAddr = srv.Listener.Addr().String()
 	t.Cleanup(func() {
@@ -97,7 +106,11 @@
 	if err := env.server.Listen(); err != nil {
 		env.t.Fatal(err)
 	}
+	if env.wrapCallers != nil {
+		env.server.callerListener = env.wrapCallers(env.server.callerListener)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
+	env.cancel = cancel
 	done := make(chan error, 1)
 	go func() { done <- env.server.Run(ctx) }()
 	stopped := false
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -20,8 +20,8 @@
 
 // drain shuts the router down gracefully: it announces that it is leaving, waits DrainGrace for the load balancer to
 // stop sending requests, finishes all running requests, writes its bills, closes its holders and removes its router
-// record.
-func (n *Node) drain() {
+// record. served receives the result of the callers' server.
+func (n *Node) drain(served <-chan error) {
 	n.log.Info("router is leaving", "running", n.traffic.inFlight.Load())
 	n.traffic.leaving.Store(true)
 	_ = n.runOnControl(n.ctx, n.announceLeaving)
@@ -32,7 +32,11 @@
 	case <-n.clock.After(n.cfg.DrainGrace):
 	case <-ctx.Done():
 	}
-	if err := n.callerServer.Shutdown(ctx); err != nil {
+	// The server's own Shutdown may close a connection on which a request has just been read.
+	_ = n.callerListener.Close()
+	<-served
+	n.callers.CloseIdle()
+	if err := n.callers.Wait(ctx); err != nil {
 		n.log.Error("requests were cut at the end of the drain timeout", "running", n.traffic.inFlight.Load(), "error", err)
 	}
 	n.traffic.draining.Store(true)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -19,6 +19,7 @@
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/core/target"
 	"geraniumsaddle/io/caller"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/io/flags"
 	"geraniumsaddle/io/metric"
 	"geraniumsaddle/io/peer"
@@ -103,8 +104,10 @@
 	lastPlatformReply atomic.Int64 // Unix time in nanoseconds
 	faultSwitches     *faultSwitches
 
-	callerServer   *http.Server
-	adminServer    *http.Server
+	callerServer *http.Server
+	adminServer  *http.Server
+	// callers holds the connections that callerListener accepts.
+	callers        *conns.Set
 	callerListener net.Listener
 	adminListener  net.Listener
 }
@@ -197,6 +200,8 @@
 	}
 	n.callerServer = n.newServer(n.callerHandler())
 	n.callerServer.ConnContext = caller.BoundSendBuffer
+	n.callers = conns.New(conns.Config{Clock: n.clock})
+	n.callerServer.ConnState = n.callers.TrackState
 	n.adminServer = n.newServer(n.adminHandler())
 	return nil
 }
@@ -215,15 +220,16 @@
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.runDone)
 	go n.controlLoop()
-	errs := make(chan error, 2)
-	go func() { errs <- n.callerServer.Serve(n.callerListener) }()
+	served, errs := make(chan error, 1), make(chan error, 1)
+	go func() { served <- n.callerServer.Serve(n.callers.Listener(n.callerListener)) }()
 	go func() { errs <- n.adminServer.Serve(n.adminListener) }()
 	n.log.Info("router started", "id", n.id, "caller_addr", n.CallerAddr(), "admin_addr", n.AdminAddr())
 	var err error
 	select {
 	case <-ctx.Done():
-		n.drain()
+		n.drain(served)
 	case <-n.ctx.Done():
+	case err = <-served:
 	case err = <-errs:
 	}
 	n.Kill()
