Take an answer without a length for complete only after its request is written

Cause: the kernel reports a reset once. While a long request is written in one goroutine and the answer read in another, the write may take the reset; the read then sees an orderly end, which ends an answer without a length. The older client has the same fault.

Change: at the end of such an answer the reader waits for the result of the write and asks for the socket's error. An error cuts the answer.

--- a/io/engine/send/conn.go
+++ b/io/engine/send/conn.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http/httptrace"
@@ -13,6 +14,34 @@
 	mu      sync.Mutex
 	written int64
 	sealed  bool
+	// write is the writing of the request that uses the connection, or nil.
+	write *WriteResult
+}
+
+// Read reads from the connection. The end of the connection counts only once the request has been written without an
+// error. net/http closes the connection at the end of a response without a length, so the wait for a target that reads the
+// request afterwards has to be here. The end of the request's context closes the connection and ends the write.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != io.EOF {
+		return n, err
+	}
+	c.mu.Lock()
+	write := c.write
+	c.mu.Unlock()
+	if write == nil {
+		return n, err
+	}
+	if writeErr := write.Wait(); writeErr != nil {
+		return n, fmt.Errorf("%w: the request was not written completely: %w", io.ErrUnexpectedEOF, writeErr)
+	}
+	return n, err
+}
+
+func (c *conn) setWrite(w *WriteResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.write = w
 }
 
 // Write counts the bytes before it writes them, so that a request that fails during the write counts as sent.
@@ -49,6 +78,7 @@
 
 // connUse records which connection a request uses and how many bytes had been written to it before.
 type connUse struct {
+	write      *WriteResult
 	mu         sync.Mutex
 	conn       *conn
 	startBytes int64
@@ -72,6 +102,7 @@
 		c.seal()
 	default:
 		u.conn, u.startBytes = c, c.bytesWritten()
+		c.setWrite(u.write)
 	}
 }
 
--- a/io/engine/send/send.go
+++ b/io/engine/send/send.go
@@ -136,8 +136,12 @@
 // Do sends one request with the given body and returns the response, whatever its status. It follows no redirects.
 // An error is an *Error of class ErrNotSent or ErrOutcomeUnknown. The caller must close the response body.
 func (t *Transport) Do(r *http.Request, body []byte) (*http.Response, error) {
-	var use connUse
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: use.gotConn})
+	write := NewWriteResult()
+	use := connUse{write: write}
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn:      use.gotConn,
+		WroteRequest: func(info httptrace.WroteRequestInfo) { write.Finish(info.Err) },
+	})
 	r = r.WithContext(ctx)
 	r.Body = &onceBody{unread: body}
 	r.GetBody = nil
--- a/io/engine/send/send_test.go
+++ b/io/engine/send/send_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -163,3 +164,51 @@
 		})
 	}
 }
+
+// TestUnframedResponse guards against taking a response without a length for complete that a reset has ended while a long
+// request was written, and against taking one for cut that ended in order before the request was read.
+func TestUnframedResponse(t *testing.T) {
+	t.Parallel()
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut %v", cut), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = ln.Close() }()
+			go answerUnframed(ln, cut)
+			tr := send.New(send.Config{})
+			for range 20 {
+				r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+ln.Addr().String(), nil)
+				is.NoErr(err)
+				resp, err := tr.Do(r, make([]byte, 4<<20))
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+				}
+				is.Equal(err != nil, cut)
+			}
+		})
+	}
+}
+
+// answerUnframed answers each connection's request before it has read it. It then reads the rest, or closes the
+// connection, which resets it.
+func answerUnframed(ln net.Listener, cut bool) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nanswer")
+			if cut {
+				_, _ = io.CopyN(io.Discard, req.Body, 64<<10)
+			} else {
+				_ = c.(*net.TCPConn).CloseWrite()
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
+		}
+		_ = c.Close()
+	}
+}
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -59,13 +59,15 @@
 	// Body returns io.EOF only at the end of a complete response.
 	Body io.Reader
 
-	pool          *Pool
-	key           string
-	conn          *conn
-	body          io.ReadCloser
-	reusable      bool
+	pool     *Pool
+	key      string
+	conn     *conn
+	body     io.ReadCloser
+	reusable bool
+	// unframed says that the end of the connection ends the body.
+	unframed      bool
 	complete      bool
-	writeResult   chan error
+	write         *send.WriteResult
 	detachContext func() bool
 }
 
@@ -76,9 +78,14 @@
 	if err != nil {
 		return nil, &send.Error{Class: send.ErrNotSent, Err: err}
 	}
+	return p.sendOn(ctx, c, r)
+}
+
+// sendOn sends a request on a connection.
+func (p *Pool) sendOn(ctx context.Context, c *conn, r Request) (*Response, error) {
 	detachContext := context.AfterFunc(ctx, func() { _ = c.Close() })
-	writeResult := make(chan error, 1)
-	written, err := writeRequest(c, r, writeResult)
+	write := send.NewWriteResult()
+	written, err := writeRequest(c, r, write)
 	if err != nil && written == 0 {
 		detachContext()
 		_ = c.Close()
@@ -90,29 +97,29 @@
 		_ = c.Close()
 		return nil, &send.Error{Class: send.ErrOutcomeUnknown, Err: errors.Join(err, readErr)}
 	}
-	resp.writeResult, resp.detachContext = writeResult, detachContext
+	resp.write, resp.detachContext = write, detachContext
 	return resp, nil
 }
 
 // writeRequest writes the headers and the body, and returns the bytes written so far. A body longer than maxInlineBody
-// is still being written when it returns. writeResult receives the final result.
-func writeRequest(c *conn, r Request, writeResult chan<- error) (int64, error) {
+// is still being written when it returns. write receives the final result.
+func writeRequest(c *conn, r Request, write *send.WriteResult) (int64, error) {
 	head := encodeHead(r)
 	defer headBuffers.Put(head)
 	if len(r.Body) <= maxInlineBody {
 		head.Write(r.Body)
 		n, err := c.Write(head.Bytes())
-		writeResult <- err
+		write.Finish(err)
 		return int64(n), err
 	}
 	n, err := c.Write(head.Bytes())
 	if err != nil {
-		writeResult <- err
+		write.Finish(err)
 		return int64(n), err
 	}
 	go func() {
 		_, err := c.Write(r.Body)
-		writeResult <- err
+		write.Finish(err)
 	}()
 	return int64(n), nil
 }
@@ -169,6 +176,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		pool: p, key: r.PoolKey, conn: c, body: resp.Body, reusable: !resp.Close,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}
 	out.Body = (*bodyReader)(out)
 	return out
@@ -179,31 +187,39 @@
 
 func (b *bodyReader) Read(buf []byte) (int, error) {
 	n, err := b.body.Read(buf)
+	if err == io.EOF && b.unframed {
+		err = b.checkEnd()
+	}
 	if err == io.EOF {
 		b.complete = true
 	}
 	return n, err
 }
 
+// checkEnd decides whether the end of the connection ends a complete body, and returns io.EOF if so. The kernel reports
+// a reset only once. If a write of the request takes it, a read sees an orderly end, so the end counts only once the
+// request has been written without an error and the socket has none. A target may read the request after it has answered,
+// so a write that is still blocked is waited for. The end of the request's context closes the connection and ends it.
+func (b *bodyReader) checkEnd() error {
+	err := b.write.Wait()
+	if err == nil {
+		err = b.conn.pendingError()
+	}
+	if err != nil {
+		return fmt.Errorf("%w: the request was not written completely: %w", io.ErrUnexpectedEOF, err)
+	}
+	return io.EOF
+}
+
 // Close releases the connection. It is kept for reuse if the body was read to its end, no bytes follow it and the
 // request was written completely. Otherwise it is closed, which also makes most targets stop working on the request.
 // targetIdleTimeout is the time after which the target closes an idle connection, or zero if unknown.
 func (r *Response) Close(targetIdleTimeout time.Duration) {
 	alive := r.detachContext()
-	if alive && r.complete && r.reusable && r.requestWritten() && r.conn.r.Buffered() == 0 {
+	if alive && r.complete && r.reusable && r.write.Succeeded() && r.conn.r.Buffered() == 0 {
 		r.conn.targetIdleTimeout = targetIdleTimeout
 		r.pool.putIdle(r.key, r.conn)
 		return
 	}
 	_ = r.conn.Close()
 }
-
-// requestWritten reports whether the request has been written completely without an error.
-func (r *Response) requestWritten() bool {
-	select {
-	case err := <-r.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
