Refuse requests that cannot be finished before the end of a planned stop

Callers saw: a booking whose body came late in the grace period was passed on, ran, and was cut off without an answer. Retries and streams that went on at another target were cut the same way.

Cause: nothing asked whether a request could still be finished.

Change: core/drain holds the schedule of a stop. From 3 s after the signal on, less the time until it is handled, a request is passed on only if its deadline is before the cut. The question is asked after the head, after the body and before each send. Other requests get 503 as not run at once, also while their body is on its way. Requests that run at the cut, never before the last sixth of the grace period, are answered 504 in place of a closed connection.

--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -62,7 +62,7 @@
 		x.writeAnswer(lastAnswer)
 		return
 	}
-	if x.r.Context().Err() != nil {
+	if x.r.Context().Err() != nil && !x.cutOff() {
 		x.reason = "the caller disconnected"
 		panic(http.ErrAbortHandler)
 	}
--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -148,7 +148,7 @@
 	for waiting := true; ; {
 		changed := f.changed.channel()
 		switch {
-		case f.s.draining.Load():
+		case f.s.isDraining():
 			return nil, peer.Failure{Code: codeDraining}
 		case f.s.storeMonitor.isUnreachable():
 			return nil, peer.Failure{Code: codeNoStore}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
 
+	"geraniumsaddle/core/drain"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/link"
 	"geraniumsaddle/core/place"
@@ -44,12 +45,6 @@
 	livenessTimeout = 15 * time.Second
 	// maxHeadTimeout limits how long a caller may take to send the head of a request. The configuration may set less.
 	maxHeadTimeout = 10 * time.Second
-	// drainDelay is the time between SIGTERM and the closing of the listener. It is long enough for the load balancer
-	// to see twice that the router is not ready.
-	drainDelay = 2500 * time.Millisecond
-	// stopMargin is the end of the grace period that is reserved for the last write to the ledger and the exit of the
-	// process.
-	stopMargin = 700 * time.Millisecond
 )
 
 // Deps holds the dependencies of a Server.
@@ -101,8 +96,9 @@
 	watchRestart *broadcast
 	// grantsNow and allowancesNow trigger a write of the ledgers or of the allowances before the next regular one.
 	grantsNow, allowancesNow chan struct{}
-	draining                 atomic.Bool
-	runningRequests          atomic.Int64
+	// drainPlan is the schedule of the shutdown, or nil.
+	drainPlan       atomic.Pointer[drain.Plan]
+	runningRequests atomic.Int64
 
 	callerListener, readyListener net.Listener
 
@@ -185,6 +181,9 @@
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	server := s.callerServer()
+	requestCtx, cutRequests := context.WithCancelCause(context.Background())
+	defer cutRequests(nil)
+	server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	readyServer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
 	served, failed := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(s.callers.Listener(s.callerListener)) }()
@@ -202,7 +201,7 @@
 		return trace.Wrap(err, "serve readiness checks")
 	case <-ctx.Done():
 	}
-	s.shutdown(server, served)
+	s.shutdown(server, served, cutRequests)
 	stopTasks()
 	tasks.Wait()
 	if l := s.lending.Load(); l != nil {
@@ -266,7 +265,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.runningRequests.Add(1)
 		defer s.runningRequests.Add(-1)
-		if s.draining.Load() || s.shedder.CloseNext(s.deps.Clock.Now()) {
+		if s.isDraining() || s.shedder.CloseNext(s.deps.Clock.Now()) {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -281,25 +280,6 @@
 	return 0
 }
 
-// shutdown reports the router as not ready, waits for running requests and closes the callers' connections. served
-// receives the result of the server's Serve.
-func (s *Server) shutdown(server *http.Server, served <-chan error) {
-	s.deps.Log.Info("router is shutting down", "router", s.self, "running", s.runningRequests.Load())
-	s.draining.Store(true)
-	grace := s.gracePeriod()
-	end := s.deps.Clock.Now().Add(grace - stopMargin)
-	s.deps.Clock.Sleep(min(drainDelay, grace/2))
-	ctx, cancel := clockwork.WithDeadline(context.Background(), s.deps.Clock, end)
-	defer cancel()
-	_ = s.callerListener.Close()
-	<-served
-	s.callers.CloseIdle()
-	if err := s.callers.Wait(ctx); err != nil {
-		s.deps.Log.Warn("grace period ended; cutting off the running requests", "running", s.runningRequests.Load())
-	}
-	_ = server.Close()
-}
-
 // runMaintenance regularly checks the load of the link, closes idle connections to targets, and removes targets whose
 // entries were not renewed after an outage of the store.
 func (s *Server) runMaintenance(ctx context.Context) {
@@ -340,7 +320,7 @@
 // isReady reports whether the router accepts new callers: it has a configuration, is not draining, and its link is not
 // busy.
 func (s *Server) isReady() bool {
-	return s.table.Load() != nil && !s.draining.Load() && !s.shedder.Busy()
+	return s.table.Load() != nil && !s.isDraining() && !s.shedder.Busy()
 }
 
 // retryAllowed reports whether the retry budget allows another send of a request to a service, and counts it if so.
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -133,11 +133,17 @@
 	x.versions = x.s.releases.pickVersions(x.service, x.started)
 	x.s.countRequest(x.service)
 	x.deadline = x.started.Add(x.timeout())
+	if !x.s.admits(x.deadline) {
+		return refuseShuttingDown, false
+	}
 	// A caller that sends its body slowly or without end must not keep the request beyond its deadline.
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
 	refused, ok := x.readBody(limits.MaxBody)
-	if ok {
+	switch {
+	case !x.s.admits(x.deadline):
+		return refuseShuttingDown, false
+	case ok:
 		_ = control.SetReadDeadline(time.Time{})
 	}
 	return refused, ok
@@ -243,6 +249,9 @@
 	if x.quarantined() {
 		return nil, errQuarantined
 	}
+	if !x.s.admits(x.deadline) {
+		return nil, errShuttingDown
+	}
 	r := place.Request{
 		Service: x.service, Exclude: x.triedTargets, Now: x.s.deps.Clock.Now(), Versions: x.versions,
 	}
--- a/io/edge/idle_test.go
+++ b/io/edge/idle_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -117,7 +118,9 @@
 			t.Parallel()
 			is := is.New(t)
 			gate := newReadGate("second of the pair")
-			env := newTestEnvOn(t, gate.wrap, func(*platform.Settings, *Deps) {})
+			env := newTestEnvOn(t, gate.wrap, func(cfg *platform.Settings, _ *Deps) {
+				cfg.Bounds.ShutdownGrace = 10 * time.Second
+			})
 			idle, busy := env.newRawCaller(), env.newRawCaller()
 			for _, caller := range []*rawCaller{idle, busy} {
 				caller.send(book)
@@ -127,6 +130,7 @@
 			}
 			second := book
 			second.body = "second of the pair"
+			second.deadlineMS = 4000 // before the end of the grace period
 			busy.send(second)
 			<-gate.read
 			c.expire(env)
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
 )
 
-// leaveTimeout bounds each way of returning tokens, through a writer and by direct writes. Both together fit into
-// stopMargin.
-const leaveTimeout = stopMargin * 2 / 5
+// leaveTimeout bounds each way of returning tokens, through a writer and by direct writes. Both together fit between the
+// end of the last request and the end of the grace period.
+const leaveTimeout = 280 * time.Millisecond
 
 // returnTokens returns the unspent tokens when the process stops.
 func (s *Server) returnTokens() {
--- a/io/edge/lending.go
+++ b/io/edge/lending.go
@@ -143,7 +143,7 @@
 			if err == nil {
 				return
 			}
-			if !clock.Now().Add(pause).Before(end) || l.s.draining.Load() {
+			if !clock.Now().Add(pause).Before(end) || l.s.isDraining() {
 				l.s.deps.Log.Warn("hold of prepaid tokens not settled; it counts as used in full", "id", id, "holder", holder.VM, "error", err)
 				return
 			}
@@ -167,7 +167,7 @@
 
 // serveHold holds tokens for the request of another router.
 func (l *lending) serveHold(ctx context.Context, from ident.RouterID, m peer.TokenHold) (peer.Message, error) {
-	if !l.knowsOrg(m.Org) || l.s.draining.Load() || m.Tokens <= 0 || m.TTL <= 0 {
+	if !l.knowsOrg(m.Org) || l.s.isDraining() || m.Tokens <= 0 || m.TTL <= 0 {
 		return nil, peer.Failure{Code: codeRefused, Message: "this router does not hold the organisation's tokens"}
 	}
 	id := lend.ID{Borrower: from, Request: m.Request}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -177,6 +177,10 @@
 // finalRefusal returns the refusal of a request for which no further target is tried.
 func (x *exchange) finalRefusal(err error) refusal {
 	switch {
+	case x.cutOff() && x.mayHaveRun:
+		return refuseCutOff
+	case !x.mayHaveRun && (x.cutOff() || errors.Is(err, errShuttingDown)):
+		return refuseShuttingDown
 	case x.mayHaveRun && x.ctx.Err() != nil:
 		return refuseTimeout
 	case x.mayHaveRun:
--- a/io/edge/tokens.go
+++ b/io/edge/tokens.go
@@ -48,7 +48,7 @@
 		return refusal{}, true
 	}
 	if x.ctx.Err() != nil {
-		return refuseDeadlinePassed, false
+		return x.finalRefusal(x.ctx.Err()), false
 	}
 	x.logTokenShortage(need, result)
 	if result.Result.Verdict == quota.Exhausted {
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -168,7 +168,7 @@
 func (w *claimWriter) isReady() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.accepting && w.s.table.Load() != nil && !w.s.draining.Load()
+	return w.accepting && w.s.table.Load() != nil && !w.s.isDraining()
 }
 
 // enqueue queues a claim. An older waiting claim of the same router is refused.
