Break off a stream when its continuation is no sound answer

Callers saw: the text of an error, or the head and text of a failure, in the middle of their stream, or a stream that ended as complete after its first half.

Cause: any 200 was taken for a stream and any bytes with an empty line for an event, events without a number went past the check of the order, and nobody asked for the signature of a success.

Change: a success without the target's signature is no answer, for plain requests and streams alike. A continuation must be an event stream. A line that is no field of an event, and an event without a number beside numbered ones, are errors. A plain answer to a streaming request is passed on whole. A caller's own Last-Event-Id starts the check of the order.

TestEndlessAnswers sends its endless events with the type of an event stream now, since a plain answer is read as one; its checks are the same.

--- a/io/edge/endless_test.go
+++ b/io/edge/endless_test.go
@@ -37,10 +37,10 @@
 		{"error of a look-up", fakes.EndlessResponse{Start: fakes.FailureHead + length, Pattern: "x"}, look, "whole", maxErrorSize},
 		{"refusal of a look-up", fakes.EndlessResponse{Start: fakes.RefusalHead + length, Pattern: "x"}, look, "whole", maxErrorSize},
 		{"error of a chat", fakes.EndlessResponse{Start: fakes.NotFoundHead + length, Pattern: "x"}, chat, "unknown", maxAnswerSize},
-		{"event", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, "unknown", maxEventSize},
-		{"repeated event", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, "broken", maxErrorSize},
-		{"events without number", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\n", Pattern: "data: x\n\n"}, chat, "broken", maxErrorSize},
-		{"event of a resumable stream", fakes.EndlessResponse{Start: fakes.AnswerHead + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, "whole", maxEventSize},
+		{"event", fakes.EndlessResponse{Start: streamHead + "\r\nid: 0\ndata: ", Pattern: "x"}, chat, "unknown", maxEventSize},
+		{"repeated event", fakes.EndlessResponse{Start: streamHead + "\r\n", Pattern: "id: 0\ndata: x\n\n"}, chat, "broken", maxErrorSize},
+		{"events without number", fakes.EndlessResponse{Start: streamHead + "\r\n", Pattern: "data: x\n\n"}, chat, "broken", maxErrorSize},
+		{"event of a resumable stream", fakes.EndlessResponse{Start: streamHead + "\r\nid: 0\ndata: ", Pattern: "x"}, resume, "whole", maxEventSize},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/edge/event.go
+++ b/io/edge/event.go
@@ -7,6 +7,8 @@
 	"io"
 	"strconv"
 	"sync"
+
+	"geraniumsaddle/platform"
 )
 
 // maxEventSize is the maximum size of one event of a stream in bytes. An event holds a few tokens.
@@ -18,13 +20,16 @@
 var (
 	errEventTooLarge  = errors.New("event exceeds the size limit")
 	errEventTruncated = errors.New("stream ends inside an event")
+	errNoEvent        = errors.New("stream contains a line that is no field of an event")
 )
 
 // event is one server-sent event.
 type event struct {
 	// raw holds the lines of the event with the empty line that ends it.
 	raw []byte
-	id  string
+	// empty says that it holds comments only, such as one that keeps a connection open.
+	empty bool
+	id    string
 	// number is the ID as an integer, if numbered.
 	number   int64
 	numbered bool
@@ -54,10 +59,11 @@
 }
 
 // next returns the next event, which is valid until the next call. It returns io.EOF only if the stream ends after a
-// complete event.
+// complete event. A line that is no known field is an error, because a failing target may write the text of its failure,
+// with or without the head of a response, into a stream.
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
-	var ev event
+	ev := event{empty: true}
 	for {
 		line, err := e.readLine()
 		if errors.Is(err, io.EOF) && len(e.raw) > 0 {
@@ -70,10 +76,19 @@
 			ev.raw = e.raw
 			return ev, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			ev.id = string(bytes.TrimSpace(id))
+		if line[0] == ':' {
+			continue
+		}
+		ev.empty = false
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			ev.id = string(bytes.TrimSpace(value))
 			n, err := strconv.ParseInt(ev.id, 10, 64)
 			ev.number, ev.numbered = n, err == nil
+		case "data", "event", "retry", platform.EventVersionField:
+		default:
+			return ev, errNoEvent
 		}
 	}
 }
--- a/io/edge/log_test.go
+++ b/io/edge/log_test.go
@@ -21,7 +21,7 @@
 // and msg.
 var operatorLogLines = map[string]string{
 	"router starts":                                  "boot domain first_start router uptime_ms vm",
-	"router is shutting down":                        "router running",
+	"router is shutting down":                        "close_ms cut_ms free_ms router running",
 	"router stopped":                                 "router",
 	"configuration in force":                         "organisations revision routes version",
 	"target entry removed":                           "target",
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -16,6 +16,9 @@
 // running it.
 const maxTargets = 4
 
+// errUnsigned means that a success lacks the target's signature, so that anything at its address may have sent it.
+var errUnsigned = errors.New("success without the signature of the target")
+
 // errTargetLeaving means that the chosen target became unusable between the choice and the send.
 var errTargetLeaving = errors.New("target is leaving or asks for no requests")
 
@@ -73,6 +76,11 @@
 	if !answerHeaders.NotRun {
 		x.recordArrival()
 	}
+	if !answerHeaders.Signed && a.Status < http.StatusMultipleChoices {
+		a.Close(0)
+		x.billable = x.billable || x.ctx.Err() == nil
+		return nil, &send.Error{Class: send.ErrOutcomeUnknown, Status: a.Status, Err: errUnsigned}
+	}
 	return &sentRequest{choice: c, answer: a, answerHeaders: answerHeaders}, nil
 }
 
--- a/io/edge/shutdown_test.go
+++ b/io/edge/shutdown_test.go
@@ -55,6 +55,7 @@
 		{"body", fakes.BookHead + body + "x", "123456789", fakes.HangAfterRun, http.StatusServiceUnavailable, 0},
 		{"body of a request that fits", fakes.BookHead + fakes.Deadline(2300) + body + "x", "123456789", fakes.Serve, http.StatusOK, 1},
 		{"head", fakes.BookHead, body + "0123456789", fakes.HangAfterRun, http.StatusServiceUnavailable, 0},
+		{"head without its body", fakes.BookHead, body, fakes.HangAfterRun, http.StatusServiceUnavailable, 0},
 		{"no more than the body's beginning", fakes.BookHead + body + "x", "", fakes.HangAfterRun, http.StatusServiceUnavailable, 0},
 		{"request before the shutdown", fakes.BookHead + body + "0123456789", "", fakes.HangAfterRun, http.StatusGatewayTimeout, 1},
 	}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
@@ -16,9 +17,12 @@
 type callerStream struct {
 	x           *exchange
 	headWritten bool
-	// lastID is the ID of the last numbered event that was passed on, and lastNumber its number, or -1.
-	lastID       string
-	lastNumber   int64
+	// lastID is the ID of the last numbered event that was passed on, and lastNumber its number, or -1. A caller that
+	// resumes a stream itself sets lastNumber alone.
+	lastID     string
+	lastNumber int64
+	// unnumbered says that an event without a number was passed on.
+	unnumbered   bool
 	callerFailed bool
 	// events is the number of events that were passed on.
 	events int
@@ -31,6 +35,9 @@
 	lastEvent := ""
 	if x.route.Resumable {
 		lastEvent = x.requestHeaders.LastEventID
+		if n, err := strconv.ParseInt(lastEvent, 10, 64); err == nil {
+			stream.lastNumber = n
+		}
 	}
 	for {
 		c, err := x.chooseTarget()
@@ -71,7 +78,7 @@
 	if sent.answerHeaders.NotRun {
 		return false, true, nil, x.endRefusedSend(sent)
 	}
-	if sent.answer.Status != http.StatusOK {
+	if sent.answer.Status != http.StatusOK || !sent.answerHeaders.EventStream {
 		return stream.relayNonStream(sent)
 	}
 	err = stream.relayEvents(sent)
@@ -150,10 +157,17 @@
 var errEventOrder = errors.New("event is out of order")
 
 // checkOrder reports whether an event is to be passed on, and records its number if so. An event that has been passed
-// on before is not. A gap in the numbers is an error.
+// on before is not. A gap in the numbers is an error, and so is an event without a number beside numbered ones: a target
+// numbers all events of a stream or none.
 func (stream *callerStream) checkOrder(e event) (bool, error) {
-	if !e.numbered {
+	switch {
+	case e.empty:
+		return true, nil
+	case !e.numbered && stream.lastNumber < 0:
+		stream.unnumbered = true
 		return true, nil
+	case !e.numbered || stream.unnumbered:
+		return false, errEventOrder
 	}
 	switch {
 	case stream.lastNumber < 0 || e.number == stream.lastNumber+1:
