Limit the memory that all large bodies and answers take together

Reported by another operator: a target sent bytes without end, the router kept them, and ended with all its requests.

Cause: the limits here were for one request each. Seventeen answers of 8 MB at once fill a VM of 134 MB, and so do callers that announce bodies of 4 MB, whose memory was taken before the bytes came.

Change: bodies, answers and events beyond 64 KB each take a quarter of the process's memory together, an organisation half of that, counted by the limiter of core/stream. A body without room is refused at once as not run; an answer without room is given up. Refusals that don't wait for the body close the connection, since net/http reads the rest of a short body before it answers otherwise.

Measured: before, TestManyEndlessAnswers held all 8 answers of 6 MB until the deadline with a memory of 64 MB, and TestManyLargeBodies let in all callers (408 after 20 s in place of 503). Both pass now.

--- a/io/edge/bench_test.go
+++ b/io/edge/bench_test.go
@@ -25,7 +25,7 @@
 		b.SetBytes(int64(len(text)))
 		for b.Loop() {
 			stream := callerStream{lastNumber: -1}
-			r := newEventReader(bytes.NewReader(text))
+			r := newEventReader(bytes.NewReader(text), nil)
 			for {
 				e, err := r.next()
 				if errors.Is(err, io.EOF) {
@@ -153,7 +153,7 @@
 	f.Add("id: 1\r\ndata: x\r\n\r\nid: 2\n\ndata")
 	f.Add("\n\n\nid:\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := newEventReader(strings.NewReader(text))
+		r := newEventReader(strings.NewReader(text), nil)
 		defer r.release()
 		var got strings.Builder
 		for {
--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -98,11 +98,13 @@
 	if sent.answer.Status >= http.StatusInternalServerError {
 		limit = maxErrorSize
 	}
-	body, err := io.ReadAll(io.LimitReader(sent.answer.Body, limit+1))
+	buffer := x.newBuffer()
+	body, err := io.ReadAll(&bufferedReader{r: io.LimitReader(sent.answer.Body, limit+1), buffer: buffer})
 	if err == nil && int64(len(body)) > limit {
 		err = errAnswerTooLarge
 	}
 	if err != nil {
+		buffer.release()
 		sent.answer.Close(0)
 		x.failSend(sent.choice, err)
 		return nil, err
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -20,6 +20,7 @@
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/core/retry"
 	"geraniumsaddle/core/route"
+	"geraniumsaddle/core/stream"
 	"geraniumsaddle/io/conns"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
@@ -73,6 +74,8 @@
 	accounts *quota.Accounts
 	pool     *relay.Pool
 	callers  *conns.Set
+	// buffers limits the memory for large bodies and answers.
+	buffers *stream.Limiter
 	// linkMeter measures the traffic on the VM's network link, and shedder decides when the link is busy or full.
 	linkMeter    *link.Meter
 	shedder      *link.Shedder
@@ -138,6 +141,7 @@
 	if s.watchTimeouts == nil {
 		s.watchTimeouts = defaultWatchTimeouts
 	}
+	s.buffers = newBufferLimiter(cfg.MemoryBytes)
 	s.callers = conns.New(conns.Config{Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout})
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
--- a/io/edge/event.go
+++ b/io/edge/event.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/platform"
 )
 
@@ -39,19 +40,23 @@
 type eventReader struct {
 	r   *bufio.Reader
 	raw []byte
+	// grow reserves memory for an event of the given size. It may be nil.
+	grow func(size ident.Bytes) error
 }
 
 var eventReaders = sync.Pool{New: func() any { return &eventReader{r: bufio.NewReaderSize(nil, eventBufferSize)} }}
 
-func newEventReader(r io.Reader) *eventReader {
+func newEventReader(r io.Reader, grow func(ident.Bytes) error) *eventReader {
 	e := eventReaders.Get().(*eventReader)
 	e.r.Reset(r)
+	e.grow = grow
 	return e
 }
 
 // release returns the reader to the pool, without a buffer that an unusually large event has made grow.
 func (e *eventReader) release() {
 	e.r.Reset(nil)
+	e.grow = nil
 	if cap(e.raw) > eventBufferSize {
 		e.raw = nil
 	}
@@ -98,6 +103,11 @@
 	start := len(e.raw)
 	for {
 		chunk, err := e.r.ReadSlice('\n')
+		if e.grow != nil {
+			if err := e.grow(ident.Bytes(len(e.raw) + len(chunk))); err != nil {
+				return nil, err
+			}
+		}
 		e.raw = append(e.raw, chunk...)
 		switch {
 		case err == nil:
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -15,6 +15,7 @@
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/core/poison"
 	"geraniumsaddle/core/route"
+	"geraniumsaddle/core/stream"
 	"geraniumsaddle/platform"
 )
 
@@ -59,6 +60,8 @@
 	sends        int
 	// sendEvents is the number of events of a stream that the last target has sent.
 	sendEvents int
+	// buffers holds the reservations of memory for the body and the answers.
+	buffers []*buffer
 	// prompt holds the parts of the prompt, once they were needed, and quarantinedPart the one that is quarantined.
 	prompt          poison.Prompt
 	quarantinedPart string
@@ -180,14 +183,18 @@
 	if x.r.ContentLength > int64(limit) {
 		return refuseBodyTooLarge, false
 	}
+	buffer := x.newBuffer()
 	if x.r.ContentLength > 0 {
+		if buffer.grow(ident.Bytes(x.r.ContentLength)) != nil {
+			return refuseNoMemory, false
+		}
 		x.body = make([]byte, x.r.ContentLength)
 		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
 			return bodyRefusal(err), false
 		}
 		return refusal{}, true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
+	body, err := io.ReadAll(&bufferedReader{r: http.MaxBytesReader(x.w, x.r.Body, int64(limit)), buffer: buffer})
 	if err != nil {
 		return bodyRefusal(err), false
 	}
@@ -198,7 +205,10 @@
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(err error) refusal {
 	var tooLarge *http.MaxBytesError
+	var noMemory *stream.LimitError
 	switch {
+	case errors.As(err, &noMemory):
+		return refuseNoMemory
 	case errors.As(err, &tooLarge):
 		return refuseBodyTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -210,6 +220,7 @@
 // finish settles the reserved tokens, and records and logs the outcome of the request.
 func (x *exchange) finish() {
 	x.settleTokens()
+	x.releaseBuffers()
 	total := x.s.deps.Clock.Since(x.started)
 	class, routeName, org := "none", "", ident.OrgID("")
 	if x.route != nil {
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -115,7 +115,9 @@
 // relayEvents passes on events until the stream ends. It returns nil if the stream is complete.
 func (stream *callerStream) relayEvents(sent *sentRequest) error {
 	x := stream.x
-	r := newEventReader(sent.answer.Body)
+	buffer := x.newBuffer()
+	defer buffer.release()
+	r := newEventReader(sent.answer.Body, buffer.grow)
 	defer r.release()
 	discarded := 0
 	for {
