Close expired connections to targets outside the pool's lock

A request can't be cut by it, since takeIdle removes a connection under the same lock, but requests wait for as many closes as have expired.

Measured: TestSweep failed before (2 closes while the lock was held) and passes; the package's tests pass with the race detector.

--- a/io/relay/pool.go
+++ b/io/relay/pool.go
@@ -124,8 +124,17 @@
 	p.idle[key] = append(conns, c)
 }
 
-// Sweep closes the connections whose idle limit has passed.
+// Sweep closes the connections whose idle limit has passed. It takes them out of the pool first, so that requests don't
+// wait while they are closed.
 func (p *Pool) Sweep() {
+	for _, c := range p.takeExpired() {
+		_ = c.Close()
+	}
+}
+
+// takeExpired removes and returns the connections whose idle limit has passed.
+func (p *Pool) takeExpired() []*conn {
+	var expired []*conn
 	now := p.cfg.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -136,7 +145,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.Close()
+			expired = append(expired, c)
 		}
 		clear(conns[len(kept):])
 		p.idle[key] = kept
@@ -144,4 +153,5 @@
 			delete(p.idle, key)
 		}
 	}
+	return expired
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -180,3 +180,37 @@
 		<-closed
 	}
 }
+
+// closeTrap fails the test if it is closed while the pool is locked.
+type closeTrap struct {
+	net.Conn
+	t *testing.T
+	p *Pool
+}
+
+func (c closeTrap) Close() error {
+	if !c.p.mu.TryLock() {
+		c.t.Error("a connection is closed while requests wait for the pool")
+		return nil
+	}
+	c.p.mu.Unlock()
+	return nil
+}
+
+// TestSweep guards against requests that wait while many idle connections are closed, and against closing one that has not
+// expired.
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	cfg := Config{Clock: clock}
+	p := New(cfg)
+	put := func() { p.putIdle("a", newConn(closeTrap{t: t, p: p}, cfg)) }
+	put()
+	clock.Advance(p.cfg.IdleTimeout)
+	put()
+	p.Sweep()
+	is.Equal(len(p.idle["a"]), 1)
+	clock.Advance(p.cfg.IdleTimeout)
+	p.Sweep()
+	is.Equal(len(p.idle), 0)
+}
