--- a/io/edge/shutdown.go
+++ b/io/edge/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,7 +39,9 @@
 	s.callers.LimitBodies(plan.FreeUntil, plan.CutAt)
 	s.deps.Clock.Sleep(plan.CloseAt.Sub(start))
 	_ = s.callerListener.Close()
-	<-served
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		s.deps.Log.Warn("server for callers failed", "error", err)
+	}
 	s.callers.CloseIdle()
 	if !s.waitForCallers(plan.CutAt) {
 		s.deps.Log.Warn("grace period ended; cutting off the running requests", "running", s.runningRequests.Load())
--- a/io/engine/send/conn.go
+++ b/io/engine/send/conn.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,7 +24,7 @@
 // request afterwards has to be here. The end of the request's context closes the connection and ends the write.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	c.mu.Lock()
--- a/io/node/drain.go
+++ b/io/node/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"time"
 
@@ -34,7 +35,9 @@
 	}
 	// The server's own Shutdown may close a connection on which a request has just been read.
 	_ = n.callerListener.Close()
-	<-served
+	if err := <-served; !errors.Is(err, net.ErrClosed) {
+		n.log.Warn("server for callers failed", "error", err)
+	}
 	n.callers.CloseIdle()
 	if err := n.callers.Wait(ctx); err != nil {
 		n.log.Error("requests were cut at the end of the drain timeout", "running", n.traffic.inFlight.Load(), "error", err)
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -187,10 +187,10 @@
 
 func (b *bodyReader) Read(buf []byte) (int, error) {
 	n, err := b.body.Read(buf)
-	if err == io.EOF && b.unframed {
+	if errors.Is(err, io.EOF) && b.unframed {
 		err = b.checkEnd()
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		b.complete = true
 	}
 	return n, err
