Ignore a repeated SIGTERM in edge; add planned work to the soak

Callers saw: requests that ran, streams among them, ended without an answer when a router that was shutting down got SIGTERM again.

Cause: the rule of all commands that a second signal ends the process at once. The platform kills edge itself at the end of its grace period.

Change: edge goes on with its shutdown; a second SIGINT still ends it. The soak has a mode -planned: stops, SIGHUP and changes of the idle timeout only, beside callers with slow bodies and idle connections, and the check that every request that runs is answered completely.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -10,7 +10,7 @@
 
 // checkOutcomes returns the violated guarantees. runCounts has the number of times that targets started to run each
 // request, by its id.
-func checkOutcomes(outcomes []outcome, runCounts map[string]int, eventsPerResponse int) []string {
+func checkOutcomes(outcomes []outcome, runCounts map[string]int, eventsPerResponse, prepaid int) []string {
 	var violations []string
 	deliveredTokens := 0
 	for _, o := range outcomes {
@@ -27,8 +27,19 @@
 			deliveredTokens += o.kind.inputTokens + tokens
 		}
 	}
-	if deliveredTokens > prepaidTokens {
-		violations = append(violations, fmt.Sprintf("%d tokens were delivered, but only %d are prepaid", deliveredTokens, prepaidTokens))
+	if deliveredTokens > prepaid {
+		violations = append(violations, fmt.Sprintf("%d tokens were delivered, but only %d are prepaid", deliveredTokens, prepaid))
+	}
+	return violations
+}
+
+// checkAnswered returns the requests that ran without a complete answer.
+func checkAnswered(outcomes []outcome, runCounts map[string]int) []string {
+	var violations []string
+	for _, o := range outcomes {
+		if runCounts[o.id] > 0 && !o.complete {
+			violations = append(violations, fmt.Sprintf("%s ran and got no complete answer (status %d)", o.id, o.status))
+		}
 	}
 	return violations
 }
--- a/cmd/soak/load.go
+++ b/cmd/soak/load.go
@@ -53,7 +53,9 @@
 // loadGenerator sends requests to the routers until stop is closed, and records their outcomes.
 type loadGenerator struct {
 	routers []*router
-	stop    chan struct{}
+	// slow makes half of the callers send bodies slowly, and lets their connections be idle for seconds.
+	slow bool
+	stop chan struct{}
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -71,23 +73,50 @@
 func (g *loadGenerator) runCaller(n int, rng *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 6 * time.Second}
 	defer client.CloseIdleConnections()
+	slow := g.slow && n%2 == 1
+	maxPause := 20 * time.Millisecond
+	if slow {
+		maxPause = 1500 * time.Millisecond
+	}
 	for i := 0; ; i++ {
 		select {
 		case <-g.stop:
 			return
-		case <-time.After(time.Duration(rng.IntN(20)) * time.Millisecond):
+		case <-time.After(time.Duration(rng.Int64N(int64(maxPause)))):
 		}
 		k := requestKinds[rng.IntN(len(requestKinds))]
-		o := g.send(client, g.routers[rng.IntN(len(g.routers))].callerAddr, k, fmt.Sprintf("%s-%d-%d", k.name, n, i))
+		var body io.Reader = strings.NewReader("body")
+		if slow && k.method == http.MethodPost {
+			body = &slowBody{rest: "body", pause: time.Duration(rng.Int64N(int64(maxBodyPause)))}
+		}
+		o := g.send(client, g.routers[rng.IntN(len(g.routers))].callerAddr, k, fmt.Sprintf("%s-%d-%d", k.name, n, i), body)
 		g.mu.Lock()
 		g.outcomes = append(g.outcomes, o)
 		g.mu.Unlock()
 	}
 }
 
-func (g *loadGenerator) send(client *http.Client, addr string, k requestKind, id string) outcome {
+// maxBodyPause bounds the pause before each byte of a slow body, which is to end well before the deadline.
+const maxBodyPause = 700 * time.Millisecond
+
+// slowBody is a body whose bytes come with pauses.
+type slowBody struct {
+	rest  string
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.rest == "" {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	p[0], b.rest = b.rest[0], b.rest[1:]
+	return 1, nil
+}
+
+func (g *loadGenerator) send(client *http.Client, addr string, k requestKind, id string, body io.Reader) outcome {
 	o := outcome{id: id, kind: k}
-	req, err := http.NewRequest(k.method, "http://"+addr+k.path, strings.NewReader("body"))
+	req, err := http.NewRequest(k.method, "http://"+addr+k.path, body)
 	if err != nil {
 		return o
 	}
@@ -101,7 +130,7 @@
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	o.status, o.signed, o.body, o.complete = resp.StatusCode, fakes.EngineStamp(resp.Header) != "", string(body), err == nil
+	answer, err := io.ReadAll(resp.Body)
+	o.status, o.signed, o.body, o.complete = resp.StatusCode, fakes.EngineStamp(resp.Header) != "", string(answer), err == nil
 	return o
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,9 @@
 	Dir     string
 	// Claims makes the routers write the ledgers through one of them, as the routers of a large fleet do.
 	Claims bool
+	// Planned restricts the faults to planned work: stops, changes of the settings and of the configuration. Then every
+	// request that runs must be answered.
+	Planned bool
 }
 
 // summary is the result of one run.
@@ -46,6 +49,7 @@
 	flag.IntVar(&cfg.Routers, "routers", 3, "number of routers")
 	flag.IntVar(&cfg.Callers, "callers", 8, "number of concurrent callers")
 	flag.BoolVar(&cfg.Claims, "claims", false, "routers write the ledgers through one of them")
+	flag.BoolVar(&cfg.Planned, "planned", false, "only planned work, beside callers with slow bodies and idle connections")
 	flag.StringVar(&cfg.Dir, "dir", "", "directory for settings and logs; by default, a new one for each seed")
 	flag.Parse()
 	failed := 0
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -29,6 +29,8 @@
 	engineProxies []*proxy // one in front of each engine
 	configVersion int
 	faults        map[string]int
+	// stopping holds the routers that planned work has sent SIGTERM and not started again.
+	stopping map[*router]bool
 }
 
 // run runs one seed: it sends load and injects faults for cfg.Length, then checks the outcomes.
@@ -40,7 +42,7 @@
 		}
 		cfg.Dir = dir
 	}
-	env := &testEnv{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), store: fakes.NewStore(5), faults: make(map[string]int)}
+	env := &testEnv{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), store: fakes.NewStore(5), faults: make(map[string]int), stopping: make(map[*router]bool)}
 	storeServer := httptest.NewServer(env.store)
 	defer storeServer.Close()
 	defer env.store.Close()
@@ -48,7 +50,7 @@
 	if err := env.start(storeServer.Listener.Addr().String()); err != nil {
 		return summary{}, err
 	}
-	load := &loadGenerator{routers: env.routers, stop: make(chan struct{})}
+	load := &loadGenerator{routers: env.routers, slow: cfg.Planned, stop: make(chan struct{})}
 	loadDone := make(chan struct{})
 	go func() {
 		load.run(cfg.Callers, cfg.Seed)
@@ -98,9 +100,24 @@
 	return true
 }
 
-func (env *testEnv) putConfig() {
+// defaultIdleTimeoutMS is the idle timeout of callers' connections in milliseconds.
+const defaultIdleTimeoutMS = 15_000
+
+func (env *testEnv) putConfig() { env.putConfigWithIdleTimeout(defaultIdleTimeoutMS) }
+
+func (env *testEnv) putConfigWithIdleTimeout(timeoutMS int) {
 	env.configVersion++
-	env.store.Put("config", "main", fakes.Config(env.configVersion, 4000, prepaidTokens))
+	config := fakes.Config(env.configVersion, 4000, env.prepaid())
+	env.store.Put("config", "main", fakes.WithIdleTimeout(config, timeoutMS))
+}
+
+// prepaid returns what organisation org1 has prepaid. Planned work is to be seen beside running requests, so that its
+// tokens last.
+func (env *testEnv) prepaid() int {
+	if env.cfg.Planned {
+		return 100 * prepaidTokens
+	}
+	return prepaidTokens
 }
 
 // addEngine starts an engine behind a proxy and registers it. The first three serve the model service, the others the
@@ -131,8 +148,12 @@
 func (env *testEnv) injectFaults() error {
 	deadline := time.Now().Add(env.cfg.Length)
 	var undo []func() error
+	inject := env.injectFault
+	if env.cfg.Planned {
+		inject = env.injectPlannedWork
+	}
 	for time.Now().Before(deadline) {
-		undo = append(undo, env.injectFault())
+		undo = append(undo, inject())
 		time.Sleep(time.Duration(100+env.rng.IntN(700)) * time.Millisecond)
 		for len(undo) > 0 && (len(undo) > 3 || env.rng.IntN(2) == 0) {
 			if err := undo[0](); err != nil {
@@ -189,8 +210,44 @@
 	}
 }
 
+// injectPlannedWork starts a random piece of planned work and returns the function that ends it.
+func (env *testEnv) injectPlannedWork() func() error {
+	r := env.routers[env.rng.IntN(len(env.routers))]
+	switch env.rng.IntN(4) {
+	case 0:
+		env.countFault("term")
+		r.signal(syscall.SIGTERM)
+		if env.stopping[r] {
+			break // The first signal's end waits for the exit.
+		}
+		env.stopping[r] = true
+		return func() error {
+			delete(env.stopping, r)
+			r.waitExit()
+			return r.start()
+		}
+	case 1:
+		env.countFault("hup")
+		r.signal(syscall.SIGHUP)
+	default:
+		env.countFault("idle_timeout")
+		// The router adds a second to the limit.
+		env.putConfigWithIdleTimeout([]int{1, defaultIdleTimeoutMS}[env.rng.IntN(2)])
+	}
+	return func() error { return nil }
+}
+
 func (env *testEnv) countFault(fault string) { env.faults[fault]++ }
 
+// runCount returns the number of requests that engines have started to run.
+func (env *testEnv) runCount() int {
+	n := 0
+	for _, e := range env.engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
 func (env *testEnv) summarize(outcomes []outcome) summary {
 	runCounts := make(map[string]int)
 	for _, e := range env.engines {
@@ -202,7 +259,10 @@
 	for _, o := range outcomes {
 		s.Answers[o.label()]++
 	}
-	s.Broken = checkOutcomes(outcomes, runCounts, eventsPerStream)
+	s.Broken = checkOutcomes(outcomes, runCounts, eventsPerStream, env.prepaid())
+	if env.cfg.Planned {
+		s.Broken = append(s.Broken, checkAnswered(outcomes, runCounts)...)
+	}
 	s.OK = len(s.Broken) == 0
 	return s
 }
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,12 +1,19 @@
 package main
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"geraniumsaddle/platform/fakes"
 )
 
 // seeds are run by each run of the tests. Add every seed that has failed, with a comment on the cause.
@@ -17,11 +24,7 @@
 // has all parts and belongs to its request, and no more tokens are delivered than are prepaid.
 func TestGuaranteesUnderFaults(t *testing.T) {
 	is := is.New(t)
-	binary := filepath.Join(t.TempDir(), "geraniumsaddle")
-	out, err := exec.Command("go", "build", "-o", binary, "geraniumsaddle/cmd/geraniumsaddle").CombinedOutput()
-	if err != nil {
-		t.Fatalf("build: %v: %s", err, out)
-	}
+	binary := buildRouter(t)
 	for _, seed := range seeds {
 		for _, claims := range []bool{false, true} {
 			result, err := run(config{Binary: binary, Seed: seed, Length: 4 * time.Second, Routers: 3, Callers: 4, Dir: t.TempDir(), Claims: claims})
@@ -32,6 +35,74 @@
 	}
 }
 
+// TestPlannedWork guards against requests that run and get no answer while routers are stopped and started and the idle
+// timeout changes, beside callers that send slowly and keep idle connections.
+func TestPlannedWork(t *testing.T) {
+	is := is.New(t)
+	binary := buildRouter(t)
+	result, err := run(config{Binary: binary, Seed: 1, Length: 4 * time.Second, Routers: 3, Callers: 16, Dir: t.TempDir(), Planned: true})
+	is.NoErr(err)
+	is.Equal(result.Broken, nil)
+	is.True(result.Answers["200"] > 0)
+}
+
+// TestRepeatedTerm guards against a second SIGTERM that cuts off the requests of a router that is shutting down.
+func TestRepeatedTerm(t *testing.T) {
+	is := is.New(t)
+	env := &testEnv{
+		cfg: config{Binary: buildRouter(t), Routers: 1, Dir: t.TempDir(), Planned: true}, store: fakes.NewStore(5), faults: make(map[string]int),
+	}
+	storeServer := httptest.NewServer(env.store)
+	defer storeServer.Close()
+	defer env.store.Close()
+	defer env.close()
+	is.NoErr(env.start(storeServer.Listener.Addr().String()))
+	load := &loadGenerator{routers: env.routers}
+	chat := func(id string) outcome {
+		return load.send(http.DefaultClient, env.routers[0].callerAddr, requestKinds[2], id, strings.NewReader("body"))
+	}
+	for deadline := time.Now().Add(startTimeout); chat("first").label() != "200"; {
+		is.True(time.Now().Before(deadline)) // The router has tokens.
+	}
+	for _, e := range env.engines {
+		e.EventInterval = 100 * time.Millisecond
+	}
+	before := env.runCount()
+	outcomes := make(chan outcome)
+	go func() { outcomes <- chat("second") }()
+	for deadline := time.Now().Add(startTimeout); env.runCount() == before; runtime.Gosched() {
+		is.True(time.Now().Before(deadline))
+	}
+	for range 2 {
+		env.routers[0].signal(syscall.SIGTERM)
+		time.Sleep(10 * time.Millisecond) // Pending signals of one kind are merged.
+	}
+	o := <-outcomes
+	is.Equal(o.label(), "200")
+}
+
+// buildRouter builds the program and returns its path.
+func buildRouter(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "geraniumsaddle")
+	out, err := exec.Command("go", "build", "-o", binary, "geraniumsaddle/cmd/geraniumsaddle").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	return binary
+}
+
+// TestCheckAnswered guards against a check that misses a request that ran without a complete answer, and against one that
+// counts answers of the router or requests that never ran.
+func TestCheckAnswered(t *testing.T) {
+	is := is.New(t)
+	outcomes := []outcome{
+		{id: "answered", status: 200, complete: true}, {id: "cut", status: 200}, {id: "none"}, {id: "not run"}, {id: "unknown", status: 504, complete: true},
+	}
+	runs := map[string]int{"answered": 1, "cut": 1, "none": 1, "unknown": 1}
+	is.Equal(len(checkAnswered(outcomes, runs)), 2)
+}
+
 // TestCheckOutcomes guards against violations that the checks miss, and against false ones.
 func TestCheckOutcomes(t *testing.T) {
 	book, chat := requestKinds[0], requestKinds[2]
@@ -62,7 +133,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(len(checkOutcomes([]outcome{c.o}, map[string]int{"a": c.runs}, eventsPerStream)), c.broken)
+			is.Equal(len(checkOutcomes([]outcome{c.o}, map[string]int{"a": c.runs}, eventsPerStream, prepaidTokens)), c.broken)
 		})
 	}
 }
@@ -75,6 +146,6 @@
 	for range prepaidTokens/(chat.inputTokens+1) + 1 {
 		outcomes = append(outcomes, outcome{id: "a", kind: chat, status: 200, signed: true, body: "id: 0\ndata: a part 0\n\n"})
 	}
-	is.Equal(len(checkOutcomes(outcomes, nil, eventsPerStream)), 1)
-	is.Equal(len(checkOutcomes(outcomes[1:], nil, eventsPerStream)), 0)
+	is.Equal(len(checkOutcomes(outcomes, nil, eventsPerStream, prepaidTokens)), 1)
+	is.Equal(len(checkOutcomes(outcomes[1:], nil, eventsPerStream, prepaidTokens)), 0)
 }
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -56,6 +56,8 @@
 	if err != nil {
 		return &settingsError{object.Faults{{Path: "settings", Message: err.Error()}}}
 	}
+	// The platform kills the process at the end of the grace period, so no further SIGTERM has to.
+	ignoreRepeatedTerm(ctx)
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitFraction))
--- a/io/edge/idle_test.go
+++ b/io/edge/idle_test.go
@@ -110,7 +110,9 @@
 		name   string
 		expire func(*testEnv)
 	}{
-		{"lower limit", func(env *testEnv) { env.store.Put("config", "main", fakes.ConfigWithIdleTimeout(2, 1)) }},
+		{"lower limit", func(env *testEnv) {
+			env.store.Put("config", "main", fakes.WithIdleTimeout(fakes.Config(2, 20_000, 1_000_000), 1))
+		}},
 		{"shutdown", func(env *testEnv) { env.cancel() }},
 	}
 	for _, c := range cases {
