--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -65,7 +65,7 @@
 		is.True(time.Now().Before(deadline)) // The router has tokens.
 	}
 	for _, e := range env.engines {
-		e.EventInterval = 100 * time.Millisecond
+		e.EventInterval = 300 * time.Millisecond
 	}
 	before := env.runCount()
 	outcomes := make(chan outcome)
@@ -73,10 +73,11 @@
 	for deadline := time.Now().Add(startTimeout); env.runCount() == before; runtime.Gosched() {
 		is.True(time.Now().Before(deadline))
 	}
-	for range 2 {
-		env.routers[0].signal(syscall.SIGTERM)
-		time.Sleep(10 * time.Millisecond) // Pending signals of one kind are merged.
+	env.routers[0].signal(syscall.SIGTERM)
+	for deadline := time.Now().Add(startTimeout); env.allReady(); {
+		is.True(time.Now().Before(deadline)) // The shutdown begins.
 	}
+	env.routers[0].signal(syscall.SIGTERM)
 	o := <-outcomes
 	is.Equal(o.label(), "200")
 }
