--- a/Makefile
+++ b/Makefile
@@ -33,13 +33,14 @@
 soak:
 	go test -count 1 -timeout 60m $(PROPERTIES) -rapid.checks=$(CHECKS)
 
-# Runs real routers under faults; SEED is the first of SEEDS.
+# Runs real routers under faults, and under planned work alone; SEED is the first of SEEDS.
 SEED := 1
 SEEDS := 10
 
 faults:
 	go build -o bench/ ./cmd/geraniumsaddle ./cmd/soak
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS)
+	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -planned -callers 24
 
 # Plays the standard days of both sites where the users' bench is present.
 BENCH := ../given/kit/more/system
