Take an event stream without an event for cut

Callers got a complete, empty 200 when an engine ended its connection in order right after the head of a stream. A resumable stream whose second target did so ended as complete after its first half.

Cause: the end of a connection ends a body without a length, and a stream was complete at any end outside an event. An engine that runs a request makes at least one token, so its first run has an event. Comments were counted as events.

The router now asks another target, or answers 502 or breaks the stream off, if no event of the last target was passed on and the stream has no length and no chunks, or is the first run of a model engine. An empty continuation with a length or chunks stays complete: an engine whose last event had been passed on sends just that. A stream of which only comments were passed on may resume at another target. A HEAD request has no events.

--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -24,8 +25,9 @@
 	// unnumbered says that an event without a number was passed on.
 	unnumbered   bool
 	callerFailed bool
-	// events is the number of events that were passed on.
-	events int
+	// events is the number of events that were passed on, and sendEvents the number of those of the last target that are
+	// not comments only.
+	events, sendEvents int
 }
 
 // serveStream passes on a stream of events. If the route allows it, an interrupted stream resumes at another target
@@ -59,9 +61,9 @@
 	}
 }
 
-// resumable reports whether another target can continue the stream. If events have been passed on and none had a
-// number, the target would start again from the first event.
-func (stream *callerStream) resumable() bool { return !stream.headWritten || stream.lastID != "" }
+// resumable reports whether another target can continue the stream. If events without a number have been passed on, the
+// target would start again from the first event.
+func (stream *callerStream) resumable() bool { return !stream.unnumbered }
 
 // relayFrom sends the request to one target and passes on its events. done says that the answer to the caller is
 // complete, arrived that the target may have received the request. lastAnswer is an answer that is no stream and was
@@ -82,6 +84,9 @@
 		return stream.relayNonStream(sent)
 	}
 	err = stream.relayEvents(sent)
+	if err == nil && stream.lacksEvents(sent.answer, lastEvent) {
+		err = errNoEvents
+	}
 	x.billable = x.billable || x.ctx.Err() == nil
 	if err == nil {
 		x.endSend(sent, place.ResultOK)
@@ -93,6 +98,21 @@
 	return false, true, nil, err
 }
 
+// errNoEvents means that a target ended its stream in order, but before an event, although it has to send one.
+var errNoEvents = fmt.Errorf("stream ends before its first event: %w", io.ErrUnexpectedEOF)
+
+// lacksEvents reports whether a stream that ended in order cannot be taken for whole because no event of the last target
+// was passed on. Without a length or chunks, such a stream looks the same as one whose target crashed after the head. With
+// them, it is whole if it continues one after the event lastEvent, which may have been the last, or if no model engine
+// sends it. The first run of an engine has at least one event.
+func (stream *callerStream) lacksEvents(a *relay.Response, lastEvent string) bool {
+	x := stream.x
+	if stream.sendEvents > 0 || x.r.Method == http.MethodHead {
+		return false
+	}
+	return a.Unframed || lastEvent == "" && x.route.UsesEngine
+}
+
 // relayNonStream handles an answer that is no stream, such as an error of the target. It passes on an answer that is
 // not retryable unless events have been passed on before.
 func (stream *callerStream) relayNonStream(sent *sentRequest) (
@@ -120,6 +140,7 @@
 	r := newEventReader(sent.answer.Body, buffer.grow)
 	defer r.release()
 	discarded := 0
+	stream.sendEvents = 0
 	for {
 		e, err := r.next()
 		if errors.Is(err, io.EOF) {
@@ -145,6 +166,9 @@
 		if stream.events++; x.exceedsMaxOutput(stream.events) {
 			return errAnswerTooLarge
 		}
+		if !e.empty {
+			stream.sendEvents++
+		}
 		if !stream.headWritten {
 			sent.choice.PrefillDone()
 		}
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -58,14 +58,14 @@
 	Length int64
 	// Body returns io.EOF only at the end of a complete response.
 	Body io.Reader
-
-	pool     *Pool
-	key      string
-	conn     *conn
-	body     io.ReadCloser
-	reusable bool
-	// unframed says that the end of the connection ends the body.
-	unframed      bool
+	// Unframed says that the end of the connection ends the body, so that an orderly end of a crashed target looks complete.
+	Unframed bool
+
+	pool          *Pool
+	key           string
+	conn          *conn
+	body          io.ReadCloser
+	reusable      bool
 	complete      bool
 	write         *send.WriteResult
 	detachContext func() bool
@@ -176,7 +176,7 @@
 	out := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		pool: p, key: r.PoolKey, conn: c, body: resp.Body, reusable: !resp.Close,
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		Unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
 	}
 	out.Body = (*bodyReader)(out)
 	return out
@@ -187,7 +187,7 @@
 
 func (b *bodyReader) Read(buf []byte) (int, error) {
 	n, err := b.body.Read(buf)
-	if errors.Is(err, io.EOF) && b.unframed {
+	if errors.Is(err, io.EOF) && b.Unframed {
 		err = b.checkEnd()
 	}
 	if errors.Is(err, io.EOF) {
