Report a peer's stream that ends after the length of a frame as cut

Recv returned io.EOF, which stands for the end after the last message, if a peer ended its stream in order between the length of a frame and the frame. No caller saw it: the only user of streams counts chunks and requires a last message.

Cause: io.ReadFull returns io.EOF if it reads nothing. It is io.ErrUnexpectedEOF inside a frame now.

--- a/io/peer/stream.go
+++ b/io/peer/stream.go
@@ -207,7 +207,8 @@
 	}
 }
 
-// readMessage reads and decodes one frame. It returns the message and its encoded size.
+// readMessage reads and decodes one frame. It returns the message and its encoded size. The error is io.EOF only if the
+// stream ends between two frames.
 func (sess *session) readMessage(r io.Reader) (Message, int, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -220,6 +221,9 @@
 	}
 	b := make([]byte, n)
 	if _, err := io.ReadFull(r, b); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		return nil, 0, err
 	}
 	env, ok := sess.decode(b)
