Report cut responses of the platform as unavailable, not as invalid

The client of the platform reported a read whose JSON was cut, and a watch that ended inside a line, as ErrInvalid, which stands for a malformed answer. Its documentation says ErrUnavailable for both.

--- a/io/store/client.go
+++ b/io/store/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -163,8 +164,9 @@
 		return noReplyError(req.name, req.write, err)
 	}
 	if err := json.NewDecoder(bytes.NewReader(b)).Decode(out); err != nil {
-		if req.write {
-			return noReplyError(req.name, true, err)
+		isCut := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		if req.write || isCut {
+			return noReplyError(req.name, req.write, err)
 		}
 		return &Error{Kind: ErrInvalid, Call: req.name, Err: err}
 	}
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxEventLine)
+	lines.Split(splitWholeLines)
 	for lines.Scan() {
 		e, err := decodeEvent(lines.Bytes())
 		if err == nil && (e.Object.Version <= from || e.Object.Key.Kind != kind) {
@@ -59,6 +61,14 @@
 	return from, preferContextErr(ctx, &Error{Kind: ErrUnavailable, Call: req.name, Err: err})
 }
 
+// splitWholeLines is a split function that drops a line without its end, which the end of the stream has cut.
+func splitWholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if atEOF && !bytes.ContainsRune(data, '\n') {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // preferContextErr returns the error of the context if it has ended, and err otherwise.
 func preferContextErr(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
