Take a success without a length and without a body for cut

Callers got a complete, empty 200 when a target ended its connection in order right after the head of a plain answer without a length.

The router now asks another target for a request that may be repeated, and answers 502 otherwise. An answer that says that it is empty, by a length of zero, its chunks, its status or the method HEAD, stays whole, and so does a short body: its end can't be told from a crash.

--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/io/engine/send"
+	"geraniumsaddle/io/relay"
 	"geraniumsaddle/platform"
 )
 
@@ -100,8 +102,11 @@
 	}
 	buffer := x.newBuffer()
 	body, err := io.ReadAll(&bufferedReader{r: io.LimitReader(sent.answer.Body, limit+1), buffer: buffer})
-	if err == nil && int64(len(body)) > limit {
+	switch {
+	case err == nil && int64(len(body)) > limit:
 		err = errAnswerTooLarge
+	case err == nil && len(body) == 0 && x.needsBody(sent.answer):
+		err = errNoBody
 	}
 	if err != nil {
 		buffer.release()
@@ -113,6 +118,15 @@
 	return &bufferedAnswer{sent.answer.Status, sent.answer.Header, body}, nil
 }
 
+// errNoBody means that a target ended its connection in order after the head of a success without a length.
+var errNoBody = fmt.Errorf("answer without a length has no body: %w", io.ErrUnexpectedEOF)
+
+// needsBody reports whether an answer with an empty body cannot be taken for whole. A success whose end is that of its
+// connection looks the same if the target crashes after the head, and a target that means it to be empty can say so.
+func (x *exchange) needsBody(a *relay.Response) bool {
+	return a.Unframed && a.Status < http.StatusMultipleChoices && x.r.Method != http.MethodHead
+}
+
 // endRefusedSend ends a send that the target refused without running the request, and returns place.ErrFull. A refusal
 // that is too large is no answer, so that the request may have run.
 func (x *exchange) endRefusedSend(sent *sentRequest) error {
