Reset the connection of a caller of HTTP/1.0 when its stream breaks off

A stream that no target continued ended in order for a caller of HTTP/1.0. Such a caller gets no chunks and takes the end of the connection for the end of the answer, so half of a stream looked whole.

Cause: the stream is aborted by http.ErrAbortHandler, which closes the connection in order; with HTTP/1.1 the missing last chunk tells the caller. The router now resets the connection.

--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -246,9 +247,31 @@
 	if err != nil {
 		x.reason += ": " + err.Error()
 	}
+	if !x.r.ProtoAtLeast(1, 1) {
+		x.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the caller's connection. HTTP/1.0 has no chunks, so that an orderly end would complete the answer.
+func (x *exchange) resetCaller() {
+	conn, _, err := http.NewResponseController(x.w).Hijack()
+	if err != nil {
+		x.s.deps.Log.Warn("connection of an aborted answer not reset", "id", x.requestHeaders.ID, "error", err)
+		return
+	}
+	raw := conn
+	if wrapped, ok := raw.(interface{ NetConn() net.Conn }); ok {
+		raw = wrapped.NetConn()
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	if err := errors.Join(err, conn.Close()); err != nil {
+		x.s.deps.Log.Warn("connection of an aborted answer not reset", "id", x.requestHeaders.ID, "error", err)
+	}
+}
+
 // exceedsMaxOutput reports whether a stream has more events than an answer to the request can have. Each event of an
 // engine holds at least one token; extraEvents allows for events without output, such as the one that ends a stream.
 func (x *exchange) exceedsMaxOutput(events int) bool {
