--- a/io/edge/cuthead_test.go
+++ b/io/edge/cuthead_test.go
@@ -83,3 +83,31 @@
 		})
 	}
 }
+
+// TestCutAfterWholeAnswer guards against taking an answer for whole that is cut at any byte of its head or body, on a
+// connection that has carried a whole one.
+func TestCutAfterWholeAnswer(t *testing.T) {
+	t.Parallel()
+	for _, req := range []testRequest{book, chat} {
+		t.Run(req.path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			env := newTestEnvWith(t, func(cfg *platform.Settings, _ *Deps) { cfg.Bounds.RetryAllowance = 100_000 })
+			first, service := req.firstTarget()
+			target := env.targets[first]
+			whole := framed(fakes.AnswerHead, "a whole answer")
+			if service == "llm" {
+				whole = chunked(streamHead, "id: 0\ndata: x\n\n")
+			}
+			for n := range whole {
+				target.SetMode(fakes.Serve)
+				env.waitFor("a whole answer", func() bool { return env.classify(env.do(req), req) == "whole" })
+				target.SetScript(whole[:n])
+				seen := target.RequestCount()
+				a := env.do(req)
+				is.True(target.RequestCount() > seen)
+				is.True(a.err != nil || env.classify(a, req) == "unknown")
+			}
+		})
+	}
+}
