Pass on a framed empty stream if no output was asked for

A request for zero tokens of output may have a whole stream without an event. TestEmptyStream has the case, which the commit before answered with 502, and passes.

--- a/io/edge/emptystream_test.go
+++ b/io/edge/emptystream_test.go
@@ -16,6 +16,8 @@
 // the head sends the same bytes as one whose stream without a length is empty.
 func TestEmptyStream(t *testing.T) {
 	t.Parallel()
+	noOutput := chat
+	noOutput.maxOutput = 0
 	cases := []struct {
 		name     string
 		req      testRequest
@@ -33,6 +35,8 @@
 		{"chunks, resumable, another target", resume, chunkedEmpty, true, "whole"},
 		{"length, resumable, another target", resume, framed(streamHead, ""), true, "whole"},
 		{"no length, comment, resumable", resume, streamHead + "\r\n" + comment, true, "whole"},
+		{"chunks, no output asked for", noOutput, chunkedEmpty, true, `200 ""`},
+		{"no length, no output asked for", noOutput, streamHead + "\r\n", true, "unknown"},
 		{"an event and no length", chat, streamHead + "\r\nid: 1\ndata: x\n\n", true, `200 "id: 1\ndata: x\n\n"`},
 	}
 	for _, c := range cases {
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -105,13 +105,15 @@
 // lacksEvents reports whether a stream that ended in order cannot be taken for whole because no event of the last target
 // was passed on. Without a length or chunks, such a stream looks the same as one whose target crashed after the head. With
 // them, it is whole if it continues one after the event lastEvent, which may have been the last, or if no model engine
-// sends it. The first run of an engine has at least one event.
+// sends it. The first run of an engine that is asked for output has at least one event.
 func (stream *callerStream) lacksEvents(a *relay.Response, lastEvent string) bool {
 	x := stream.x
 	if stream.sendEvents > 0 || x.r.Method == http.MethodHead {
 		return false
 	}
-	return a.Unframed || lastEvent == "" && x.route.UsesEngine
+	p := x.requestHeaders.Prompt
+	wantsOutput := x.route.UsesEngine && (p == nil || p.MaxOutput > 0)
+	return a.Unframed || lastEvent == "" && wantsOutput
 }
 
 // relayNonStream handles an answer that is no stream, such as an error of the target. It passes on an answer that is
