Disturb the starts and stops of routers in the soak

Cause: the users saw processes that end by themselves, and the soak neither sent signals around a start or a stop nor noticed an end that it had not caused.

Change: -starts stops and starts real routers beside series of SIGHUP, SIGTERM and SIGKILL from the start of the process on, holds a port, stops or closes the reader of the log, and keeps some hundred connections with partial requests open. It checks how each process ended, its largest resident size against the VM's memory, that the last announced settings were read, and that sound callers are served.

--- a/cmd/soak/load.go
+++ b/cmd/soak/load.go
@@ -37,6 +37,9 @@
 	body   string
 	// complete is set if the body could be read to its end.
 	complete bool
+
+	routerAddr   string
+	began, ended time.Time
 }
 
 // label returns the key under which the summary counts the outcome.
@@ -114,8 +117,9 @@
 	return 1, nil
 }
 
-func (g *loadGenerator) send(client *http.Client, addr string, k requestKind, id string, body io.Reader) outcome {
-	o := outcome{id: id, kind: k}
+func (g *loadGenerator) send(client *http.Client, addr string, k requestKind, id string, body io.Reader) (o outcome) {
+	o = outcome{id: id, kind: k, routerAddr: addr, began: time.Now()}
+	defer func() { o.ended = time.Now() }()
 	req, err := http.NewRequest(k.method, "http://"+addr+k.path, body)
 	if err != nil {
 		return o
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,11 @@
 	// Planned restricts the faults to planned work: stops, changes of the settings and of the configuration. Then every
 	// request that runs must be answered.
 	Planned bool
+	// Starts replaces the faults by signals, held ports and lost readers of the log at the starts and stops of routers,
+	// beside Partial connections with partial requests at each router, whose VM has MemoryMB of memory (0 for no limit).
+	Starts   bool
+	Partial  int
+	MemoryMB int
 }
 
 // summary is the result of one run.
@@ -37,9 +42,18 @@
 	Requests int            `json:"requests"`
 	Answers  map[string]int `json:"answers"`
 	Faults   map[string]int `json:"faults"`
-	Broken   []string       `json:"broken,omitempty"`
+	// Ends counts how processes ended, OwnEnds those that the soak did not cause, and Lost the requests in progress then.
+	Ends    map[string]int `json:"ends,omitempty"`
+	OwnEnds int            `json:"own_ends,omitempty"`
+	Lost    int            `json:"lost,omitempty"`
+	// PeakMB is the largest resident size of a process.
+	PeakMB int64    `json:"peak_mb,omitempty"`
+	Broken []string `json:"broken,omitempty"`
 }
 
+// smallVMMB is the memory of the smallest VM of the platform's sites in megabytes.
+const smallVMMB = 134
+
 func main() {
 	var cfg config
 	seeds := flag.Int("seeds", 1, "number of seeds to run, counting up from the first")
@@ -50,8 +64,13 @@
 	flag.IntVar(&cfg.Callers, "callers", 8, "number of concurrent callers")
 	flag.BoolVar(&cfg.Claims, "claims", false, "routers write the ledgers through one of them")
 	flag.BoolVar(&cfg.Planned, "planned", false, "only planned work, beside callers with slow bodies and idle connections")
+	flag.BoolVar(&cfg.Starts, "starts", false, "only faults at the starts and stops of routers, beside partial requests")
+	flag.IntVar(&cfg.Partial, "partial", 400, "number of connections with partial requests at each router, with -starts")
 	flag.StringVar(&cfg.Dir, "dir", "", "directory for settings and logs; by default, a new one for each seed")
 	flag.Parse()
+	if cfg.Starts {
+		cfg.MemoryMB = smallVMMB
+	}
 	failed := 0
 	for range *seeds {
 		if !runAndPrint(cfg) {
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -30,10 +30,17 @@
 	readyAddr    string
 	storeProxy   *proxy
 	settingsFile string
+	peerAddr     string
+	memoryMB     int
 	args         []string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd // the running process, or nil
+	// settingsVersion counts the changes of the settings file. watch, if it is set, tells whether the last one was read.
+	settingsVersion int
+	watch           *fileWatch
+
+	mu   sync.Mutex
+	proc *process // the running process, or nil
+	ends []processEnd
 }
 
 // The ports of a router. Each router has a loopback address of its own. With free ports of 127.0.0.1, another program
@@ -42,12 +49,14 @@
 	callerPort = 7001
 	readyPort  = 7002
 	peerPort   = 7003
+	// routersPerPort is the number of routers that share ports at different addresses.
+	routersPerPort = 250
 )
 
 // routerAddr returns the address of a port of a router. The IP address is derived from the process id and the index.
 func routerAddr(index, port int) string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/256%250, pid%256, index+1, port)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/256%250, pid%256, index%routersPerPort+1, port+10*(index/routersPerPort))
 }
 
 func newRouter(cfg config, index int, storeAddr string) (*router, error) {
@@ -63,64 +72,100 @@
 		return nil, err
 	}
 	r.settingsFile = filepath.Join(cfg.Dir, r.name+".json")
-	settings := fakes.Settings(r.name, r.callerAddr, r.readyAddr, r.storeProxy.addr(), routerAddr(index, peerPort), graceSeconds)
-	return r, os.WriteFile(r.settingsFile, []byte(settings), 0o600)
+	r.peerAddr, r.memoryMB = routerAddr(index, peerPort), cfg.MemoryMB
+	return r, r.writeSettings()
 }
 
-// start starts the process unless it is running.
-func (r *router) start() error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cmd != nil {
-		return nil
+// writeSettings replaces the settings file by one with another grace period and watches whether it is read.
+func (r *router) writeSettings() error {
+	grace := graceSeconds + float64(r.settingsVersion)/1000
+	r.settingsVersion++
+	settings := fakes.Settings(r.name, r.callerAddr, r.readyAddr, r.storeProxy.addr(), r.peerAddr, grace)
+	if r.memoryMB > 0 {
+		settings = fakes.WithMemory(settings, r.memoryMB)
 	}
-	log, err := os.OpenFile(filepath.Join(r.logDir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	next := r.settingsFile + ".next"
+	if err := os.WriteFile(next, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	w, err := newFileWatch(next)
 	if err != nil {
 		return err
 	}
+	if r.watch != nil {
+		r.watch.close()
+	}
+	r.watch = w
+	return os.Rename(next, r.settingsFile)
+}
+
+// start starts the process unless it is running. env is added to its environment.
+func (r *router) start(env ...string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.proc != nil {
+		return nil
+	}
 	cmd := exec.Command(r.binary, r.args...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+r.settingsFile)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	cmd.Env = append(cmd.Env, env...)
+	p, err := startProcess(cmd, filepath.Join(r.logDir, r.name+".log"))
+	if err != nil {
 		return err
 	}
-	r.cmd = cmd
-	go func() {
-		_ = cmd.Wait() // Wait returns an error if a signal ended the process.
-		_ = log.Close()
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.cmd == cmd {
-			r.cmd = nil
-		}
-	}()
+	r.proc = p
+	go r.await(p)
 	return nil
 }
 
-func (r *router) signal(s syscall.Signal) {
+// await records how the process ends.
+func (r *router) await(p *process) {
+	end := p.wait()
+	end.name, end.callerAddr = r.name, r.callerAddr
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cmd != nil {
-		_ = r.cmd.Process.Signal(s)
+	r.ends = append(r.ends, end)
+	r.proc = nil
+	close(p.done)
+}
+
+func (r *router) signal(s syscall.Signal) {
+	if p := r.process(); p != nil {
+		p.signal(s)
 	}
 }
 
+// process returns the running process, or nil.
+func (r *router) process() *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.proc
+}
+
 // waitExit waits until the process has ended, and kills it after the grace period.
 func (r *router) waitExit() {
 	for deadline := time.Now().Add(graceSeconds * time.Second); r.running(); {
 		if time.Now().After(deadline) {
-			r.signal(syscall.SIGKILL)
+			r.kill()
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-func (r *router) running() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cmd != nil
+// kill ends a process that has not ended within its grace period.
+func (r *router) kill() {
+	p := r.process()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	p.end.overdue = p.end.overdue || p.end.terminated && !p.end.killed
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
 }
 
+func (r *router) running() bool { return r.process() != nil }
+
 func (r *router) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + r.readyAddr + "/readyz")
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -28,7 +29,11 @@
 	engines       []*fakes.Engine
 	engineProxies []*proxy // one in front of each engine
 	configVersion int
-	faults        map[string]int
+	background    sync.WaitGroup
+
+	mu         sync.Mutex
+	faults     map[string]int
+	violations []string // found during the run
 	// stopping holds the routers that planned work has sent SIGTERM and not started again.
 	stopping map[*router]bool
 }
@@ -56,12 +61,24 @@
 		load.run(cfg.Callers, cfg.Seed)
 		close(loadDone)
 	}()
-	err := env.injectFaults()
+	partial := make(chan struct{})
+	var err error
+	if cfg.Starts {
+		err = env.disturbStarts(partial)
+	} else {
+		err = env.injectFaults()
+	}
 	close(load.stop)
 	<-loadDone
+	if cfg.Starts && err == nil {
+		env.checkServed(load)
+	}
+	close(partial)
+	env.background.Wait()
 	if err != nil {
 		return summary{}, err
 	}
+	env.stopRouters()
 	return env.summarize(load.outcomes), nil
 }
 
@@ -237,7 +254,11 @@
 	return func() error { return nil }
 }
 
-func (env *testEnv) countFault(fault string) { env.faults[fault]++ }
+func (env *testEnv) countFault(fault string) {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.faults[fault]++
+}
 
 // runCount returns the number of requests that engines have started to run.
 func (env *testEnv) runCount() int {
@@ -263,15 +284,48 @@
 	if env.cfg.Planned {
 		s.Broken = append(s.Broken, checkAnswered(outcomes, runCounts)...)
 	}
+	if env.cfg.Starts {
+		env.summarizeEnds(&s, outcomes)
+	}
 	s.OK = len(s.Broken) == 0
 	return s
 }
 
+// summarizeEnds adds how the processes ended.
+func (env *testEnv) summarizeEnds(s *summary, outcomes []outcome) {
+	var ends []processEnd
+	for _, r := range env.routers {
+		ends = append(ends, r.ends...)
+	}
+	s.Ends = make(map[string]int)
+	for _, e := range ends {
+		s.Ends[e.label()]++
+		s.PeakMB = max(s.PeakMB, e.peakMemory>>20)
+		if !wasAskedFor(e) {
+			s.OwnEnds++
+		}
+	}
+	s.Lost = countLost(outcomes, ends)
+	s.Broken = append(s.Broken, env.violations...)
+	s.Broken = append(s.Broken, checkEnds(ends, int64(env.cfg.MemoryMB)<<20)...)
+}
+
+// stopRouters stops all routers that run, after their last requests.
+func (env *testEnv) stopRouters() {
+	for _, r := range env.routers {
+		r.signal(syscall.SIGTERM)
+	}
+	for _, r := range env.routers {
+		r.waitExit()
+	}
+}
+
 func (env *testEnv) close() {
 	for _, r := range env.routers {
 		r.signal(syscall.SIGKILL)
 		r.waitExit()
 		r.storeProxy.close()
+		r.watch.close()
 	}
 	for _, p := range env.engineProxies {
 		p.close()
