Tell ends before any handler from the others in the soak

Cause: a signal that comes before the process has changed its handling ends it whatever the program does; such an end needs another remedy than one that comes later.

Change: the soak reads the kernel's masks before each SIGHUP and SIGTERM, and names ends before any handler so in its counts.

--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -35,6 +35,8 @@
 	status     syscall.WaitStatus
 	// terminated and killed are set if the process has been sent SIGTERM and SIGKILL.
 	terminated, killed bool
+	// early is set if the last SIGHUP or SIGTERM was sent before the process blocked, ignored or caught the signal.
+	early bool
 	// overdue is set if the process was killed because it had not ended within the grace period.
 	overdue bool
 	// peakMemory is the largest resident size that was seen, in bytes.
@@ -45,6 +47,9 @@
 
 // label returns the key under which the summary counts the end.
 func (e processEnd) label() string {
+	if e.status.Signaled() && e.early && e.status.Signal() != syscall.SIGKILL {
+		return e.status.Signal().String() + " before any handler"
+	}
 	if e.status.Signaled() {
 		return e.status.Signal().String()
 	}
@@ -94,8 +99,12 @@
 
 // signal sends a signal and records those that end a process.
 func (p *process) signal(s syscall.Signal) {
-	p.readMemory()
+	status := p.readStatus()
 	p.mu.Lock()
+	// A process that has ended but is not yet waited for has no memory and no handlers.
+	if alive := peakMemory(status) > 0; alive && (s == syscall.SIGHUP || s == syscall.SIGTERM) {
+		p.end.early = !handles(status, s)
+	}
 	p.end.terminated = p.end.terminated || s == syscall.SIGTERM
 	p.end.killed = p.end.killed || s == syscall.SIGKILL
 	p.mu.Unlock()
@@ -110,27 +119,45 @@
 		case <-p.done:
 			return
 		case <-tick.C:
-			p.readMemory()
+			p.readStatus()
 		}
 	}
 }
 
-// readMemory updates the largest resident size, which the kernel no longer reports once the process has ended.
-func (p *process) readMemory() {
+// readStatus returns the kernel's report on the process, and updates the largest resident size, which the kernel no longer
+// reports once the process has ended.
+func (p *process) readStatus() []byte {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
-		return
+		return nil // The process has ended.
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.end.peakMemory = max(p.end.peakMemory, peakMemory(status))
+	return status
+}
+
+// handles reports whether the process blocks, ignores or catches a signal, from the content of /proc/PID/status.
+func handles(status []byte, sig syscall.Signal) bool {
+	for _, field := range []string{"SigBlk:", "SigIgn:", "SigCgt:"} {
+		mask, err := strconv.ParseUint(statusField(status, field, "\n"), 16, 64)
+		if err == nil && mask>>(sig-1)&1 == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// statusField returns the value of a field of /proc/PID/status up to its unit.
+func statusField(status []byte, name, unit string) string {
+	_, rest, _ := bytes.Cut(status, []byte("\n"+name))
+	value, _, _ := bytes.Cut(rest, []byte(unit))
+	return string(bytes.TrimSpace(value))
 }
 
 // peakMemory returns the largest resident size in bytes from the content of /proc/PID/status, or 0.
 func peakMemory(status []byte) int64 {
-	_, rest, _ := bytes.Cut(status, []byte("VmHWM:"))
-	line, _, _ := bytes.Cut(rest, []byte(" kB"))
-	kb, err := strconv.ParseInt(string(bytes.TrimSpace(line)), 10, 64)
+	kb, err := strconv.ParseInt(statusField(status, "VmHWM:", " kB"), 10, 64)
 	if err != nil {
 		return 0
 	}
