Count ends before any handler apart in the soak

Change: such an end is counted under its own name and is no violation; an end by the same signal once the process catches signals still is.

--- a/cmd/soak/ends.go
+++ b/cmd/soak/ends.go
@@ -28,12 +28,12 @@
 }
 
 // wasAskedFor reports whether the soak caused the end: a process ends with status 0 after SIGTERM, and by SIGKILL if it
-// was killed.
+// was killed. A signal that comes before the process can have a handler for it also ends it, whatever the program does.
 func wasAskedFor(e processEnd) bool {
-	if e.status.Signaled() {
-		return e.killed && e.status.Signal() == syscall.SIGKILL
+	if !e.status.Signaled() {
+		return e.terminated && e.status.ExitStatus() == 0
 	}
-	return e.terminated && e.status.ExitStatus() == 0
+	return e.killed && e.status.Signal() == syscall.SIGKILL || e.endedEarly()
 }
 
 // countLost returns the number of requests without a complete answer that ran across the end of a process of their
--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -48,7 +48,7 @@
 
 // label returns the key under which the summary counts the end.
 func (e processEnd) label() string {
-	if e.status.Signaled() && e.early && e.status.Signal() != syscall.SIGKILL {
+	if e.endedEarly() {
 		return e.status.Signal().String() + " before any handler"
 	}
 	if e.status.Signaled() {
@@ -57,6 +57,12 @@
 	return fmt.Sprint("status ", e.status.ExitStatus())
 }
 
+// endedEarly reports whether a signal ended the process before it had a handler for it.
+func (e processEnd) endedEarly() bool {
+	sig := e.status.Signal()
+	return e.early && (sig == syscall.SIGHUP || sig == syscall.SIGTERM)
+}
+
 // startProcess starts cmd with a log that is also appended to a file.
 func startProcess(cmd *exec.Cmd, logFile string) (*process, error) {
 	p := &process{cmd: cmd, done: make(chan struct{})}
