Keep everything that callers and targets send under one limit of memory

Callers saw a router of a VM of 134 MB end: with 2,944 connections on which no whole request arrived it took up to 363 MB. The configured limit on a head applied only after up to 64 KB of it had been read, and connections, heads and the first 64 KB of bodies, answers and events weren't counted.

Connections, heads (by bytes and lines), bodies, answers and events now count against core/budget. The limit on a head applies while it is read; the answer is the refusal of the router, 431. When the budget is full, connections without a whole request are evicted, by the deadline of the read that waits: a request that has become whole wins. A request is refused as not run, or a connection closed at accept, only if nothing makes room. A request that was passed on waits for memory until its deadline.

A head that was read with the request before is reported by the handler now, because net/http doesn't report it, so no limit on idle connections applies to its request. TestBufferedReader needs a set of connections for its buffers; it checks the same.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,8 @@
 	// Planned restricts the faults to planned work: stops, changes of the settings and of the configuration. Then every
 	// request that runs must be answered.
 	Planned bool
+	// MemoryMB is the memory of the VM of a router in megabytes. Zero leaves it out of the settings.
+	MemoryMB int
 }
 
 // summary is the result of one run.
--- /dev/null
+++ b/cmd/soak/memory_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/platform/fakes"
+)
+
+const (
+	// smallVM is the memory of the smallest VM in megabytes, and hostileCallers about what its descriptors allow.
+	smallVM        = 134
+	hostileCallers = 3000
+	// soundRequests is the number of requests of a sound caller beside the others.
+	soundRequests = 200
+)
+
+// TestMemoryOfUnfinishedRequests guards against a process that the kernel ends, or that serves nobody, because many
+// callers keep connections open on which no whole request arrives.
+func TestMemoryOfUnfinishedRequests(t *testing.T) {
+	binary := buildRouter(t)
+	shortLines := func(size int) string {
+		var b strings.Builder
+		for i := 0; b.Len() < size; i++ {
+			fmt.Fprintf(&b, "%s:\n", strconv.FormatInt(int64(i), 36))
+		}
+		return b.String()[:size]
+	}
+	const announced = fakes.BookHead + "Content-Length: 65536\r\n\r\n"
+	cases := []struct{ name, sent string }{
+		{"head of one line", fakes.BookHead + "X: " + strings.Repeat("x", 60<<10)},
+		{"head of short lines", fakes.BookHead + strings.Repeat("X: y\r\n", 10<<10)},
+		{"head of one line within the limit", fakes.BookHead + "X: " + strings.Repeat("x", 3700)},
+		{"head of short lines within the limit", fakes.BookHead + shortLines(3700)},
+		{"body", announced + strings.Repeat("x", 65535)},
+		{"body that does not begin", announced},
+		{"idle", idleRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			env := &testEnv{
+				cfg: config{Binary: binary, Routers: 1, Dir: t.TempDir(), Planned: true, MemoryMB: smallVM}, store: fakes.NewStore(5), faults: make(map[string]int),
+			}
+			storeServer := httptest.NewServer(env.store)
+			defer storeServer.Close()
+			defer env.store.Close()
+			defer env.close()
+			is.NoErr(env.start(storeServer.Listener.Addr().String()))
+			r := env.routers[0]
+			conns := openConns(r.callerAddr, c.sent)
+			served := askSoundly(t, r)
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
+			peak, err := r.peakMemory()
+			t.Logf("%d connections, peak %d MB, %d of %d sound requests served", len(conns), peak>>20, served, soundRequests)
+			is.NoErr(err)
+			is.True(peak < smallVM<<20)
+			is.Equal(served, soundRequests)
+		})
+	}
+}
+
+// idleRequest is a whole request. Its caller keeps the connection open after the answer.
+const idleRequest = "GET /look/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: idle\r\n\r\n"
+
+// openConns opens the hostile connections and sends the same bytes on each of them.
+func openConns(addr, sent string) []net.Conn {
+	const parallel = 64
+	opened := make(chan net.Conn, hostileCallers)
+	var wg sync.WaitGroup
+	for range parallel {
+		wg.Go(func() {
+			for range hostileCallers / parallel {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					continue // The router may close connections when its memory is used up.
+				}
+				_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+				_, err = io.WriteString(c, sent)
+				if err == nil && sent == idleRequest {
+					_, _ = http.ReadResponse(bufio.NewReaderSize(c, 512), nil)
+				}
+				opened <- c
+			}
+		})
+	}
+	wg.Wait()
+	close(opened)
+	conns := make([]net.Conn, 0, len(opened))
+	for c := range opened {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// askSoundly sends requests one after the other, every second one on a new connection, and returns how many were served.
+func askSoundly(t *testing.T, r *router) int {
+	client := http.Client{Timeout: 20 * time.Second}
+	defer client.CloseIdleConnections()
+	served := 0
+	for i := range soundRequests {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.callerAddr+"/look/1", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = fakes.Host
+		req.Header = fakes.CallerHeader(fmt.Sprint("sound-", i), "", 0, 0)
+		req.Close = i%2 == 0
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Log("sound caller:", err)
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil && resp.StatusCode == http.StatusOK {
+			served++
+		} else if served < i {
+			t.Logf("sound caller: %d %.100s", resp.StatusCode, body)
+		}
+	}
+	return served
+}
+
+// peakMemory returns the largest resident memory of the process in bytes.
+func (r *router) peakMemory() (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cmd == nil {
+		return 0, fmt.Errorf("router %s has ended", r.name)
+	}
+	b, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(r.cmd.Process.Pid), "status"))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0, fmt.Errorf("no peak memory of router %s", r.name)
+	}
+	kb, err := strconv.Atoi(fields[0])
+	return kb << 10, err
+}
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -64,6 +64,9 @@
 	}
 	r.settingsFile = filepath.Join(cfg.Dir, r.name+".json")
 	settings := fakes.Settings(r.name, r.callerAddr, r.readyAddr, r.storeProxy.addr(), routerAddr(index, peerPort), graceSeconds)
+	if cfg.MemoryMB > 0 {
+		settings = fakes.WithMemory(settings, cfg.MemoryMB)
+	}
 	return r, os.WriteFile(r.settingsFile, []byte(settings), 0o600)
 }
 
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -1,11 +1,14 @@
 package conns
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/link"
 )
 
@@ -21,16 +24,34 @@
 	waitingSince time.Time
 	// deadline is the read deadline that the server has set, or zero.
 	deadline time.Time
+	memory   memory
 }
 
 // Read reads and counts the bytes.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.endWait()
+	if err := c.holdTail(); err != nil {
+		return 0, err
+	}
+	for {
+		n, err := c.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.retryAfterEviction(len(b)) {
+				continue
+			}
+			return 0, c.evictionError(err)
+		}
+		if n == 0 {
+			return 0, err
+		}
+		now := c.set.cfg.Clock.Now()
+		if m := c.set.cfg.Meter; m != nil {
+			m.Add(link.In, n, now)
+		}
+		if headErr := c.received(b[:n], now); headErr != nil {
+			return 0, headErr
+		}
+		return n, err
 	}
-	c.count(link.In, n)
-	return n, err
 }
 
 // Write writes and counts the bytes.
@@ -48,8 +69,10 @@
 
 // Close closes the connection and removes it from its set.
 func (c *conn) Close() error {
+	err := c.Conn.Close()
 	c.set.remove(c)
-	return c.Conn.Close()
+	c.releaseMemory()
+	return err
 }
 
 // NetConn returns the connection of the network.
@@ -73,7 +96,7 @@
 		t = c.capHead(t)
 	}
 	c.deadline = t
-	return c.Conn.SetReadDeadline(c.readDeadline())
+	return c.applyDeadline()
 }
 
 // capHead returns the deadline for the head of a request.
@@ -87,14 +110,6 @@
 	return t
 }
 
-// endWait records that bytes of the next request have been read. The deadline of the wait stays in force until the
-// server sets the one for the head.
-func (c *conn) endWait() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waiting = false
-}
-
 // setState follows the state that the server reports.
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
@@ -103,22 +118,27 @@
 	switch state {
 	case http.StateIdle:
 		c.waiting, c.waitingSince = true, c.set.cfg.Clock.Now()
+		c.becomeIdle()
 	case http.StateActive:
-		if !c.waiting {
+		c.headComplete()
+		if !c.waiting && !c.memory.lifted {
 			return
 		}
-		// The whole head had been read together with the request before.
+		// If it waits, the whole head had been read together with the request before.
 		c.waiting = false
 	default:
 		return
 	}
-	_ = c.Conn.SetReadDeadline(c.readDeadline()) // Only a closed connection refuses it.
+	_ = c.applyDeadline() // Only a closed connection refuses it.
 }
 
 // updateDeadline applies changed limits. A deadline that has passed takes effect after a delay.
 func (c *conn) updateDeadline(delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.memory.stage == budget.Evicted {
+		return
+	}
 	t := c.readDeadline()
 	if now := c.set.cfg.Clock.Now(); delay > 0 && !t.IsZero() && !t.After(now) {
 		t = now.Add(delay)
--- /dev/null
+++ b/io/conns/evict.go
@@ -0,0 +1,86 @@
+package conns
+
+import (
+	"context"
+	"time"
+
+	"geraniumsaddle/core/budget"
+	"geraniumsaddle/core/ident"
+)
+
+const (
+	// roomWait is how long a connection or a request that isn't passed on waits for the memory of evicted connections.
+	roomWait = 250 * time.Millisecond
+	// evictionShare is the part of the limit, one in evictionShare, that an eviction frees at least, so that the
+	// connections aren't scanned for each request.
+	evictionShare = 16
+)
+
+// Reserve reserves memory, and evicts connections if there is no room. Then it waits for up to the given time, or until the
+// context ends if that is zero. The error is ErrFull or that of the context. Without a budget it does nothing.
+func (s *Set) Reserve(ctx context.Context, class budget.Class, n ident.Bytes, wait time.Duration) error {
+	b := s.cfg.Memory
+	if b == nil || b.Reserve(class, n) {
+		return nil
+	}
+	var expired <-chan time.Time
+	if wait > 0 {
+		t := s.cfg.Clock.NewTimer(wait)
+		defer t.Stop()
+		expired = t.Chan()
+	}
+	for {
+		room := b.Room()
+		if b.Reserve(class, n) {
+			return nil
+		}
+		if !s.makeRoom(n) && wait > 0 {
+			return ErrFull
+		}
+		select {
+		case <-room:
+		case <-expired:
+			return ErrFull
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Release ends a reservation.
+func (s *Set) Release(class budget.Class, n ident.Bytes) {
+	if s.cfg.Memory != nil && n > 0 {
+		s.cfg.Memory.Release(class, n)
+	}
+}
+
+// makeRoom evicts connections so that n bytes and some more become free. It reports whether memory becomes free.
+func (s *Set) makeRoom(n ident.Bytes) bool {
+	if !s.evicting.TryLock() {
+		return true // Another goroutine does it.
+	}
+	defer s.evicting.Unlock()
+	b := s.cfg.Memory
+	need := b.Total() + max(n, b.Limit()/evictionShare) - b.Limit()
+	if need <= 0 {
+		return true
+	}
+	all := s.all()
+	holders := make([]budget.Holder, len(all))
+	for i, c := range all {
+		holders[i] = c.holder()
+	}
+	victims, pending := budget.Victims(holders, need)
+	for _, i := range victims {
+		if all[i].evict(holders[i]) {
+			s.evictions[holders[i].Stage].Add(1)
+		}
+	}
+	return pending || len(victims) > 0
+}
+
+// Evictions returns how many connections have been evicted in a stage.
+func (s *Set) Evictions(stage budget.Stage) uint64 { return s.evictions[stage].Load() }
+
+// Rejected returns how many new connections were closed because no memory was left.
+func (s *Set) Rejected() uint64 { return s.rejected.Load() }
--- /dev/null
+++ b/io/conns/memory.go
@@ -0,0 +1,253 @@
+package conns
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"geraniumsaddle/core/budget"
+	"geraniumsaddle/core/ident"
+)
+
+const (
+	// readAhead is what net/http may read beyond the end of a head, in bytes.
+	readAhead ident.Bytes = 4 << 10
+	// headForm is what the form of a head may add to its method, path and headers, in bytes.
+	headForm ident.Bytes = 256
+	// refusalTimeout limits the time for writing a refusal to a caller whose head isn't whole.
+	refusalTimeout = 100 * time.Millisecond
+	// lingerTime and maxLinger limit, in time and in bytes, the reading of what the caller of a refused head still sends.
+	// A connection that is closed before it is read would be reset, and the caller would lose the refusal.
+	lingerTime = 500 * time.Millisecond
+	maxLinger  = 256 << 10
+)
+
+var (
+	// ErrFull means that the memory of the process is used up and that no connection could be evicted in time.
+	ErrFull = errors.New("memory for callers is used up")
+	// ErrEvicted means that the connection was evicted to make room before the request was whole.
+	ErrEvicted = errors.New("connection was evicted to make room")
+
+	errHeadTooLarge = errors.New("head of the request exceeds the limit")
+)
+
+// closedError ends the reading of a head. net/http closes the connection without an answer of its own after a timeout.
+type closedError struct{ err error }
+
+func (e closedError) Error() string { return e.err.Error() }
+func (e closedError) Unwrap() error { return e.err }
+func (closedError) Timeout() bool   { return true }
+func (closedError) Temporary() bool { return false }
+
+// memory is what a connection holds. The mutex of the connection guards it.
+type memory struct {
+	stage budget.Stage
+	// lifted says that an eviction was lifted, so that a read may still return the expiry of its deadline.
+	lifted bool
+	// closed says that the reservations have been released.
+	closed bool
+	// lastRead is when bytes were received, or when the connection became idle.
+	lastRead time.Time
+	// headSize and headLines count the bytes and the lines that were read since the request before, and headHeld is
+	// what is reserved for them.
+	headSize  ident.Bytes
+	headLines int
+	headHeld  ident.Bytes
+	// tail is what the lines cost that may have been read together with the end of the request before. It is reserved before
+	// the connection waits for the rest of the next head.
+	tail ident.Bytes
+	// requestHeld is what the request holds beside its head.
+	requestHeld ident.Bytes
+}
+
+// received counts bytes that were read. While a head is read, it applies the limits, and answers the caller if the head
+// exceeds one. Then the bytes are lost.
+func (c *conn) received(b []byte, now time.Time) error {
+	c.mu.Lock()
+	c.waiting = false
+	m := &c.memory
+	m.lastRead = now
+	lines := bytes.Count(b, []byte{'\n'})
+	c.recordTail(b, lines)
+	if c.state == http.StateActive {
+		c.mu.Unlock()
+		return nil
+	}
+	if m.stage == budget.Idle {
+		m.stage = budget.ReadingHead
+	}
+	m.headSize += ident.Bytes(len(b))
+	m.headLines += lines
+	size := m.headSize
+	more := max(budget.HeadCost(m.headSize, m.headLines)-m.headHeld, 0)
+	c.mu.Unlock()
+	if limit := c.set.headLimit(); limit > 0 && size > limit {
+		c.refuseHead(HeadTooLarge)
+		return closedError{errHeadTooLarge}
+	}
+	return c.holdHead(more)
+}
+
+// recordTail records how many lines of the next head may be in the buffer of the server at the end of the request. The
+// caller holds c.mu.
+func (c *conn) recordTail(b []byte, lines int) {
+	m := &c.memory
+	cost := budget.HeadCost(0, min(lines, int(readAhead)))
+	switch {
+	case c.state == http.StateActive:
+		m.tail = max(m.tail, cost)
+	case bytes.HasSuffix(b, []byte("\n\r\n")):
+		m.tail = 0
+	default:
+		m.tail = cost
+	}
+}
+
+// holdTail reserves memory for a part of a head that had been read together with the request before.
+func (c *conn) holdTail() error {
+	c.mu.Lock()
+	m := &c.memory
+	cost := ident.Bytes(0)
+	if m.stage == budget.Idle && c.state == http.StateIdle {
+		cost, m.tail = m.tail, 0
+	}
+	c.mu.Unlock()
+	if cost == 0 {
+		return nil
+	}
+	return c.holdHead(cost)
+}
+
+// holdHead reserves memory for a head, or refuses the request.
+func (c *conn) holdHead(n ident.Bytes) error {
+	if c.set.cfg.Memory == nil {
+		return nil
+	}
+	if err := c.set.Reserve(context.Background(), budget.Heads, n, roomWait); err != nil {
+		c.refuseHead(NoMemory)
+		return closedError{err}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.memory.closed {
+		c.set.Release(budget.Heads, n)
+		return nil
+	}
+	c.memory.headHeld += n
+	return nil
+}
+
+// refuseHead answers a caller whose head isn't whole. Only the goroutine that reads the head may call it: net/http writes
+// nothing meanwhile.
+func (c *conn) refuseHead(r Refusal) {
+	if c.set.cfg.Refusal == nil {
+		return
+	}
+	now := time.Now()
+	_ = c.SetWriteDeadline(now.Add(refusalTimeout))
+	if _, err := c.Write(c.set.cfg.Refusal(r)); err != nil || c.CloseWrite() != nil || r == NoMemory {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(now.Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLinger)
+}
+
+// headComplete records that the whole head has been read. The caller holds c.mu.
+func (c *conn) headComplete() {
+	m := &c.memory
+	m.lifted = m.lifted || m.stage == budget.Evicted
+	m.stage = budget.Serving
+}
+
+// becomeIdle records the end of a request. The caller holds c.mu.
+func (c *conn) becomeIdle() {
+	m := &c.memory
+	m.stage, m.lastRead, m.lifted = budget.Idle, c.waitingSince, false
+	m.headSize, m.headLines = 0, 0
+	c.releaseHead()
+}
+
+func (c *conn) releaseHead() {
+	if c.memory.headHeld > 0 {
+		c.set.cfg.Memory.Release(budget.Heads, c.memory.headHeld)
+		c.memory.headHeld = 0
+	}
+}
+
+// releaseMemory ends the reservations when the connection is closed.
+func (c *conn) releaseMemory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.memory.closed || c.set.cfg.Memory == nil {
+		return
+	}
+	c.memory.closed = true
+	c.releaseHead()
+	c.set.cfg.Memory.Release(budget.Connections, budget.ConnectionCost)
+}
+
+// holder returns what an eviction has to know about the connection.
+func (c *conn) holder() budget.Holder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &c.memory
+	return budget.Holder{Stage: m.stage, Held: budget.ConnectionCost + m.headHeld + m.requestHeld, LastRead: m.lastRead}
+}
+
+// evict lets the read that waits expire, if the connection is still in the given stage and has read nothing since.
+func (c *conn) evict(h budget.Holder) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &c.memory
+	if m.stage != h.Stage || !m.lastRead.Equal(h.LastRead) || m.closed {
+		return false
+	}
+	m.stage = budget.Evicted
+	_ = c.applyDeadline() // Only a closed connection refuses it.
+	return true
+}
+
+// applyDeadline sets the read deadline. The caller holds c.mu.
+func (c *conn) applyDeadline() error {
+	if c.memory.stage == budget.Evicted {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.SetReadDeadline(c.readDeadline())
+}
+
+// retryAfterEviction reports whether a read whose deadline expired has to be repeated, because the request became whole
+// while its connection was being evicted. A read of one byte is the one by which net/http notices that a caller disconnects
+// while its request, which is whole, is served.
+func (c *conn) retryAfterEviction(size int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &c.memory
+	if m.stage == budget.Evicted && c.state == http.StateActive && size == 1 {
+		c.headComplete()
+		_ = c.applyDeadline() // Only a closed connection refuses it.
+	}
+	retry := m.lifted
+	m.lifted = false
+	return retry
+}
+
+// evictionError returns the error of a read whose deadline expired. It answers a caller whose head isn't whole.
+func (c *conn) evictionError(err error) error {
+	c.mu.Lock()
+	evicted := c.memory.stage == budget.Evicted
+	active, begun := c.state == http.StateActive, c.memory.headSize > 0
+	c.mu.Unlock()
+	switch {
+	case !evicted:
+		return err
+	case active:
+		return errors.Join(ErrEvicted, os.ErrDeadlineExceeded)
+	case begun:
+		c.refuseHead(NoMemory)
+	}
+	return closedError{ErrEvicted}
+}
--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -10,6 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"geraniumsaddle/core/budget"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/link"
 )
 
@@ -32,8 +34,25 @@
 	// HeadTimeout returns how long a caller may take to send the head of a request. It may be nil, and zero means that
 	// only the server's own timeout applies.
 	HeadTimeout func() time.Duration
+	// HeadLimit returns the maximum size of method, path and headers of a request in bytes. It may be nil, and zero means
+	// that only the server's own limit applies.
+	HeadLimit func() ident.Bytes
+	// Memory is the budget for connections and what they hold. It may be nil.
+	Memory *budget.Budget
+	// Refusal returns the bytes of an answer that refuses a request whose head isn't whole. If it is nil, the connection
+	// is closed without an answer.
+	Refusal func(Refusal) []byte
 }
 
+// Refusal says why a request is refused whose head isn't whole.
+type Refusal int
+
+// The reasons.
+const (
+	HeadTooLarge Refusal = iota
+	NoMemory
+)
+
 // Set is the set of open connections of an http.Server. It is safe for concurrent use.
 type Set struct {
 	cfg Config
@@ -44,6 +63,12 @@
 	// bodyLimits holds the limits of a shutdown on the reading of bodies, or nil.
 	bodyLimits atomic.Pointer[bodyLimits]
 
+	// evicting is held while connections are chosen for eviction, and evictions counts them by stage.
+	evicting  sync.Mutex
+	evictions [budget.Evicted + 1]atomic.Uint64
+	// rejected counts the connections that were closed at once.
+	rejected atomic.Uint64
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	// removed is signaled when a connection has been closed.
@@ -67,17 +92,25 @@
 	set *Set
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. A connection for which there is no memory is closed.
 func (l listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.set.Reserve(context.Background(), budget.Connections, budget.ConnectionCost, roomWait) == nil {
+			return l.set.add(raw), nil
+		}
+		l.set.rejected.Add(1)
+		_ = raw.Close()
 	}
-	return l.set.add(raw), nil
 }
 
 func (s *Set) add(raw net.Conn) *conn {
-	c := &conn{Conn: raw, set: s, state: http.StateNew, waiting: true, waitingSince: s.cfg.Clock.Now()}
+	now := s.cfg.Clock.Now()
+	c := &conn{Conn: raw, set: s, state: http.StateNew, waiting: true, waitingSince: now}
+	c.memory = memory{stage: budget.Idle, lastRead: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -131,15 +164,32 @@
 // updateDeadlines applies changed limits to all connections. Deadlines that have passed are spread over a time. No lock
 // is held that the requests of other connections need.
 func (s *Set) updateDeadlines(spread time.Duration) {
+	all := s.all()
+	for i, c := range all {
+		c.updateDeadline(spread * time.Duration(i) / time.Duration(len(all)))
+	}
+}
+
+// all returns the open connections.
+func (s *Set) all() []*conn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	all := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		all = append(all, c)
 	}
-	s.mu.Unlock()
-	for i, c := range all {
-		c.updateDeadline(spread * time.Duration(i) / time.Duration(len(all)))
+	return all
+}
+
+// headLimit returns how many bytes may be read until a head is whole, or zero.
+func (s *Set) headLimit() ident.Bytes {
+	if s.cfg.HeadLimit == nil {
+		return 0
+	}
+	if limit := s.cfg.HeadLimit(); limit > 0 {
+		return limit + headForm + readAhead
 	}
+	return 0
 }
 
 // Wait waits until all connections are closed. It returns the error of the context if that ends before.
--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/io/engine/send"
 	"geraniumsaddle/platform"
@@ -98,7 +99,7 @@
 	if sent.answer.Status >= http.StatusInternalServerError {
 		limit = maxErrorSize
 	}
-	buffer := x.newBuffer()
+	buffer := x.newBuffer(budget.Answers)
 	body, err := io.ReadAll(&bufferedReader{r: io.LimitReader(sent.answer.Body, limit+1), buffer: buffer})
 	if err == nil && int64(len(body)) > limit {
 		err = errAnswerTooLarge
--- a/io/edge/buffers.go
+++ b/io/edge/buffers.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/stream"
+	"geraniumsaddle/io/conns"
 )
 
 const (
@@ -14,8 +16,13 @@
 	orgBufferShare = 2
 	// defaultMemory is the memory of the process in bytes if the settings don't say.
 	defaultMemory = 256 << 20
-	// freeBuffer is the size in bytes up to which a body, an answer or an event isn't counted.
+	// freeBuffer is the size in bytes up to which a body, an answer or an event isn't counted for its organisation. It counts
+	// for the memory of the process from the first byte.
 	freeBuffer = 64 << 10
+	// growthShare is the part of its size, one in growthShare, by which a buffer may be larger than what it holds, and minGrowth
+	// the smallest step in bytes.
+	growthShare = 4
+	minGrowth   = 2 << 10
 )
 
 // newBufferLimiter returns the limiter for the bodies and answers that a process with the given memory holds.
@@ -29,19 +36,40 @@
 
 // buffer counts the bytes that one body, answer or event holds.
 type buffer struct {
-	x        *exchange
-	reserved ident.Bytes
+	x     *exchange
+	class budget.Class
+	// reserved is counted for the organisation, and held for the process.
+	reserved, held ident.Bytes
 }
 
 // newBuffer returns a buffer whose reservation ends with the request.
-func (x *exchange) newBuffer() *buffer {
-	b := &buffer{x: x}
+func (x *exchange) newBuffer(class budget.Class) *buffer {
+	b := &buffer{x: x, class: class}
 	x.buffers = append(x.buffers, b)
 	return b
 }
 
-// grow makes sure that the given size is reserved. The error is a *stream.LimitError.
+// grow makes sure that the given size is reserved. The error is a *stream.LimitError or one of exchange.reserve.
 func (b *buffer) grow(size ident.Bytes) error {
+	if err := b.growForOrg(size); err != nil {
+		return err
+	}
+	if size <= b.held {
+		return nil
+	}
+	step := max(size-b.held, size/growthShare, minGrowth)
+	if err := b.x.reserve(b.class, step); err != nil {
+		return err
+	}
+	b.held += step
+	if b.class == budget.Bodies {
+		conns.RequestOf(b.x.r.Context()).HoldBody(b.held)
+	}
+	return nil
+}
+
+// growForOrg reserves what counts for the organisation. The error is a *stream.LimitError.
+func (b *buffer) growForOrg(size ident.Bytes) error {
 	more := size - freeBuffer - b.reserved
 	if more <= 0 {
 		return nil
@@ -66,6 +94,8 @@
 		b.x.s.buffers.Release(b.x.orgID(), b.reserved)
 		b.reserved = 0
 	}
+	b.x.s.callers.Release(b.class, b.held)
+	b.held = 0
 }
 
 // releaseBuffers ends all reservations of the request.
--- a/io/edge/buffers_test.go
+++ b/io/edge/buffers_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/budget"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/platform"
 	"geraniumsaddle/platform/fakes"
 )
@@ -97,13 +99,13 @@
 func TestBufferedReader(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	x := &exchange{s: &Server{buffers: newBufferLimiter(2 << 20)}}
+	x := &exchange{s: &Server{buffers: newBufferLimiter(2 << 20), callers: conns.New(conns.Config{})}, ctx: t.Context()}
 	for _, size := range []int{100, freeBuffer, 3 * freeBuffer} {
-		_, err := io.Copy(io.Discard, &bufferedReader{r: strings.NewReader(strings.Repeat("x", size)), buffer: x.newBuffer()})
+		_, err := io.Copy(io.Discard, &bufferedReader{r: strings.NewReader(strings.Repeat("x", size)), buffer: x.newBuffer(budget.Answers)})
 		is.NoErr(err)
 		is.Equal(x.s.buffers.Used() > 0, size > freeBuffer)
 	}
-	_, err := io.Copy(io.Discard, &bufferedReader{r: strings.NewReader(strings.Repeat("x", 1<<20)), buffer: x.newBuffer()})
+	_, err := io.Copy(io.Discard, &bufferedReader{r: strings.NewReader(strings.Repeat("x", 1<<20)), buffer: x.newBuffer(budget.Answers)})
 	is.True(err != nil)
 	x.releaseBuffers()
 	is.Equal(int(x.s.buffers.Used()), 0)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/drain"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/link"
@@ -74,7 +75,9 @@
 	accounts *quota.Accounts
 	pool     *relay.Pool
 	callers  *conns.Set
-	// buffers limits the memory for large bodies and answers.
+	// memory limits what callers and targets can make the process hold, and buffers what one organisation's large bodies
+	// and answers can.
+	memory  *budget.Budget
 	buffers *stream.Limiter
 	// linkMeter measures the traffic on the VM's network link, and shedder decides when the link is busy or full.
 	linkMeter    *link.Meter
@@ -142,7 +145,11 @@
 		s.watchTimeouts = defaultWatchTimeouts
 	}
 	s.buffers = newBufferLimiter(cfg.MemoryBytes)
-	s.callers = conns.New(conns.Config{Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout})
+	s.memory = newMemoryBudget(cfg.MemoryBytes)
+	s.callers = conns.New(conns.Config{
+		Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout, HeadLimit: s.headLimit, Memory: s.memory, Refusal: refusedHead,
+	})
+	deps.Metrics.observeMemory(s.memory, s.callers)
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
 	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
@@ -253,12 +260,13 @@
 }
 
 func (s *Server) callerServer() *http.Server {
-	const maxHeader = 64 << 10 // bytes; admit applies the configured limit
+	const maxHeader = 64 << 10 // bytes; the configuration may set less
 	return &http.Server{
 		Handler:           alice.New(s.countRunningRequests).Then(http.HandlerFunc(s.serveCaller)),
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: maxHeadTimeout,
 		ConnState:         s.callers.TrackState,
+		ConnContext:       s.callers.ConnContext,
 		ErrorLog:          slog.NewLogLogger(s.deps.Log.Handler(), slog.LevelDebug),
 	}
 }
@@ -267,6 +275,7 @@
 // draining or sheds callers.
 func (s *Server) countRunningRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conns.RequestOf(r.Context()).Begin()
 		s.runningRequests.Add(1)
 		defer s.runningRequests.Add(-1)
 		if s.isDraining() || s.shedder.CloseNext(s.deps.Clock.Now()) {
@@ -284,12 +293,21 @@
 	return 0
 }
 
+// headLimit returns the configured limit on the head of a request, or zero without a configuration.
+func (s *Server) headLimit() ident.Bytes {
+	if t := s.table.Load(); t != nil {
+		return t.Limits().MaxHeader
+	}
+	return 0
+}
+
 // runMaintenance regularly checks the load of the link, closes idle connections to targets, and removes targets whose
 // entries were not renewed after an outage of the store.
 func (s *Server) runMaintenance(ctx context.Context) {
 	const interval = 500 * time.Millisecond
 	tick := s.deps.Clock.NewTicker(interval)
 	defer tick.Stop()
+	var evictions evictionLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -297,6 +315,7 @@
 		case <-tick.Chan():
 		}
 		s.checkLink()
+		evictions.update(s)
 		s.pool.Sweep()
 		if l := s.lending.Load(); l != nil {
 			l.expire()
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -10,12 +10,14 @@
 	"strconv"
 	"time"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/core/poison"
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/core/stream"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/platform"
 )
 
@@ -62,6 +64,8 @@
 	sendEvents int
 	// buffers holds the reservations of memory for the body and the answers.
 	buffers []*buffer
+	// requestHeld is what is reserved for the request beside its buffers.
+	requestHeld ident.Bytes
 	// prompt holds the parts of the prompt, once they were needed, and quarantinedPart the one that is quarantined.
 	prompt          poison.Prompt
 	quarantinedPart string
@@ -86,6 +90,10 @@
 		x.refuse(refused)
 		return
 	}
+	if refused, ok := x.holdRequest(); !ok {
+		x.refuse(refused)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
@@ -143,6 +151,9 @@
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
 	refused, ok := x.readBody(limits.MaxBody)
+	if ok {
+		conns.RequestOf(x.r.Context()).BodyEnds()
+	}
 	switch {
 	case !x.s.admits(x.deadline):
 		return refuseShuttingDown, false
@@ -183,7 +194,11 @@
 	if x.r.ContentLength > int64(limit) {
 		return refuseBodyTooLarge, false
 	}
-	buffer := x.newBuffer()
+	if x.r.ContentLength == 0 {
+		return refusal{}, true
+	}
+	buffer := x.newBuffer(budget.Bodies)
+	conns.RequestOf(x.r.Context()).BodyBegins(0)
 	if x.r.ContentLength > 0 {
 		if buffer.grow(ident.Bytes(x.r.ContentLength)) != nil {
 			return refuseNoMemory, false
@@ -207,7 +222,7 @@
 	var tooLarge *http.MaxBytesError
 	var noMemory *stream.LimitError
 	switch {
-	case errors.As(err, &noMemory):
+	case errors.As(err, &noMemory), errors.Is(err, conns.ErrFull), errors.Is(err, conns.ErrEvicted):
 		return refuseNoMemory
 	case errors.As(err, &tooLarge):
 		return refuseBodyTooLarge
@@ -221,6 +236,7 @@
 func (x *exchange) finish() {
 	x.settleTokens()
 	x.releaseBuffers()
+	x.s.callers.Release(budget.Answers, x.requestHeld)
 	total := x.s.deps.Clock.Since(x.started)
 	class, routeName, org := "none", "", ident.OrgID("")
 	if x.route != nil {
--- /dev/null
+++ b/io/edge/memory.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"geraniumsaddle/core/budget"
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/conns"
+	"geraniumsaddle/platform"
+)
+
+// memoryWait is how long a request that hasn't been passed on to a target waits for memory of evicted connections.
+const memoryWait = 250 * time.Millisecond
+
+// newMemoryBudget returns the budget of a process with the given memory in bytes.
+func newMemoryBudget(memory int64) *budget.Budget {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	return budget.New(budget.LimitFor(ident.Bytes(memory)))
+}
+
+// reserve reserves memory for the request. Before the request is passed on it waits for a short time and returns
+// conns.ErrFull. After that it waits until the deadline and returns the error of the context.
+func (x *exchange) reserve(class budget.Class, n ident.Bytes) error {
+	if x.ctx == nil {
+		return x.s.callers.Reserve(x.r.Context(), class, n, memoryWait)
+	}
+	return x.s.callers.Reserve(x.ctx, class, n, 0)
+}
+
+// holdRequest reserves what the request takes at a target, before it is passed on.
+func (x *exchange) holdRequest() (refusal, bool) {
+	if x.reserve(budget.Answers, budget.RequestCost) != nil {
+		return refuseNoMemory, false
+	}
+	x.requestHeld = budget.RequestCost
+	return refusal{}, true
+}
+
+// refusedHead returns the answer to a request whose head isn't whole.
+func refusedHead(reason conns.Refusal) []byte {
+	r := refuseNoMemory
+	if reason == conns.HeadTooLarge {
+		r = refuseHeadersTooLarge
+	}
+	body := r.reason + "\n"
+	resp := http.Response{
+		StatusCode: r.status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: true,
+		Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
+	}
+	platform.SetErrorHeaders(resp.Header, "", r.retryAfter)
+	resp.Header.Set("Content-Type", "text/plain; charset=utf-8")
+	var b bytes.Buffer
+	_ = resp.Write(&b) // A bytes.Buffer takes everything.
+	return b.Bytes()
+}
+
+// evictionLog logs when the process begins and ends to evict connections.
+type evictionLog struct {
+	evicted uint64
+	active  bool
+}
+
+// update logs a change since the last call.
+func (l *evictionLog) update(s *Server) {
+	evicted := s.callers.Rejected()
+	for _, stage := range budget.EvictableStages() {
+		evicted += s.callers.Evictions(stage)
+	}
+	active := evicted > l.evicted
+	l.evicted = evicted
+	if active == l.active {
+		return
+	}
+	l.active = active
+	s.deps.Log.Warn("eviction of callers' connections", "active", active, "evicted_total", evicted,
+		"held_bytes", s.memory.Total(), "limit_bytes", s.memory.Limit(), "connections", s.callers.Len())
+}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -9,7 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/io/store"
 )
 
@@ -123,6 +125,28 @@
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
+// observeMemory exports what the budget holds and whom it evicts.
+func (m *Metrics) observeMemory(b *budget.Budget, callers *conns.Set) {
+	gauge := func(name, help string, labels prometheus.Labels, value func() ident.Bytes) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: name, Help: help, ConstLabels: labels}, func() float64 { return float64(value()) }))
+	}
+	total := func(name, help string, labels prometheus.Labels, value func() uint64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: name, Help: help, ConstLabels: labels}, func() float64 { return float64(value()) }))
+	}
+	gauge("memory_limit_bytes", "Limit on the memory that callers and targets can make the router hold.", nil, b.Limit)
+	for _, c := range budget.Classes() {
+		gauge("memory_held_bytes", "Memory reserved for callers and targets by class.", prometheus.Labels{"class": c.String()},
+			func() ident.Bytes { return b.Used(c) })
+	}
+	for _, stage := range budget.EvictableStages() {
+		total("evictions_total", "Connections of callers that were evicted to make room, by the stage of the request.",
+			prometheus.Labels{"stage": stage.String()}, func() uint64 { return callers.Evictions(stage) })
+	}
+	total("rejected_connections_total", "Connections of callers that were closed at once because no memory was left.", nil, callers.Rejected)
+}
+
 func callResult(err error) string {
 	if err != nil {
 		return "error"
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/io/engine/send"
@@ -115,7 +116,7 @@
 // relayEvents passes on events until the stream ends. It returns nil if the stream is complete.
 func (stream *callerStream) relayEvents(sent *sentRequest) error {
 	x := stream.x
-	buffer := x.newBuffer()
+	buffer := x.newBuffer(budget.Answers)
 	defer buffer.release()
 	r := newEventReader(sent.answer.Body, buffer.grow)
 	defer r.release()
