Answer callers that arrive while the memory is used up

With 2,944 callers whose requests hold answers of 60 KB that stop, 160 to 1,633 of them were closed without an answer: new connections were evicted as idle before their request was read, or closed at accept. An idle connection that is evicted now reads once more what has arrived, and a connection that can't be accepted is answered with 503 and Retry-After; at most 64 at a time, others are closed.

--- a/cmd/soak/memory_test.go
+++ b/cmd/soak/memory_test.go
@@ -61,8 +61,9 @@
 			defer env.close()
 			is.NoErr(env.start(storeServer.Listener.Addr().String()))
 			r := env.routers[0]
+			waitServing(t, r)
 			conns := openConns(r.callerAddr, c.sent)
-			served := askSoundly(t, r)
+			served := askSoundly(t, r, soundRequests)
 			for _, conn := range conns {
 				_ = conn.Close()
 			}
@@ -75,6 +76,87 @@
 	}
 }
 
+// TestMemoryOfAnswers guards against a process that the kernel ends because thousands of requests hold a part of an answer or
+// an error of a target each, and callers don't read. Callers are served again after that.
+func TestMemoryOfAnswers(t *testing.T) {
+	binary := buildRouter(t)
+	const (
+		size     = 60 << 10
+		endless  = "Content-Length: 9999999999\r\n\r\n"
+		look     = fakes.LookHead + "Deadline-Ms: 3000\r\n\r\n"
+		chat     = "POST /chat/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nAuthorization: Token key1\r\nToken-Count: 1,1\r\nModel: m\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+		wholeLen = "Content-Length: 61440\r\n\r\n"
+	)
+	cases := []struct {
+		name, request string
+		response      fakes.EndlessResponse
+	}{
+		{"answers that stop", look, fakes.EndlessResponse{Start: fakes.AnswerHead + endless, Pattern: "x", Stall: size}},
+		{"whole answers that aren't read", look, fakes.EndlessResponse{Start: fakes.AnswerHead + wholeLen, Pattern: "x", Stall: size}},
+		{"errors", look, fakes.EndlessResponse{Start: fakes.FailureHead + wholeLen, Pattern: "x", Stall: size}},
+		{"errors that stop", look, fakes.EndlessResponse{Start: fakes.FailureHead + endless, Pattern: "x", Stall: size}},
+		{"events that stop", chat, fakes.EndlessResponse{Start: fakes.AnswerHead + fakes.StreamType + "\r\nid: 0\ndata: ", Pattern: "x", Stall: size}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			env := &testEnv{
+				cfg: config{Binary: binary, Routers: 1, Dir: t.TempDir(), Planned: true, MemoryMB: smallVM}, store: fakes.NewStore(5), faults: make(map[string]int),
+			}
+			storeServer := httptest.NewServer(env.store)
+			defer storeServer.Close()
+			defer env.store.Close()
+			defer env.close()
+			is.NoErr(env.start(storeServer.Listener.Addr().String()))
+			env.configVersion++
+			env.store.Put("config", "main", strings.ReplaceAll(fakes.Config(env.configVersion, 4000, env.prepaid()), `"max_connections":100`, `"max_connections":5000`))
+			r := env.routers[0]
+			waitServing(t, r)
+			for _, e := range env.engines {
+				e.SetEndless(c.response)
+			}
+			conns := openConns(r.callerAddr, c.request)
+			statuses := receiveStatuses(conns)
+			peak, err := r.peakMemory()
+			t.Logf("%d connections, peak %d MB, statuses %v", len(conns), peak>>20, statuses)
+			is.NoErr(err)
+			is.True(peak < smallVM<<20)
+			for _, e := range env.engines {
+				e.SetMode(fakes.Serve)
+			}
+			waitServing(t, r)
+			is.Equal(askSoundly(t, r, soundRequests), soundRequests)
+		})
+	}
+}
+
+// waitServing waits until the router serves a request.
+func waitServing(t *testing.T, r *router) {
+	t.Helper()
+	for deadline := time.Now().Add(startTimeout); askSoundly(t, r, 1) == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the router serves no request")
+		}
+	}
+}
+
+// receiveStatuses receives the heads of the answers to requests that were sent before, and counts their statuses. A
+// connection without an answer counts as 0.
+func receiveStatuses(conns []net.Conn) map[int]int {
+	statuses := make(map[int]int)
+	for _, c := range conns {
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReaderSize(c, 512), nil)
+		if err != nil {
+			statuses[0]++
+		} else {
+			statuses[resp.StatusCode]++
+		}
+		_ = c.Close()
+	}
+	return statuses
+}
+
 // idleRequest is a whole request. Its caller keeps the connection open after the answer.
 const idleRequest = "GET /look/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: idle\r\n\r\n"
 
@@ -109,11 +191,11 @@
 }
 
 // askSoundly sends requests one after the other, every second one on a new connection, and returns how many were served.
-func askSoundly(t *testing.T, r *router) int {
+func askSoundly(t *testing.T, r *router, n int) int {
 	client := http.Client{Timeout: 20 * time.Second}
 	defer client.CloseIdleConnections()
 	served := 0
-	for i := range soundRequests {
+	for i := range n {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.callerAddr+"/look/1", http.NoBody)
 		if err != nil {
 			t.Fatal(err)
@@ -130,7 +212,7 @@
 		_ = resp.Body.Close()
 		if err == nil && resp.StatusCode == http.StatusOK {
 			served++
-		} else if served < i {
+		} else {
 			t.Logf("sound caller: %d %.100s", resp.StatusCode, body)
 		}
 	}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -38,7 +38,10 @@
 			if c.retryAfterEviction(len(b)) {
 				continue
 			}
-			return 0, c.evictionError(err)
+			if n = c.readLate(b); n == 0 {
+				return 0, c.evictionError(err)
+			}
+			err = nil
 		}
 		if n == 0 {
 			return 0, err
--- a/io/conns/evict.go
+++ b/io/conns/evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"geraniumsaddle/core/budget"
@@ -14,6 +15,11 @@
 	// evictionShare is the part of the limit, one in evictionShare, that an eviction frees at least, so that the
 	// connections aren't scanned for each request.
 	evictionShare = 16
+	// maxRejecting is how many new connections are answered at a time when no memory is left. Others are closed at once.
+	maxRejecting = 64
+	// rejectTime limits the time for the answer to such a connection, and rejectRead the bytes that are read of its request.
+	rejectTime = 100 * time.Millisecond
+	rejectRead = 2 << 10
 )
 
 // Reserve reserves memory, and evicts connections if there is no room. Then it waits for up to the given time, or until the
@@ -84,3 +90,23 @@
 
 // Rejected returns how many new connections were closed because no memory was left.
 func (s *Set) Rejected() uint64 { return s.rejected.Load() }
+
+// reject refuses a new connection for which there is no memory. The request is read first, because a connection that is
+// closed before it is read would be reset, and the caller would lose the answer.
+func (s *Set) reject(raw net.Conn) {
+	s.rejected.Add(1)
+	select {
+	case s.rejecting <- struct{}{}:
+	default:
+		_ = raw.Close()
+		return
+	}
+	go func() {
+		defer func() { <-s.rejecting }()
+		defer func() { _ = raw.Close() }()
+		_ = raw.SetDeadline(time.Now().Add(rejectTime))
+		if _, err := raw.Read(make([]byte, rejectRead)); err == nil && s.cfg.Refusal != nil {
+			_, _ = raw.Write(s.cfg.Refusal(NoMemory)) // A caller that has gone needs no answer.
+		}
+	}()
+}
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -24,6 +24,8 @@
 	// A connection that is closed before it is read would be reset, and the caller would lose the refusal.
 	lingerTime = 500 * time.Millisecond
 	maxLinger  = 256 << 10
+	// lateReadTime is the time for reading a request that arrived while its idle connection was evicted.
+	lateReadTime = time.Millisecond
 )
 
 var (
@@ -235,6 +237,27 @@
 	return retry
 }
 
+// readLate reads what has arrived on an idle connection that is evicted, and lifts the eviction if that is anything: the
+// deadline of a read is checked before the data.
+func (c *conn) readLate(b []byte) int {
+	c.mu.Lock()
+	idle := c.memory.stage == budget.Evicted && c.state != http.StateActive && c.memory.headSize == 0
+	c.mu.Unlock()
+	if !idle {
+		return 0
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)) // Only a closed connection refuses it.
+	n, _ := c.Conn.Read(b)                                   // The error is that of the next read too.
+	if n == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.stage = budget.Idle
+	_ = c.applyDeadline() // Only a closed connection refuses it.
+	return n
+}
+
 // evictionError returns the error of a read whose deadline expired. It answers a caller whose head isn't whole.
 func (c *conn) evictionError(err error) error {
 	c.mu.Lock()
--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -68,6 +68,8 @@
 	evictions [budget.Evicted + 1]atomic.Uint64
 	// rejected counts the connections that were closed at once.
 	rejected atomic.Uint64
+	// rejecting holds a value for each connection that is being refused.
+	rejecting chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -80,7 +82,7 @@
 
 // New returns an empty set.
 func New(cfg Config) *Set {
-	return &Set{cfg: cfg, conns: make(map[*conn]struct{}), removed: make(chan struct{}, 1)}
+	return &Set{cfg: cfg, conns: make(map[*conn]struct{}), removed: make(chan struct{}, 1), rejecting: make(chan struct{}, maxRejecting)}
 }
 
 // Listener returns a listener whose connections are in the set. The server that accepts them must have TrackState as its
@@ -92,7 +94,7 @@
 	set *Set
 }
 
-// Accept returns the next connection. A connection for which there is no memory is closed.
+// Accept returns the next connection. A connection for which there is no memory is refused.
 func (l listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
@@ -102,8 +104,7 @@
 		if l.set.Reserve(context.Background(), budget.Connections, budget.ConnectionCost, roomWait) == nil {
 			return l.set.add(raw), nil
 		}
-		l.set.rejected.Add(1)
-		_ = raw.Close()
+		l.set.reject(raw)
 	}
 }
 
