--- a/cmd/soak/memory_test.go
+++ b/cmd/soak/memory_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,14 +53,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			env := &testEnv{
-				cfg: config{Binary: binary, Routers: 1, Dir: t.TempDir(), Planned: true, MemoryMB: smallVM}, store: fakes.NewStore(5), faults: make(map[string]int),
-			}
-			storeServer := httptest.NewServer(env.store)
-			defer storeServer.Close()
-			defer env.store.Close()
-			defer env.close()
-			is.NoErr(env.start(storeServer.Listener.Addr().String()))
+			env := startSmall(t, binary, smallVM)
 			r := env.routers[0]
 			waitServing(t, r)
 			conns := openConns(r.callerAddr, c.sent)
@@ -76,6 +70,119 @@
 	}
 }
 
+// startSmall starts a router on a VM with the given memory in megabytes, and its store and targets.
+func startSmall(tb testing.TB, binary string, memoryMB int) *testEnv {
+	tb.Helper()
+	env := &testEnv{
+		cfg: config{Binary: binary, Routers: 1, Dir: tb.TempDir(), Planned: true, MemoryMB: memoryMB}, store: fakes.NewStore(5), faults: make(map[string]int),
+	}
+	storeServer := httptest.NewServer(env.store)
+	tb.Cleanup(func() {
+		env.close()
+		env.store.Close()
+		storeServer.Close()
+	})
+	if err := env.start(storeServer.Listener.Addr().String()); err != nil {
+		tb.Fatal(err)
+	}
+	return env
+}
+
+// TestSlowBody guards against evicting a caller with a slow link, whose large body keeps arriving, beside many callers that
+// have stopped in the middle of their bodies and fill the memory.
+func TestSlowBody(t *testing.T) {
+	is := is.New(t)
+	const (
+		memoryMB = 284
+		size     = 4 << 20
+		parts    = 64
+		interval = 30 * time.Millisecond
+	)
+	env := startSmall(t, buildRouter(t), memoryMB)
+	env.configVersion++
+	env.store.Put("config", "main", strings.Replace(fakes.Config(env.configVersion, 20_000, env.prepaid()), `"max_body_bytes":100000`, `"max_body_bytes":5000000`, 1))
+	r := env.routers[0]
+	for deadline := time.Now().Add(startTimeout); sendBody(r.callerAddr, size) != http.StatusOK; {
+		is.True(time.Now().Before(deadline)) // The router has the configuration.
+	}
+	c, err := net.Dial("tcp", r.callerAddr)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", fakes.BookHead, size)
+	is.NoErr(err)
+	var hostile []net.Conn
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		hostile = openConns(r.callerAddr, fakes.BookHead+"Content-Length: 65536\r\n\r\n"+strings.Repeat("x", 65535))
+	}()
+	part := strings.Repeat("x", size/parts)
+	for range parts {
+		if _, err = io.WriteString(c, part); err != nil {
+			break // The answer says why.
+		}
+		time.Sleep(interval)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("%d %s", resp.StatusCode, body)
+	}
+	<-stop
+	for _, conn := range hostile {
+		_ = conn.Close()
+	}
+}
+
+// sendBody sends a request with a body, and returns the status of its answer or 0.
+func sendBody(addr string, size int) int {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", fakes.BookHead, size, strings.Repeat("x", size)) // The answer says why.
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// BenchmarkSoundCaller measures how long the requests of a caller take alone, and beside callers whose requests never become whole.
+func BenchmarkSoundCaller(b *testing.B) {
+	binary := buildRouter(b)
+	for _, c := range []struct{ name, sent string }{
+		{"alone", ""},
+		{"beside heads", fakes.BookHead + strings.Repeat("X: y\r\n", 600)},
+		{"beside bodies", fakes.BookHead + "Content-Length: 65536\r\n\r\n" + strings.Repeat("x", 65535)},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			r := startSmall(b, binary, smallVM).routers[0]
+			waitServing(b, r)
+			if c.sent != "" {
+				for _, conn := range openConns(r.callerAddr, c.sent) {
+					defer func() { _ = conn.Close() }()
+				}
+			}
+			times := make([]time.Duration, 0, b.N)
+			for b.Loop() {
+				start := time.Now()
+				if askSoundly(b, r, 1) == 0 {
+					b.Fatal("the sound caller was not served")
+				}
+				times = append(times, time.Since(start))
+			}
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99_us")
+			b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50_us")
+		})
+	}
+}
+
 // TestMemoryOfAnswers guards against a process that the kernel ends because thousands of requests hold a part of an answer or
 // an error of a target each, and callers don't read. Callers are served again after that.
 func TestMemoryOfAnswers(t *testing.T) {
@@ -100,14 +207,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			env := &testEnv{
-				cfg: config{Binary: binary, Routers: 1, Dir: t.TempDir(), Planned: true, MemoryMB: smallVM}, store: fakes.NewStore(5), faults: make(map[string]int),
-			}
-			storeServer := httptest.NewServer(env.store)
-			defer storeServer.Close()
-			defer env.store.Close()
-			defer env.close()
-			is.NoErr(env.start(storeServer.Listener.Addr().String()))
+			env := startSmall(t, binary, smallVM)
 			env.configVersion++
 			env.store.Put("config", "main", strings.ReplaceAll(fakes.Config(env.configVersion, 4000, env.prepaid()), `"max_connections":100`, `"max_connections":5000`))
 			r := env.routers[0]
@@ -131,7 +231,7 @@
 }
 
 // waitServing waits until the router serves a request.
-func waitServing(t *testing.T, r *router) {
+func waitServing(t testing.TB, r *router) {
 	t.Helper()
 	for deadline := time.Now().Add(startTimeout); askSoundly(t, r, 1) == 0; {
 		if time.Now().After(deadline) {
@@ -191,7 +291,7 @@
 }
 
 // askSoundly sends requests one after the other, every second one on a new connection, and returns how many were served.
-func askSoundly(t *testing.T, r *router, n int) int {
+func askSoundly(t testing.TB, r *router, n int) int {
 	client := http.Client{Timeout: 20 * time.Second}
 	defer client.CloseIdleConnections()
 	served := 0
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -83,7 +83,7 @@
 }
 
 // buildRouter builds the program and returns its path.
-func buildRouter(t *testing.T) string {
+func buildRouter(t testing.TB) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "geraniumsaddle")
 	out, err := exec.Command("go", "build", "-o", binary, "geraniumsaddle/cmd/geraniumsaddle").CombinedOutput()
