Watch the settings file in the soak only after its first change

Cause: the kernel allows 128 watches for a user, and a herd of 295 routers had one each: "too many open files" at its start.

--- a/cmd/soak/ends_test.go
+++ b/cmd/soak/ends_test.go
@@ -114,6 +114,8 @@
 	is := is.New(t)
 	r := &router{settingsFile: filepath.Join(t.TempDir(), "settings.json"), storeProxy: &proxy{ln: listener(t)}, peerAddr: "127.0.0.1:1"}
 	is.NoErr(r.writeSettings())
+	is.Equal(r.watch, nil)
+	is.NoErr(r.writeSettings())
 	is.True(!r.watch.opened())
 	_, err := os.ReadFile(r.settingsFile)
 	is.NoErr(err)
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -37,7 +37,8 @@
 	exitSlack time.Duration
 	args      []string
 
-	// settingsVersion counts the changes of the settings file. watch, if it is set, tells whether the last one was read.
+	// settingsVersion counts the changes of the settings file. watch tells whether the last one was read; it is nil before
+	// the first change, as the kernel has few watches for a large fleet.
 	settingsVersion int
 	watch           *fileWatch
 
@@ -94,7 +95,17 @@
 	if err := os.WriteFile(next, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	w, err := newFileWatch(next)
+	if r.settingsVersion > 1 {
+		if err := r.watchFile(next); err != nil {
+			return err
+		}
+	}
+	return os.Rename(next, r.settingsFile)
+}
+
+// watchFile watches the next settings file instead of the last one.
+func (r *router) watchFile(name string) error {
+	w, err := newFileWatch(name)
 	if err != nil {
 		return err
 	}
@@ -102,7 +113,7 @@
 		r.watch.close()
 	}
 	r.watch = w
-	return os.Rename(next, r.settingsFile)
+	return nil
 }
 
 // start starts the process unless it is running. env is added to its environment.
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -356,7 +356,9 @@
 		r.signal(syscall.SIGKILL)
 		r.waitExit()
 		r.storeProxy.close()
-		r.watch.close()
+		if r.watch != nil {
+			r.watch.close()
+		}
 	}
 	for _, p := range env.engineProxies {
 		p.close()
