Count only requests that could reach the process as lost with it

Cause: a request that waits at a held port began before the process that ends for it, and was counted as lost with it.

--- a/cmd/soak/ends.go
+++ b/cmd/soak/ends.go
@@ -48,9 +48,10 @@
 	return lost
 }
 
-// crosses reports whether the request was in progress at its router when the process ended.
+// crosses reports whether the request was in progress at the process, which it can reach only after its start, when it
+// ended.
 func (o outcome) crosses(e processEnd) bool {
-	return o.routerAddr == e.callerAddr && o.began.Before(e.at) && !o.ended.Before(e.at.Add(-endTolerance))
+	return o.routerAddr == e.callerAddr && o.began.Before(e.at) && !o.began.Before(e.at.Add(-e.age)) && !o.ended.Before(e.at.Add(-endTolerance))
 }
 
 // endTolerance is how much earlier than the soak a caller may notice the end of a process.
