Keep signals, and a log that nobody reads, from ending a process

What callers see: a router that ends by itself answers none of the requests that it holds.

Cause: edge handled SIGHUP only once it listened, and no longer while it wrote its last log lines; Go's runtime ends a process at SIGPIPE on standard output.

Change: io/life subscribes to SIGHUP before main and so before the settings are read, never unsubscribes, and ignores SIGPIPE. A function that the dynamic loader calls first ignores SIGHUP until then, which Go's runtime respects (blocking it doesn't work: the runtime unblocks signals that end a process). All commands of the program ignore a repeated SIGTERM; a SIGHUP stops those that don't serve. An error message is given up if nobody reads it. Lost lines are counted in log_lines_lost_total, and shutdown_grace_seconds shows which settings are in force.

TestTermDuringStart begins once the handlers exist: an earlier SIGTERM still ends the process by the signal.

--- a/cmd/soak/life_test.go
+++ b/cmd/soak/life_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -73,29 +74,32 @@
 	p.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
 }
 
-// waitHandled waits until the kernel no longer ends the process at SIGHUP: the time before belongs to the loader.
-func (p *edgeProcess) waitHandled() {
+// waitHandled waits until a signal is in one of the sets of the process that the kernel names: the time before belongs to the loader.
+func (p *edgeProcess) waitHandled(s syscall.Signal, sets ...string) {
 	p.t.Helper()
-	for deadline := time.Now().Add(startTimeout); !p.handles(syscall.SIGHUP); {
+	for deadline := time.Now().Add(startTimeout); !p.handles(s, sets); {
 		if time.Now().After(deadline) {
 			p.t.Fatal("the process has no handlers of signals")
 		}
 	}
 }
 
-// handles reports whether the process blocks, ignores or catches a signal.
-func (p *edgeProcess) handles(s syscall.Signal) bool {
+// handles reports whether a signal is in one of the sets of the process that the kernel names.
+func (p *edgeProcess) handles(s syscall.Signal, sets []string) bool {
+	if !p.loaded() {
+		return false
+	}
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return true // The process has ended, which the test sees.
 	}
 	for line := range strings.Lines(string(status)) {
 		key, value, _ := strings.Cut(line, ":")
-		if key != "SigBlk" && key != "SigIgn" && key != "SigCgt" {
+		if !slices.Contains(sets, key) {
 			continue
 		}
 		set, err := strconv.ParseUint(strings.TrimSpace(value), 16, 64)
-		if err == nil && set&(1<<(s-1)) != 0 && p.loaded() {
+		if err == nil && set&(1<<(s-1)) != 0 {
 			return true
 		}
 	}
@@ -205,7 +209,7 @@
 			p := newEdgeProcess(t, binary, 0, 1)
 			p.cmd.Env = append(p.cmd.Env, "GOMAXPROCS="+threads)
 			p.start()
-			p.waitHandled()
+			p.waitHandled(syscall.SIGHUP, "SigIgn", "SigCgt")
 			time.Sleep(at)
 			for range 3 {
 				p.signal(syscall.SIGHUP)
@@ -229,7 +233,8 @@
 	for at := time.Duration(0); at <= lifeStart; at += *lifeStep {
 		p := newEdgeProcess(t, binary, 1, 0.2)
 		p.start()
-		p.waitHandled()
+		// SIGPIPE is ignored once there are handlers of the other signals.
+		p.waitHandled(syscall.SIGPIPE, "SigIgn")
 		time.Sleep(at)
 		is.Equal(p.series(syscall.SIGTERM), 0)
 	}
--- a/io/cmds/docs_test.go
+++ b/io/cmds/docs_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"geraniumsaddle/io/caller"
+	"geraniumsaddle/io/life"
 )
 
 var codeTableRow = regexp.MustCompile("(?m)^\\| ([0-9]{3}) \\| `([a-z_]+)` \\| `[a-z_]+` \\|")
@@ -44,7 +45,7 @@
 	want, err := os.ReadFile("../../docs/settings.md")
 	is.NoErr(err)
 	var got, errs bytes.Buffer
-	is.Equal(Main([]string{"settings", "page"}, &got, &errs), exitOK)
+	is.Equal(Main([]string{"settings", "page"}, &got, &errs), life.ExitOK)
 	is.Equal(errs.String(), "")
 	if !bytes.Equal(got.Bytes(), want) {
 		t.Error("docs/settings.md is out of date; run: go run ./cmd/geraniumsaddle settings page > docs/settings.md")
--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +15,7 @@
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/edge"
 	"geraniumsaddle/io/flags"
+	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/logs"
 	"geraniumsaddle/platform"
 )
@@ -56,8 +55,6 @@
 	if err != nil {
 		return &settingsError{object.Faults{{Path: "settings", Message: err.Error()}}}
 	}
-	// The platform kills the process at the end of the grace period, so no further SIGTERM has to.
-	ignoreRepeatedTerm(ctx)
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitFraction))
@@ -68,12 +65,14 @@
 		defer cancel()
 		out.Close(closeCtx)
 	}()
+	metrics := edge.NewMetrics()
+	metrics.CountLostLogLines(out.Lost)
 	s := edge.New(cfg, edge.Deps{
 		Clock:   clockwork.NewRealClock(),
 		Log:     out.Logger(settings.Level()),
 		Store:   newPlatformStore(cfg.Store, newStoreTransport()),
 		VMClock: edge.NewKernelClock(),
-		Metrics: edge.NewMetrics(),
+		Metrics: metrics,
 
 		DirectFleet: settings.DirectFleet,
 	})
@@ -82,10 +81,7 @@
 	}
 	done := make(chan struct{})
 	defer close(done)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	go reloadOnSignal(hangups, done, settings.SettingsFile, s, out.Logger(settings.Level()))
+	go reloadOnSignal(life.Hangups(), done, settings.SettingsFile, s, out.Logger(settings.Level()))
 	return s.Run(ctx)
 }
 
--- a/io/cmds/trace_test.go
+++ b/io/cmds/trace_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"geraniumsaddle/io/life"
 )
 
 const (
@@ -25,9 +27,9 @@
 	is.NoErr(os.WriteFile(a, []byte(traceSecond+"\n"+traceOther+"\nnot json r1 {\n"), 0o600))
 	is.NoErr(os.WriteFile(b, []byte(traceFirst+"\n"), 0o600))
 	var out, errOut bytes.Buffer
-	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r1", a, b}, &out, &errOut), exitOK)
+	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r1", a, b}, &out, &errOut), life.ExitOK)
 	is.Equal(out.String(), traceFirst+"\n"+traceSecond+"\n")
-	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r9", a, b}, &out, &errOut), exitFailure)
+	is.Equal(execute(context.Background(), newRoot(), []string{"trace", "r9", a, b}, &out, &errOut), life.ExitFailure)
 	is.True(strings.Contains(errOut.String(), "no log line names request r9"))
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -145,6 +145,7 @@
 	s.callers = conns.New(conns.Config{Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout})
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
+	deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
 	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain,
 		"uptime_ms", now.Uptime.Milliseconds(), "boot", now.Boot, "first_start", cfg.FirstStart)
@@ -228,6 +229,7 @@
 	defer s.mu.Unlock()
 	old := s.bounds
 	s.bounds = cfg.Bounds
+	s.deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
 	for _, b := range s.retryBudgets {
 		b.Configure(s.retryConfig())
 	}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -26,6 +26,7 @@
 	changesCalls    *prometheus.CounterVec
 	losses          *prometheus.CounterVec
 	quarantined     prometheus.Gauge
+	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
 }
 
@@ -53,12 +54,20 @@
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
+		shutdownGrace: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.notices)
+		m.losses, m.quarantined, m.notices, m.shutdownGrace)
 	return m
 }
 
+// CountLostLogLines exports the number of log lines that could not be written. It is called at most once.
+func (m *Metrics) CountLostLogLines(lost func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+		Name: "log_lines_lost_total", Help: "Log lines that could not be written."}, func() float64 { return float64(lost()) }))
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(
 		prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
@@ -123,6 +132,9 @@
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
+// setShutdownGrace sets the shutdown grace of the settings in force.
+func (m *Metrics) setShutdownGrace(d time.Duration) { m.shutdownGrace.Set(d.Seconds()) }
+
 func callResult(err error) string {
 	if err != nil {
 		return "error"
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -1,7 +1,8 @@
 // Package logs writes the JSON log lines of a process without blocking the code that logs.
 //
 // A goroutine writes the lines from a bounded queue. If the reader of the output stops reading, the queue fills up and
-// further lines are dropped. Their number is logged once lines can be written again.
+// further lines are dropped, and so is a line whose write fails, for instance because the reader of a pipe has gone away.
+// Their number is logged once lines can be written again.
 package logs
 
 import (
@@ -21,6 +22,7 @@
 	out       io.Writer
 	lines     chan []byte
 	dropped   atomic.Uint64
+	lost      atomic.Uint64
 	done      chan struct{}
 	closeOnce sync.Once
 	closing   chan struct{}
@@ -51,11 +53,19 @@
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.countLost()
 	}
 	return len(line), nil
 }
 
+// Lost returns the number of lines that could not be written since New. It never decreases.
+func (w *Writer) Lost() uint64 { return w.lost.Load() }
+
+func (w *Writer) countLost() {
+	w.lost.Add(1)
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of dropped lines that no line in the output has reported yet.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
@@ -101,6 +111,6 @@
 		}
 	}
 	if _, err := w.out.Write(line); err != nil {
-		w.dropped.Add(1)
+		w.countLost()
 	}
 }
