Wait for addresses that a predecessor still holds

What callers see: a router that is started while its predecessor's kill isn't finished stays away.

Cause: the first "address already in use" ended the start. A busy address for peers left a router without its transport for the rest of its life.

SIGTERM ends the wait with status 0.

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -76,7 +76,10 @@
 
 		DirectFleet: settings.DirectFleet,
 	})
-	if err := s.Listen(); err != nil {
+	switch err := s.Listen(ctx); {
+	case err != nil && ctx.Err() != nil:
+		return nil
+	case err != nil:
 		return err
 	}
 	done := make(chan struct{})
--- a/io/cmds/router.go
+++ b/io/cmds/router.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"geraniumsaddle/io/flags"
+	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/node"
 )
 
@@ -39,8 +41,14 @@
 	if err != nil {
 		return err
 	}
-	n, err := node.New(cfg, node.Deps{Clock: clock, Log: log, Registry: reg, Certs: certs})
-	if err != nil {
+	ctx := cmd.Context()
+	w := life.Waiter{Clock: clock, Log: log, Bound: life.DefaultBusyWait}
+	listen := func(addr string) (net.Listener, error) { return w.Listen(ctx, addr) }
+	n, err := node.New(cfg, node.Deps{Clock: clock, Log: log, Registry: reg, Certs: certs, Listen: listen})
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil
+	case err != nil:
 		return err
 	}
 	if certs != nil {
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -15,6 +15,7 @@
 	"geraniumsaddle/io/fakes/engine"
 	"geraniumsaddle/io/fakes/plain"
 	"geraniumsaddle/io/fakes/store"
+	"geraniumsaddle/io/life"
 )
 
 // noValidation is a validator for settings that need no validation beyond the types of their flags.
@@ -41,8 +42,13 @@
 }
 
 func serveStandIn(cmd *cobra.Command, addr string, h http.Handler, stop func()) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
+	log := slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), nil))
+	w := life.Waiter{Clock: clockwork.NewRealClock(), Log: log, Bound: life.DefaultBusyWait}
+	l, err := w.Listen(cmd.Context(), addr)
+	switch {
+	case err != nil && cmd.Context().Err() != nil:
+		return nil
+	case err != nil:
 		return err
 	}
 	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"addr\":%q}\n", l.Addr())
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -8,6 +8,8 @@
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
+	"geraniumsaddle/io/life"
+	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/store"
 	"geraniumsaddle/platform"
 )
@@ -48,7 +50,13 @@
 	if !s.cfg.FirstStart {
 		s.poison.load(ctx)
 	}
-	transport, err := s.openPeerTransport(fleet.setup)
+	// Until the transport is open, this router gets no tokens, so it doesn't wait for a predecessor's whole grace period.
+	w := life.Waiter{Clock: s.deps.Clock, Log: s.deps.Log, Bound: life.ExitWait}
+	var transport *peer.Transport
+	err := w.Wait(ctx, s.cfg.PeerAddr, func() (err error) {
+		transport, err = s.openPeerTransport(fleet.setup)
+		return err
+	})
 	if err != nil {
 		s.deps.Log.Error("transport to other routers cannot be opened; writing the ledgers directly and keeping evidence on targets", "error", err)
 		s.runDirectWrites(ctx, lc)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -22,6 +22,7 @@
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/core/stream"
 	"geraniumsaddle/io/conns"
+	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/io/store"
@@ -160,13 +161,19 @@
 	}
 }
 
-// Listen listens on the addresses for callers and for readiness checks. It must be called before Run.
-func (s *Server) Listen() error {
-	callers, err := net.Listen("tcp", s.cfg.CallerAddr)
+// busyWaiter waits for the addresses that a predecessor on this VM may still hold.
+func (s *Server) busyWaiter() life.Waiter {
+	return life.Waiter{Clock: s.deps.Clock, Log: s.deps.Log, Bound: s.gracePeriod() + life.ExitWait}
+}
+
+// Listen listens on the addresses for callers and for readiness checks. It must be called before Run. It waits for busy
+// addresses for up to the grace period of a predecessor and life.ExitWait each, unless the context ends.
+func (s *Server) Listen(ctx context.Context) error {
+	callers, err := s.busyWaiter().Listen(ctx, s.cfg.CallerAddr)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers")
 	}
-	ready, err := net.Listen("tcp", s.cfg.ReadyAddr)
+	ready, err := s.busyWaiter().Listen(ctx, s.cfg.ReadyAddr)
 	if err != nil {
 		return trace.NewAggregate(trace.Wrap(err, "listen for readiness checks"), callers.Close())
 	}
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -103,7 +103,7 @@
 	}
 	set(&cfg, &deps)
 	env.server = New(cfg, deps)
-	if err := env.server.Listen(); err != nil {
+	if err := env.server.Listen(env.t.Context()); err != nil {
 		env.t.Fatal(err)
 	}
 	if env.wrapCallers != nil {
--- a/io/edge/peers_test.go
+++ b/io/edge/peers_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"net"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,6 +13,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/peer"
+	"geraniumsaddle/platform"
 )
 
 // TestClaimSender guards against a router that claims tokens, or closes ledger rows, in the name of another
@@ -42,3 +46,29 @@
 		})
 	}
 }
+
+// writerFunc is called with each line of a log.
+type writerFunc func(line string)
+
+func (f writerFunc) Write(line []byte) (int, error) {
+	f(string(line))
+	return len(line), nil
+}
+
+// TestBusyPeerAddr guards against a router without a transport to other routers because its predecessor still held the address.
+func TestBusyPeerAddr(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	held, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	release := writerFunc(func(line string) {
+		if strings.Contains(line, "address is busy") {
+			_ = held.Close()
+		}
+	})
+	env := newTestEnvWith(t, func(cfg *platform.Settings, deps *Deps) {
+		cfg.PeerAddr = held.LocalAddr().String()
+		deps.Log = slog.New(slog.NewJSONHandler(release, nil))
+	})
+	env.waitFor("transport to other routers", func() bool { return env.server.gossip.Load() != nil })
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -37,6 +37,8 @@
 	Certs *peer.Certs
 	// PacketFilter drops packets between routers, for tests and fault switches.
 	PacketFilter *peer.PacketFilter
+	// Listen listens on a TCP address for callers or operators; nil selects net.Listen.
+	Listen func(addr string) (net.Listener, error)
 }
 
 // Node is a router process.
@@ -159,7 +161,7 @@
 	n.loadReports = newLoadReports(n)
 	n.vmList = newVMList(n)
 	n.table.Store(n.pools.registry.Build(n.clock.Now()))
-	if err := n.listen(); err != nil {
+	if err := n.listen(deps.Listen); err != nil {
 		n.cancel()
 		return nil, trace.Wrap(err)
 	}
@@ -190,12 +192,15 @@
 // PeerAddr returns the address that other routers use, or an empty string without peers.
 func (n *Node) PeerAddr() string { return n.peerAddr() }
 
-func (n *Node) listen() error {
+func (n *Node) listen(listen func(addr string) (net.Listener, error)) error {
+	if listen == nil {
+		listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	}
 	var err error
-	if n.callerListener, err = net.Listen("tcp", n.cfg.CallerAddr); err != nil {
+	if n.callerListener, err = listen(n.cfg.CallerAddr); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	if n.adminListener, err = net.Listen("tcp", n.cfg.AdminAddr); err != nil {
+	if n.adminListener, err = listen(n.cfg.AdminAddr); err != nil {
 		return trace.NewAggregate(trace.ConvertSystemError(err), n.callerListener.Close())
 	}
 	n.callerServer = n.newServer(n.callerHandler())
