--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -23,6 +23,7 @@
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/core/stream"
 	"geraniumsaddle/io/conns"
+	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/io/store"
@@ -152,6 +153,7 @@
 	deps.Metrics.observeMemory(s.memory, s.callers)
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
+	deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
 	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain,
 		"uptime_ms", now.Uptime.Milliseconds(), "boot", now.Boot, "first_start", cfg.FirstStart)
@@ -166,13 +168,19 @@
 	}
 }
 
-// Listen listens on the addresses for callers and for readiness checks. It must be called before Run.
-func (s *Server) Listen() error {
-	callers, err := net.Listen("tcp", s.cfg.CallerAddr)
+// busyWaiter waits for the addresses that a predecessor on this VM may still hold.
+func (s *Server) busyWaiter() life.Waiter {
+	return life.Waiter{Clock: s.deps.Clock, Log: s.deps.Log, Bound: s.gracePeriod() + life.ExitWait}
+}
+
+// Listen listens on the addresses for callers and for readiness checks. It must be called before Run. It waits for busy
+// addresses for up to the grace period of a predecessor and life.ExitWait each, unless the context ends.
+func (s *Server) Listen(ctx context.Context) error {
+	callers, err := s.busyWaiter().Listen(ctx, s.cfg.CallerAddr)
 	if err != nil {
 		return trace.Wrap(err, "listen for callers")
 	}
-	ready, err := net.Listen("tcp", s.cfg.ReadyAddr)
+	ready, err := s.busyWaiter().Listen(ctx, s.cfg.ReadyAddr)
 	if err != nil {
 		return trace.NewAggregate(trace.Wrap(err, "listen for readiness checks"), callers.Close())
 	}
@@ -235,6 +243,7 @@
 	defer s.mu.Unlock()
 	old := s.bounds
 	s.bounds = cfg.Bounds
+	s.deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
 	for _, b := range s.retryBudgets {
 		b.Configure(s.retryConfig())
 	}
