Count the lines of a body no more as lines of the next head

Cause: every line of the last reads of a body counted as one that net/http may have read ahead of the next head. Now only the lines of the last fill of its buffer count, and they are reserved only once the server reads a head, which it shows by its deadline.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -50,7 +50,7 @@
 		if m := c.set.cfg.Meter; m != nil {
 			m.Add(link.In, n, now)
 		}
-		if headErr := c.received(b[:n], now); headErr != nil {
+		if headErr := c.received(b[:n], len(b), now); headErr != nil {
 			return 0, headErr
 		}
 		return n, err
--- a/io/conns/evict_test.go
+++ b/io/conns/evict_test.go
@@ -135,6 +135,25 @@
 	is.Equal(set.Rejected(), uint64(0))
 }
 
+// TestIdleAfterBody guards against an idle connection that still holds the memory of a head for the lines of its last body.
+func TestIdleAfterBody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	set := New(Config{Clock: clockwork.NewRealClock(), Memory: budget.New(4 << 20)})
+	addr := serveWith(t, set, bodyHandler(func(*http.Request) {}))
+	const callers, lines = 10, 100_000
+	for range callers {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("\n", lines))
+		is.NoErr(err)
+		receive(t, c)
+	}
+	for set.cfg.Memory.Used(budget.Heads) > 0 {
+		runtime.Gosched() // The last connection may not be idle yet.
+	}
+	is.Equal(set.Len(), callers)
+}
+
 func inStage(set *Set, stage budget.Stage) bool {
 	for _, c := range set.all() {
 		if c.holder().Stage == stage {
@@ -155,10 +174,10 @@
 	defer func() { _ = caller.Close() }()
 	is.NoErr(set.Reserve(t.Context(), budget.Connections, budget.ConnectionCost, 0))
 	c := set.add(raw)
-	is.NoErr(c.received([]byte("GET / HTTP/1.1\r\n"), clock.Now()))
+	is.NoErr(c.received([]byte("GET / HTTP/1.1\r\n"), int(readAhead), clock.Now()))
 	chosen := c.holder()
 	clock.Advance(time.Millisecond)
-	is.NoErr(c.received([]byte("Host: h\r\n"), clock.Now()))
+	is.NoErr(c.received([]byte("Host: h\r\n"), int(readAhead), clock.Now()))
 	is.True(!c.evict(chosen))
 	chosen = c.holder()
 	is.True(c.evict(chosen))
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -66,15 +66,15 @@
 	requestHeld ident.Bytes
 }
 
-// received counts bytes that were read. While a head is read, it applies the limits, and answers the caller if the head
-// exceeds one. Then the bytes are lost.
-func (c *conn) received(b []byte, now time.Time) error {
+// received counts bytes that were read into a buffer of the given size. While a head is read, it applies the limits, and
+// answers the caller if the head exceeds one. Then the bytes are lost.
+func (c *conn) received(b []byte, bufferSize int, now time.Time) error {
 	c.mu.Lock()
 	c.waiting = false
 	m := &c.memory
 	m.lastRead = now
 	lines := bytes.Count(b, []byte{'\n'})
-	c.recordTail(b, lines)
+	c.recordTail(b, lines, bufferSize)
 	if c.state == http.StateActive {
 		c.mu.Unlock()
 		return nil
@@ -94,27 +94,29 @@
 	return c.holdHead(more)
 }
 
-// recordTail records how many lines of the next head may be in the buffer of the server at the end of the request. The
-// caller holds c.mu.
-func (c *conn) recordTail(b []byte, lines int) {
+// recordTail records how many lines of the next head may be in the buffer of the server at the end of the request. b
+// was read into a buffer of the given size. The caller holds c.mu.
+func (c *conn) recordTail(b []byte, lines, bufferSize int) {
 	m := &c.memory
-	cost := budget.HeadCost(0, min(lines, int(readAhead)))
 	switch {
-	case c.state == http.StateActive:
-		m.tail = max(m.tail, cost)
-	case bytes.HasSuffix(b, []byte("\n\r\n")):
+	case c.state == http.StateActive && bufferSize == 1:
+		// A read of one byte notices that the caller disconnects. It leaves the buffer as it is.
+	case c.state == http.StateActive && bufferSize > int(readAhead):
+		m.tail = 0 // The server reads a part of a body past its buffer, which is empty.
+	case c.state != http.StateActive && bytes.HasSuffix(b, []byte("\n\r\n")):
 		m.tail = 0
 	default:
-		m.tail = cost
+		m.tail = budget.HeadCost(0, lines)
 	}
 }
 
-// holdTail reserves memory for a part of a head that had been read together with the request before.
+// holdTail reserves memory for a part of a head that had been read together with the request before. The server sets a
+// deadline once it has found that part; without one it waits for the first bytes, and the tail belonged to a body.
 func (c *conn) holdTail() error {
 	c.mu.Lock()
 	m := &c.memory
 	cost := ident.Bytes(0)
-	if m.stage == budget.Idle && c.state == http.StateIdle {
+	if m.stage == budget.Idle && c.state == http.StateIdle && !c.deadline.IsZero() {
 		cost, m.tail = m.tail, 0
 	}
 	c.mu.Unlock()
