Limit events of many lines

A target whose event has many short lines and no end made the router hold 3.1 MB of it, and callers were evicted to make room (found by the review).

Cause: the limit of 256 KB was checked inside a line only. It is checked after each part of a line now.

--- a/io/edge/event.go
+++ b/io/edge/event.go
@@ -110,10 +110,10 @@
 		}
 		e.raw = append(e.raw, chunk...)
 		switch {
-		case err == nil:
-			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
 		case len(e.raw) > maxEventSize:
 			return nil, errEventTooLarge
+		case err == nil:
+			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		default:
