End connections whose refused requests never end

A caller whose request was refused kept its connection for good if it sent no more of the body or read no answer: 0 of 2 ended in 30 s.

Cause: a refusal had neither a read nor a write deadline, and the write deadline of an answer was removed before the server flushed it. A refusal has 2 s in both directions now, and the server itself removes the write deadline after the flush.

TestCallersThatKeepConnections: both cases for callers failed before, none now.

--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -26,6 +26,8 @@
 	defaultTimeout = 30 * time.Second
 	// writeMargin is the time after the deadline of a request within which its answer may still be written.
 	writeMargin = 200 * time.Millisecond
+	// refusalTime limits how long a caller may take to read a refusal, and to send the rest of a body that is not wanted.
+	refusalTime = 2 * time.Second
 )
 
 // exchange is one request of a caller and its answer.
@@ -43,6 +45,7 @@
 	org            *route.Org
 	requestHeaders platform.RequestHeaders
 	body           []byte
+	bodyRead       bool
 	service        ident.ServiceID
 	// versions restricts the versions of the targets that may be chosen, if the service has a release.
 	versions place.VersionFilter
@@ -106,8 +109,8 @@
 		return
 	}
 	// A caller that does not read its answer must not keep the request running beyond its deadline.
+	// The server removes the deadline once the answer is written.
 	_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeMargin))
-	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	if x.route.Kind == route.Stream {
 		x.serveStream()
 		return
@@ -158,6 +161,7 @@
 	case !x.s.admits(x.deadline):
 		return refuseShuttingDown, false
 	case ok:
+		x.bodyRead = true
 		_ = control.SetReadDeadline(time.Time{})
 	}
 	return refused, ok
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -52,6 +52,13 @@
 		h["Connection"] = []string{"close"}
 	}
 	platform.SetErrorHeaders(h, x.requestHeaders.ID, r.retryAfter)
+	control := http.NewResponseController(x.w)
+	until := x.s.deps.Clock.Now().Add(refusalTime)
+	_ = control.SetWriteDeadline(until)
+	if !x.bodyRead {
+		// The server reads the rest of a short body before it sends the answer.
+		_ = control.SetReadDeadline(until)
+	}
 	body := r.reason + "\n"
 	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	x.w.WriteHeader(r.status)
