Go on accepting callers after errors that pass

An error of accept such as ENOBUFS or ENOMEM, which a VM without memory for sockets returns, ended the server and with it the process and its running requests (found by the review, by reading).

net/http retries only errors that say that they are temporary. RetryAccept marks those of a table so; others still end it.

--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -87,7 +87,7 @@
 
 // Listener returns a listener whose connections are in the set. The server that accepts them must have TrackState as its
 // ConnState hook, and a ReadHeaderTimeout.
-func (s *Set) Listener(ln net.Listener) net.Listener { return listener{ln, s} }
+func (s *Set) Listener(ln net.Listener) net.Listener { return listener{RetryAccept(ln), s} }
 
 type listener struct {
 	net.Listener
