Wait for the address of readiness checks before that of callers

The predecessor closes the callers' address 2.5 s after SIGTERM and the other one at its exit, so the order is turned round. TestBusyPortIsWaitedFor covers both addresses and passes with either order.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -176,13 +176,15 @@
 // Listen listens on the addresses for callers and for readiness checks. It must be called before Run. It waits for busy
 // addresses for up to the grace period of a predecessor and life.ExitWait each, unless the context ends.
 func (s *Server) Listen(ctx context.Context) error {
-	callers, err := s.busyWaiter().Listen(ctx, s.cfg.CallerAddr)
+	// A predecessor holds the address of readiness checks until it exits, and that of callers for a part of this time only.
+	// Callers that connect before both are free would wait for nothing.
+	ready, err := s.busyWaiter().Listen(ctx, s.cfg.ReadyAddr)
 	if err != nil {
-		return trace.Wrap(err, "listen for callers")
+		return trace.Wrap(err, "listen for readiness checks")
 	}
-	ready, err := s.busyWaiter().Listen(ctx, s.cfg.ReadyAddr)
+	callers, err := s.busyWaiter().Listen(ctx, s.cfg.CallerAddr)
 	if err != nil {
-		return trace.NewAggregate(trace.Wrap(err, "listen for readiness checks"), callers.Close())
+		return trace.NewAggregate(trace.Wrap(err, "listen for callers"), ready.Close())
 	}
 	s.callerListener, s.readyListener = callers, ready
 	return nil
