Bound the connections for readiness checks, and shut down if a listener fails

100 connections to the readiness address with heads of 1 MB took 210 MB on a VM of 134 MB, connections without the rest of a body stayed for good, and an error of that listener ended the process without a shutdown (found by the review).

The readiness server has a limit of 4 KB for a head, 2 s for a request, 15 s for idle connections and 128 connections. If a listener fails, running requests end and tokens are returned as after SIGTERM, and the exit status is 1. golang.org/x/net is a direct dependency now, for its LimitListener.

TestCallersThatKeepConnections: 1 of 2 cases for readiness failed before (the long head was refused at 1 MB), none now.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
+	"golang.org/x/net/netutil"
 
 	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/drain"
@@ -48,6 +49,8 @@
 	livenessTimeout = 15 * time.Second
 	// maxHeadTimeout limits how long a caller may take to send the head of a request. The configuration may set less.
 	maxHeadTimeout = 10 * time.Second
+	// maxReadyConns is the maximum number of connections for readiness checks and metrics.
+	maxReadyConns = 128
 )
 
 // Deps holds the dependencies of a Server.
@@ -205,21 +208,21 @@
 	requestCtx, cutRequests := context.WithCancelCause(context.Background())
 	defer cutRequests(nil)
 	server.BaseContext = func(net.Listener) context.Context { return requestCtx }
-	readyServer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: time.Second}
+	readyServer := s.readyServer()
 	served, failed := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(s.callers.Listener(s.callerListener)) }()
-	go func() { failed <- readyServer.Serve(s.readyListener) }()
+	go func() {
+		failed <- readyServer.Serve(netutil.LimitListener(conns.RetryAccept(s.readyListener), maxReadyConns))
+	}()
 	var tasks sync.WaitGroup
 	s.startTasks(taskCtx, &tasks)
+	var failure error
 	select {
 	case err := <-served:
-		stopTasks()
-		tasks.Wait()
-		return trace.Wrap(err, "serve callers")
+		failure = trace.Wrap(err, "serve callers")
+		served <- err
 	case err := <-failed:
-		stopTasks()
-		tasks.Wait()
-		return trace.Wrap(err, "serve readiness checks")
+		failure = trace.Wrap(err, "serve readiness checks")
 	case <-ctx.Done():
 	}
 	s.shutdown(server, served, cutRequests)
@@ -235,7 +238,7 @@
 	}
 	_ = readyServer.Close()
 	s.deps.Log.Info("router stopped", "router", s.self)
-	return nil
+	return failure
 }
 
 // Reload applies changed settings. The bounds take effect immediately; changes of the addresses, the VM's name and the
@@ -335,6 +338,20 @@
 	}
 }
 
+// readyServer returns the server of the readiness check and the metrics. Its connections hold little memory, and those that
+// send or read nothing end soon.
+func (s *Server) readyServer() *http.Server {
+	const (
+		maxHeader   = 4 << 10 // bytes
+		timeout     = 2 * time.Second
+		idleTimeout = 15 * time.Second
+	)
+	return &http.Server{
+		Handler: s.readyHandler(), MaxHeaderBytes: maxHeader,
+		ReadHeaderTimeout: time.Second, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: idleTimeout,
+	}
+}
+
 // readyHandler serves the readiness check and the metrics.
 func (s *Server) readyHandler() http.Handler {
 	mux := http.NewServeMux()
