End the routers and engines that soak and loadtest started when a signal stops them

Cause: soak had no handler of signals, so that its routers ran on; loadtest handled SIGINT alone.

Change: both use io/life, where SIGINT, SIGTERM and SIGHUP stop them. soak's routers die with it, too, if it is killed.

--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -8,9 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
 	"time"
+
+	"geraniumsaddle/io/life"
 )
 
 const (
@@ -27,11 +28,12 @@
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "loadtest:", err)
-		os.Exit(1)
+		os.Exit(life.ExitFailure)
 	}
 }
 
 func run() error {
+	ctx := life.StopAtHangup(life.Begin())
 	var r runner
 	binary := flag.String("binary", "", "path of the geraniumsaddle program")
 	runs := flag.String("runs", "throughput,copy,latency,slow", "measurements, separated by commas")
@@ -45,6 +47,10 @@
 	interval := flag.Duration("interval", 0, "time between two tokens of the served engine")
 	tokens := flag.Int("tokens", answerTokens, "number of tokens in an answer of the served engine")
 	flag.Parse()
+	if *engine || *copyTo != "" {
+		// A served process holds nothing that has to be finished.
+		context.AfterFunc(ctx, func() { os.Exit(life.ExitOK) })
+	}
 	switch {
 	case *engine:
 		return serveEngine(*interval, *tokens)
@@ -59,8 +65,6 @@
 	}
 	defer func() { _ = log.Close() }()
 	r.binary, r.log, r.routerFlags = *binary, log, strings.Fields(*args)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
 	return r.runAll(ctx, strings.Split(*runs, ","))
 }
 
--- a/cmd/soak/life_test.go
+++ b/cmd/soak/life_test.go
@@ -336,3 +336,30 @@
 	}
 	p.t.Fatal("no line about the busy port: ", <-p.exited)
 }
+
+// TestStopEndsRouters guards against a soak that a signal stops and whose routers run on.
+func TestStopEndsRouters(t *testing.T) {
+	binary := buildRouter(t)
+	soak := filepath.Join(t.TempDir(), "soak")
+	if out, err := exec.Command("go", "build", "-o", soak, "geraniumsaddle/cmd/soak").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP} {
+		t.Run(s.String(), func(t *testing.T) {
+			is := is.New(t)
+			cmd := exec.Command(soak, "-binary", binary, "-length", "1m", "-routers", "1", "-dir", t.TempDir())
+			is.NoErr(cmd.Start())
+			p := &edgeProcess{t: t, cmd: cmd, exited: make(chan error, 1)}
+			go func() { p.exited <- cmd.Wait() }()
+			t.Cleanup(func() { _ = cmd.Process.Kill() })
+			serves := func() bool {
+				conn, err := net.Dial("tcp", routerAddrOf(cmd.Process.Pid, 0, readyPort))
+				return err == nil && conn.Close() == nil
+			}
+			p.waitFor("its router serves", serves)
+			p.signal(s)
+			is.Equal(p.waitStatus(), 1)
+			is.True(!serves())
+		})
+	}
+}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"geraniumsaddle/io/life"
 )
 
 // config describes one run.
@@ -28,6 +30,8 @@
 	// Planned restricts the faults to planned work: stops, changes of the settings and of the configuration. Then every
 	// request that runs must be answered.
 	Planned bool
+	// Stop ends the run early, if it is set.
+	Stop <-chan struct{}
 }
 
 // summary is the result of one run.
@@ -41,7 +45,8 @@
 }
 
 func main() {
-	var cfg config
+	ctx := life.StopAtHangup(life.Begin())
+	cfg := config{Stop: ctx.Done()}
 	seeds := flag.Int("seeds", 1, "number of seeds to run, counting up from the first")
 	flag.StringVar(&cfg.Binary, "binary", "", "path of the geraniumsaddle program")
 	flag.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
@@ -54,13 +59,17 @@
 	flag.Parse()
 	failed := 0
 	for range *seeds {
+		if ctx.Err() != nil {
+			fmt.Fprintln(os.Stderr, "soak: stopped by a signal")
+			os.Exit(life.ExitFailure)
+		}
 		if !runAndPrint(cfg) {
 			failed++
 		}
 		cfg.Seed++
 	}
 	if failed > 0 {
-		os.Exit(1)
+		os.Exit(life.ExitFailure)
 	}
 }
 
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -45,8 +45,10 @@
 )
 
 // routerAddr returns the address of a port of a router. The IP address is derived from the process id and the index.
-func routerAddr(index, port int) string {
-	pid := os.Getpid()
+func routerAddr(index, port int) string { return routerAddrOf(os.Getpid(), index, port) }
+
+// routerAddrOf returns the address of a port of a router that another run has started.
+func routerAddrOf(pid, index, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/256%250, pid%256, index+1, port)
 }
 
@@ -81,6 +83,8 @@
 	cmd := exec.Command(r.binary, r.args...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+r.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
+	// The kernel kills the router when this process dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
@@ -83,6 +84,9 @@
 		}
 	}
 	for deadline := time.Now().Add(startTimeout); !env.allReady(); {
+		if env.stopped() {
+			return errStopped
+		}
 		if time.Now().After(deadline) {
 			return fmt.Errorf("routers are not ready; logs in %s", env.cfg.Dir)
 		}
@@ -144,6 +148,19 @@
 	return nil
 }
 
+// errStopped means that a signal has ended the run early.
+var errStopped = errors.New("stopped by a signal")
+
+// stopped reports whether the run is to end early.
+func (env *testEnv) stopped() bool {
+	select {
+	case <-env.cfg.Stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // injectFaults injects faults, several of which can be active at once, for cfg.Length and ends all of them.
 func (env *testEnv) injectFaults() error {
 	deadline := time.Now().Add(env.cfg.Length)
@@ -153,6 +170,9 @@
 		inject = env.injectPlannedWork
 	}
 	for time.Now().Before(deadline) {
+		if env.stopped() {
+			return errStopped
+		}
 		undo = append(undo, inject())
 		time.Sleep(time.Duration(100+env.rng.IntN(700)) * time.Millisecond)
 		for len(undo) > 0 && (len(undo) > 3 || env.rng.IntN(2) == 0) {
