Keep the older router from waiting for the reader of its log

Cause: router wrote its log lines to standard error itself, and so waited where nobody reads them.

Change: it uses the queue of io/logs, as edge does, and counts lost lines in geraniumsaddle_log_lines_lost_total. SIGHUP has no effect but a log line. The one line with its addresses on standard output is still written directly.

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -60,11 +60,7 @@
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitFraction))
 	}
 	out := logs.New(os.Stdout, logs.DefaultQueueSize)
-	defer func() {
-		closeCtx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-		defer cancel()
-		out.Close(closeCtx)
-	}()
+	defer flushLog(out)
 	metrics := edge.NewMetrics()
 	metrics.CountLostLogLines(out.Lost)
 	s := edge.New(cfg, edge.Deps{
@@ -88,6 +84,13 @@
 	return s.Run(ctx)
 }
 
+// flushLog writes the queued lines, and gives up if nobody reads them.
+func flushLog(out *logs.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
+	defer cancel()
+	out.Close(ctx)
+}
+
 // reloader applies changed settings.
 type reloader interface {
 	Reload(platform.Settings)
--- a/io/cmds/router.go
+++ b/io/cmds/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"net"
 
 	"github.com/jonboulle/clockwork"
@@ -12,6 +11,7 @@
 
 	"geraniumsaddle/io/flags"
 	"geraniumsaddle/io/life"
+	"geraniumsaddle/io/logs"
 	"geraniumsaddle/io/node"
 )
 
@@ -35,7 +35,11 @@
 func runRouter(cmd *cobra.Command, cfg flags.Router) error {
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	log := slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), &slog.HandlerOptions{Level: cfg.Level()}))
+	out := logs.New(cmd.ErrOrStderr(), logs.DefaultQueueSize)
+	defer flushLog(out)
+	reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "geraniumsaddle", Name: "log_lines_lost_total",
+		Help: "Log lines that could not be written."}, func() float64 { return float64(out.Lost()) }))
+	log := out.Logger(cfg.Level())
 	clock := clockwork.NewRealClock()
 	certs, err := loadCerts(cfg, clock)
 	if err != nil {
@@ -56,7 +60,12 @@
 	}
 	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q,\"peer_addr\":%q}\n",
 		n.ID(), n.CallerAddr(), n.AdminAddr(), n.PeerAddr())
-	return n.Run(cmd.Context())
+	go func() {
+		for range life.Hangups() {
+			log.Info("SIGHUP has no effect: a router's settings are flags")
+		}
+	}()
+	return n.Run(ctx)
 }
 
 func newSettings() *cobra.Command {
