--- a/io/conns/accept_test.go
+++ b/io/conns/accept_test.go
@@ -25,6 +25,8 @@
 	return nil, &net.OpError{Op: "accept", Err: err}
 }
 
+func (l *failingListener) Close() error { return nil }
+
 // TestPassingAcceptErrors guards against a server that ends, with all its requests, at an error of accept that passes.
 func TestPassingAcceptErrors(t *testing.T) {
 	is := is.New(t)
