Don't evict a connection whose request was read with the one before

net/http doesn't report that such a request has begun, and reads one byte while it is served. If the connection was evicted as idle before the handler began, that read expired and the request was canceled. A read of one byte is never evicted now, in any state.

--- a/io/conns/evict_test.go
+++ b/io/conns/evict_test.go
@@ -205,6 +205,7 @@
 		callers.Go(func() {
 			for range 300 {
 				answered.Add(int64(sendInParts(t, addr)))
+				answered.Add(int64(sendPipelined(t, addr)))
 			}
 		})
 	}
@@ -245,3 +246,28 @@
 		}
 	}
 }
+
+// sendPipelined sends requests in one write, and returns how many were answered with 200.
+func sendPipelined(tb testing.TB, addr string) int {
+	const requests = 4
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		tb.Error(err)
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, strings.Repeat(request, requests)); err != nil {
+		return 0
+	}
+	r := bufio.NewReader(c)
+	for n := range requests {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return n
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			return n
+		}
+	}
+	return requests
+}
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -228,7 +228,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &c.memory
-	if m.stage == budget.Evicted && c.state == http.StateActive && size == 1 {
+	if m.stage == budget.Evicted && size == 1 {
 		c.headComplete()
 		_ = c.applyDeadline() // Only a closed connection refuses it.
 	}
