Count the head of an answer while it is read

The reason of the refusal now says that the memory is used up, since not only large requests lead to it.

--- a/cmd/soak/memory_test.go
+++ b/cmd/soak/memory_test.go
@@ -200,6 +200,7 @@
 	}{
 		{"answers that stop", look, fakes.EndlessResponse{Start: fakes.AnswerHead + endless, Pattern: "x", Stall: size}},
 		{"whole answers that aren't read", look, fakes.EndlessResponse{Start: fakes.AnswerHead + wholeLen, Pattern: "x", Stall: size}},
+		{"heads of answers", look, fakes.EndlessResponse{Start: fakes.AnswerHead + strings.Repeat("X: y\r\n", 8000) + endless, Pattern: "x", Stall: 50_000}},
 		{"errors", look, fakes.EndlessResponse{Start: fakes.FailureHead + wholeLen, Pattern: "x", Stall: size}},
 		{"errors that stop", look, fakes.EndlessResponse{Start: fakes.FailureHead + endless, Pattern: "x", Stall: size}},
 		{"events that stop", chat, fakes.EndlessResponse{Start: fakes.AnswerHead + fakes.StreamType + "\r\nid: 0\ndata: ", Pattern: "x", Stall: size}},
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -13,6 +13,9 @@
 	"geraniumsaddle/platform"
 )
 
+// freeAnswerHead is the cost in bytes up to which the head of an answer is part of budget.RequestCost.
+const freeAnswerHead ident.Bytes = 8 << 10
+
 // memoryWait is how long a request that hasn't been passed on to a target waits for memory of evicted connections.
 const memoryWait = 250 * time.Millisecond
 
@@ -42,6 +45,20 @@
 	return refusal{}, true
 }
 
+// holdAnswerHead reserves memory for the head of an answer that has the given size in bytes and lines so far, if that is more
+// than holdRequest allows for.
+func (x *exchange) holdAnswerHead(size, lines int) error {
+	more := budget.RequestCost + budget.HeadCost(ident.Bytes(size), lines) - freeAnswerHead - x.requestHeld
+	if more <= 0 {
+		return nil
+	}
+	if err := x.reserve(budget.Answers, more); err != nil {
+		return err
+	}
+	x.requestHeld += more
+	return nil
+}
+
 // refusedHead returns the answer to a request whose head isn't whole.
 func refusedHead(reason conns.Refusal) []byte {
 	r := refuseNoMemory
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -33,7 +33,7 @@
 	refuseTargetsFull     = refusal{http.StatusServiceUnavailable, "every target is full", 300 * time.Millisecond}
 	// A repeat of the request would be refused too, so the caller is not told to come back.
 	refuseQuarantined    = refusal{http.StatusServiceUnavailable, "a part of the prompt has crashed several targets", 0}
-	refuseNoMemory       = refusal{http.StatusServiceUnavailable, "large requests and answers take the memory of this router", 300 * time.Millisecond}
+	refuseNoMemory       = refusal{http.StatusServiceUnavailable, "the memory of this router is used up", 300 * time.Millisecond}
 	refuseLinkFull       = refusal{http.StatusServiceUnavailable, "the link of this router is full", 300 * time.Millisecond}
 	refuseDeadlinePassed = refusal{http.StatusServiceUnavailable, "the deadline passed before the request was sent", 0}
 	refuseTargetFailed   = refusal{http.StatusBadGateway, "the target failed after the request was sent", 0}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -53,14 +53,15 @@
 		LastEventID: lastEvent,
 	})
 	a, err := x.s.pool.Send(ctx, relay.Request{
-		PoolKey: string(c.Target.ID) + "@" + c.Target.Addr,
-		Addr:    c.Target.Addr,
-		Method:  x.r.Method,
-		URI:     x.r.RequestURI,
-		Host:    x.r.Host,
-		Header:  header,
-		Body:    x.body,
-		Owner:   func(status int, h http.Header) relay.Owner { return x.ownerOfAnswer(c.Target, status, h) },
+		PoolKey:  string(c.Target.ID) + "@" + c.Target.Addr,
+		Addr:     c.Target.Addr,
+		Method:   x.r.Method,
+		URI:      x.r.RequestURI,
+		Host:     x.r.Host,
+		Header:   header,
+		Body:     x.body,
+		HoldHead: x.holdAnswerHead,
+		Owner:    func(status int, h http.Header) relay.Owner { return x.ownerOfAnswer(c.Target, status, h) },
 	})
 	if err != nil {
 		if !errors.Is(err, send.ErrNotSent) {
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"syscall"
@@ -41,6 +42,10 @@
 	r *bufio.Reader
 	// readLimit is the number of bytes that may still be read, or noReadLimit.
 	readLimit int
+	// holdHead is called with the bytes and the lines of a head that have been read so far, or nil.
+	holdHead func(size, lines int) error
+	// headLines is the number of lines that were read of the heads of a response.
+	headLines int
 	// idleSince is when the last response ended. targetIdleTimeout is the time after which the target closes an idle
 	// connection, or zero if unknown.
 	idleSince         time.Time
@@ -70,6 +75,12 @@
 		c.readLimit -= n
 	}
 	c.count(link.In, n)
+	if c.holdHead != nil && n > 0 {
+		c.headLines += bytes.Count(b[:n], []byte{'\n'})
+		if holdErr := c.holdHead(maxHeadSize-c.readLimit, c.headLines); holdErr != nil {
+			return 0, holdErr
+		}
+	}
 	return n, err
 }
 
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -37,6 +37,9 @@
 	Body   []byte
 	// Owner reports whose response it is.
 	Owner func(status int, h http.Header) Owner
+	// HoldHead reserves memory for the bytes and the lines of a response's head while it is read. It may block, and an error
+	// ends the request. It may be nil.
+	HoldHead func(size, lines int) error
 }
 
 // Owner says which request a response belongs to.
@@ -145,8 +148,10 @@
 	req := &http.Request{Method: r.Method}
 	discardLimit := maxDiscardedSize
 	first := !c.reused
+	c.headLines = 0
+	defer func() { c.holdHead = nil }()
 	for range maxResponses {
-		c.readLimit = maxHeadSize
+		c.readLimit, c.holdHead = maxHeadSize, r.HoldHead
 		resp, err := http.ReadResponse(c.r, req) //nolint:bodyclose // Response.Close reuses or closes the connection.
 		if err != nil {
 			return nil, err
@@ -163,7 +168,7 @@
 		if resp.Close || owner == OwnerUnnamed {
 			return nil, errUnmatched
 		}
-		c.readLimit = discardLimit
+		c.readLimit, c.holdHead = discardLimit, nil
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, err
 		}
