Take a success without a length and without a body for cut in the older clients

The clients of plain services, engines and the platform returned the empty body of a target that ended its connection in order right after the head as whole, as the router did. A length of zero, chunks, the status and the method HEAD still say that a body is empty.

The tests of cut responses use a client for each call: a client that had read a whole response could take its connection again after the server had closed it, and then reported the next request as not sent, rightly.

--- a/io/engine/cut_test.go
+++ b/io/engine/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -16,18 +17,24 @@
 
 const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 
-// newRawClient returns a client of a server that sends raw responses.
-func newRawClient(t *testing.T) (*fakes.RawServer, *engine.Client, *send.Transport) {
+// newRawServer starts a server that sends raw responses.
+func newRawServer(t *testing.T) *fakes.RawServer {
 	t.Helper()
-	is := is.New(t)
 	server, err := fakes.NewRawServer()
-	is.NoErr(err)
-	transport := send.New(send.Config{})
+	is.New(t).NoErr(err)
 	t.Cleanup(server.Close)
-	t.Cleanup(transport.CloseIdle)
+	return server
+}
+
+// callRaw calls a client without connections that sets the response of the server before.
+func callRaw(t *testing.T, server *fakes.RawServer, r fakes.RawResponse, call func(*engine.Client) error) error {
+	t.Helper()
+	server.Set(r)
+	transport := send.New(send.Config{DialTimeout: 30 * time.Second})
+	defer transport.CloseIdle()
 	c, err := engine.New(engine.Config{URL: "http://" + server.Addr(), Transport: transport}, clockwork.NewRealClock())
-	is.NoErr(err)
-	return server, c, transport
+	is.New(t).NoErr(err)
+	return call(c)
 }
 
 // TestCutStream guards against taking a stream for whole whose head or events end early, or that has no event.
@@ -43,20 +50,23 @@
 			t.Run(fmt.Sprintf("%s, %d bytes", f.Name, len(body)), func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				server, c, transport := newRawClient(t)
+				server := newRawServer(t)
 				response := f.Response(streamHead, body)
 				complete := 0
 				for n := range len(response) + 1 {
 					for _, reset := range []bool{false, true} {
-						server.Set(fakes.RawResponse{Bytes: response[:n], Reset: reset})
-						transport.CloseIdle()
-						s, err := c.Start(ctx, engine.Request{ID: "r", Body: chatBody("p", 0)})
 						var a received
-						if err == nil {
-							err = a.readStream(s)
-						}
+						err := callRaw(t, server, fakes.RawResponse{Bytes: response[:n], Reset: reset}, func(c *engine.Client) error {
+							s, err := c.Start(ctx, engine.Request{ID: "r", Body: chatBody("p", 0)})
+							if err != nil {
+								return err
+							}
+							return a.readStream(s)
+						})
 						if err != nil {
-							is.True(errors.Is(err, engine.ErrOutcomeUnknown))
+							if !errors.Is(err, engine.ErrOutcomeUnknown) {
+								t.Fatalf("cut after %d of %d bytes, reset %v: %v", n, len(response), reset, err)
+							}
 							continue
 						}
 						complete++
@@ -78,13 +88,16 @@
 		t.Run(f.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			server, c, transport := newRawClient(t)
+			server := newRawServer(t)
 			response := f.Response(head, body)
 			for n := range len(response) + 1 {
 				for _, reset := range []bool{false, true} {
-					server.Set(fakes.RawResponse{Bytes: response[:n], Reset: reset})
-					transport.CloseIdle()
-					state, err := c.State(ctx)
+					var state engine.State
+					err := callRaw(t, server, fakes.RawResponse{Bytes: response[:n], Reset: reset}, func(c *engine.Client) error {
+						var err error
+						state, err = c.State(ctx)
+						return err
+					})
 					if err != nil {
 						is.True(errors.Is(err, engine.ErrOutcomeUnknown))
 						is.True(reset || n < len(response) || !f.Sound)
--- a/io/engine/send/reply.go
+++ b/io/engine/send/reply.go
@@ -20,8 +20,19 @@
 // maxErrorBytes bounds the part of an error response that is read.
 const maxErrorBytes = 8 << 10
 
-// ReadBody reads and closes a response body of at most limit bytes. A body that is too large or ends early gives an
-// error of class ErrOutcomeUnknown.
+// errNoBody means that the connection ended in order after the head of a success without a length.
+var errNoBody = fmt.Errorf("answer without a length has no body: %w", io.ErrUnexpectedEOF)
+
+// needsBody reports whether a response with an empty body can't be taken for whole. A success whose end is that of its
+// connection looks the same if the target crashes after the head.
+func needsBody(resp *http.Response) bool {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	isHead := resp.Request != nil && resp.Request.Method == http.MethodHead
+	return unframed && resp.StatusCode < http.StatusMultipleChoices && !isHead
+}
+
+// ReadBody reads and closes a response body of at most limit bytes. A body that is too large, ends early or is missing
+// from a success without a length gives an error of class ErrOutcomeUnknown.
 func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
 	if resp.ContentLength > limit {
@@ -34,6 +45,9 @@
 	if int64(len(b)) > limit {
 		return nil, &Error{Class: ErrOutcomeUnknown, Status: resp.StatusCode, Err: ErrTooLarge}
 	}
+	if len(b) == 0 && needsBody(resp) {
+		return nil, &Error{Class: ErrOutcomeUnknown, Status: resp.StatusCode, Err: errNoBody}
+	}
 	return b, nil
 }
 
--- a/io/plain/cut_test.go
+++ b/io/plain/cut_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -24,16 +25,15 @@
 			server, err := fakes.NewRawServer()
 			is.NoErr(err)
 			defer server.Close()
-			transport := send.New(send.Config{})
-			defer transport.CloseIdle()
-			c, err := plain.New(plain.Config{URL: "http://" + server.Addr(), Transport: transport})
-			is.NoErr(err)
 			response, headSize := f.Response(head, body), f.HeadSize(head, body)
 			for n := range len(response) + 1 {
 				for _, reset := range []bool{false, true} {
 					server.Set(fakes.RawResponse{Bytes: response[:n], Reset: reset})
-					transport.CloseIdle()
+					transport := send.New(send.Config{DialTimeout: 30 * time.Second})
+					c, err := plain.New(plain.Config{URL: "http://" + server.Addr(), Transport: transport})
+					is.NoErr(err)
 					got, err := c.Call(context.Background(), "POST", "/x", nil, []byte("{}"))
+					transport.CloseIdle()
 					switch {
 					case err != nil:
 						is.True(errors.Is(err, plain.ErrOutcomeUnknown))
@@ -43,6 +43,7 @@
 						is.Equal(string(got.Body), body)
 					default:
 						is.True(n >= headSize)
+						is.True(!f.Unframed || len(got.Body) > 0)
 						is.True(!reset || !f.Unframed)
 						is.True(len(got.Body) <= n-headSize)
 						is.Equal(string(got.Body), body[:len(got.Body)])
--- a/io/store/cut_test.go
+++ b/io/store/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
@@ -46,16 +47,15 @@
 				server, err := fakes.NewRawServer()
 				is.NoErr(err)
 				defer server.Close()
-				transport := send.New(send.Config{})
-				defer transport.CloseIdle()
-				c, err := store.New(store.Config{URL: "http://" + server.Addr(), Transport: transport}, clockwork.NewRealClock())
-				is.NoErr(err)
 				response := f.Response(head, call.body)
 				for n := range len(response) + 1 {
 					for _, reset := range []bool{false, true} {
 						server.Set(fakes.RawResponse{Bytes: response[:n], Reset: reset})
+						transport := send.New(send.Config{DialTimeout: 30 * time.Second})
+						c, err := store.New(store.Config{URL: "http://" + server.Addr(), Transport: transport}, clockwork.NewRealClock())
+						is.NoErr(err)
+						err = call.call(c)
 						transport.CloseIdle()
-						err := call.call(c)
 						if err == nil && (n < len(response) || !f.Sound) || err != nil && !errors.Is(err, call.want) {
 							t.Fatalf("cut after %d of %d bytes, reset %v: %v", n, len(response), reset, err)
 						}
