Cross more starts of routers with signals in the soak

Change: up to five starts of each restart are crossed by SIGHUP and killed, the pauses between signals are short more often, and a request that isn't served at the end is reported with its answer.

--- a/cmd/soak/starts.go
+++ b/cmd/soak/starts.go
@@ -18,6 +18,8 @@
 	settleTime = 60 * time.Millisecond
 	// restartPause is the time until a process that has ended by itself is started again.
 	restartPause = 100 * time.Millisecond
+	// maxKilledStarts bounds the starts that are crossed by signals and killed, before one that is to be ready.
+	maxKilledStarts = 5
 	// maxSignals bounds the signals of one series.
 	maxSignals = 20
 	// finalRequests is the number of requests that each router has to serve at the end.
@@ -111,10 +113,15 @@
 	return s.r.writeSettings()
 }
 
-// restart starts the router until it is ready with the last settings. Signals cross its first start, whose log may lose
-// its reader, and a port may be held during it.
+// restart starts the router until it is ready with the last settings. Signals cross its first starts, the log may lose
+// its reader, and a port may be held.
 func (s *starter) restart() error {
 	s.holdPort()
+	for range s.rng.IntN(maxKilledStarts + 1) {
+		if err := s.killStart(); err != nil {
+			return err
+		}
+	}
 	if err := s.start(); err != nil {
 		return err
 	}
@@ -135,6 +142,25 @@
 	return nil
 }
 
+// killStart sends SIGHUP from the start of a process on and then kills it.
+func (s *starter) killStart() error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	if err := s.hangUp(1+s.rng.IntN(maxSignals/2), s.startPause()); err != nil {
+		return err
+	}
+	s.env.countFault("kill_at_start")
+	s.r.signal(syscall.SIGKILL)
+	s.r.waitExit()
+	return nil
+}
+
+// startPause returns the longest pause between the signals of a start. Short ones are as likely as long ones.
+func (s *starter) startPause() time.Duration {
+	return s.random(settleTime/4)>>s.rng.IntN(8) + 1
+}
+
 // start starts the process unless it is running, half of the time on one processor.
 func (s *starter) start() error {
 	if s.rng.IntN(2) == 0 {
@@ -179,8 +205,7 @@
 
 // signalStart sends SIGHUP, and sometimes SIGTERM or SIGKILL, from the start of the process on.
 func (s *starter) signalStart() error {
-	pause := s.random(settleTime / 4)
-	if err := s.hangUp(1+s.rng.IntN(maxSignals), pause+1); err != nil {
+	if err := s.hangUp(1+s.rng.IntN(maxSignals), s.startPause()); err != nil {
 		return err
 	}
 	switch s.rng.IntN(6) {
@@ -220,7 +245,7 @@
 			o := load.send(&client, r.callerAddr, requestKinds[1], fmt.Sprintf("final-%s-%d", r.name, n), strings.NewReader(""))
 			load.outcomes = append(load.outcomes, o)
 			if o.label() != "200" {
-				env.violate(fmt.Sprintf("%s is not served beside partial requests: %s", o.id, o.label()))
+				env.violate(fmt.Sprintf("%s is not served beside partial requests: %s, %.100q", o.id, o.label(), o.body))
 			}
 		}
 		client.CloseIdleConnections()
