--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"geraniumsaddle/io/life"
 )
 
 // config describes one run.
@@ -35,6 +37,8 @@
 	MemoryMB int
 	// Herd replaces the faults by one loss of power of all routers.
 	Herd bool
+	// Stop ends the run early, if it is set.
+	Stop <-chan struct{}
 }
 
 // summary is the result of one run.
@@ -59,7 +63,8 @@
 const smallVMMB = 134
 
 func main() {
-	var cfg config
+	ctx := life.StopAtHangup(life.Begin())
+	cfg := config{Stop: ctx.Done()}
 	seeds := flag.Int("seeds", 1, "number of seeds to run, counting up from the first")
 	flag.StringVar(&cfg.Binary, "binary", "", "path of the geraniumsaddle program")
 	flag.Uint64Var(&cfg.Seed, "seed", 1, "first seed")
@@ -78,13 +83,17 @@
 	}
 	failed := 0
 	for range *seeds {
+		if ctx.Err() != nil {
+			fmt.Fprintln(os.Stderr, "soak: stopped by a signal")
+			os.Exit(life.ExitFailure)
+		}
 		if !runAndPrint(cfg) {
 			failed++
 		}
 		cfg.Seed++
 	}
 	if failed > 0 {
-		os.Exit(1)
+		os.Exit(life.ExitFailure)
 	}
 }
 
--- a/cmd/soak/process.go
+++ b/cmd/soak/process.go
@@ -82,6 +82,8 @@
 		return nil, err
 	}
 	cmd.Stdout, cmd.Stderr = stdout, stderr
+	// The kernel kills the router when this process dies.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.started = time.Now()
 	err = cmd.Start()
 	_ = stdout.Close()
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -58,8 +58,10 @@
 )
 
 // routerAddr returns the address of a port of a router. The IP address is derived from the process id and the index.
-func routerAddr(index, port int) string {
-	pid := os.Getpid()
+func routerAddr(index, port int) string { return routerAddrOf(os.Getpid(), index, port) }
+
+// routerAddrOf returns the address of a port of a router that another run has started.
+func routerAddrOf(pid, index, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid/256%250, pid%256, index%routersPerPort+1, port+10*(index/routersPerPort))
 }
 
