Send the length of a buffered answer

A caller of HTTP/1.0 took a plain answer for whole that was cut by its write deadline or at the end of a stop: 4,011,872 of 7,340,032 bytes with status 200 and an orderly end (found by the review).

Cause: the router has the whole body, but sent no length, so that net/http ended it with the connection. It sends the length of each body that isn't empty now, which also saves the chunks of HTTP/1.1.

TestLengthForOldCaller failed before (length -1) and passes now.

--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 
 	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/place"
@@ -153,6 +154,10 @@
 	x.timeToFirstByte = x.s.deps.Clock.Since(x.started)
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, a.header)
+	if len(a.body) > 0 {
+		// A caller of HTTP/1.0 gets no chunks, and without a length it would take a cut answer for whole.
+		h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	}
 	x.w.WriteHeader(a.status)
 	if x.r.Method == http.MethodHead {
 		return
--- a/io/edge/http10_test.go
+++ b/io/edge/http10_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -35,3 +37,22 @@
 		})
 	}
 }
+
+// TestLengthForOldCaller guards against a long answer without a length to a caller of HTTP/1.0, which would take a part of it
+// for whole.
+func TestLengthForOldCaller(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	env := newTestEnv(t)
+	const size = 1 << 20
+	env.targets["desk-1"].SetScript(framed(fakes.AnswerHead, strings.Repeat("x", size)))
+	conn, err := net.Dial("tcp", env.server.CallerAddr())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, strings.Replace(fakes.LookHead, "HTTP/1.1", "HTTP/1.0", 1)+"\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	is.Equal(resp.ContentLength, int64(size))
+}
