Begin no settlement once a stop waits for them

In a large fleet, a request that was cut off at the end of a stop could begin a settlement while the stop waited for the others. A WaitGroup that grows then panics, and the process ends with status 2 and its tokens not returned (found by the review; the panic was shown on the same pattern, not in the router).

Settlements that come later are logged and not begun: the holder counts the tokens as used in full once the hold ends.

TestSettleAfterStop ended with a panic without the check and passes with it.

--- a/io/edge/lending.go
+++ b/io/edge/lending.go
@@ -36,6 +36,9 @@
 	members []elect.Member
 	// settlements counts the settlements under way.
 	settlements sync.WaitGroup
+	// settleMu guards settleClosed, after which no settlement begins.
+	settleMu     sync.Mutex
+	settleClosed bool
 
 	mu      sync.Mutex
 	holders map[ident.OrgID]lend.Holders
@@ -132,6 +135,12 @@
 
 // settle tells a holder what a request has used, and repeats that until the holder confirms it or the hold has ended.
 func (l *lending) settle(holder elect.Member, id ident.RequestID, used ident.Tokens, ttl time.Duration) {
+	l.settleMu.Lock()
+	defer l.settleMu.Unlock()
+	if l.settleClosed {
+		l.s.deps.Log.Warn("hold of prepaid tokens not settled, as the router stops; it counts as used in full", "id", id, "holder", holder.VM)
+		return
+	}
 	l.settlements.Go(func() {
 		clock := l.s.deps.Clock
 		end := clock.Now().Add(ttl)
@@ -152,8 +161,12 @@
 	})
 }
 
-// waitSettled waits for the settlements under way, at most for settleWait.
+// waitSettled waits for the settlements under way, at most for settleWait. Requests that are cut off may end later; they
+// begin no settlement, because a WaitGroup must not grow while it is waited for.
 func (l *lending) waitSettled() {
+	l.settleMu.Lock()
+	l.settleClosed = true
+	l.settleMu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		l.settlements.Wait()
--- a/io/edge/lending_test.go
+++ b/io/edge/lending_test.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/platform"
@@ -77,3 +79,13 @@
 		env.waitFor("tokens after the loss of the holder", func() bool { return env.do(chat).status == http.StatusOK })
 	}
 }
+
+// TestSettleAfterStop guards against a settlement that begins while a stop waits for the others, which ends the process by a
+// panic of the WaitGroup.
+func TestSettleAfterStop(t *testing.T) {
+	t.Parallel()
+	l := &lending{s: newTestEnv(t).server}
+	l.waitSettled()
+	l.settle(elect.Member{}, "late", 0, time.Second) // It would use the transport, which is missing.
+	l.settlements.Wait()
+}
