Count excess releases of memory instead of ending the process

Releasing more than was reserved panicked. net/http closes a connection outside of its recovery, so an error in the counts would have ended the process with all its requests.

Release gives back what the class has and counts the excess, which geraniumsaddle_edge_memory_release_errors_total shows. TestExcess covers both; the limit isn't raised.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -68,6 +68,8 @@
 	limit ident.Bytes
 	total atomic.Int64
 	used  [classCount]atomic.Int64
+	// excess counts the releases of more than was reserved.
+	excess atomic.Uint64
 
 	// waiting says that room is not nil.
 	waiting atomic.Bool
@@ -88,6 +90,9 @@
 // Total returns the bytes reserved for all classes.
 func (b *Budget) Total() ident.Bytes { return ident.Bytes(b.total.Load()) }
 
+// Excess returns the number of releases of more than was reserved, each of which is an error of the program.
+func (b *Budget) Excess() uint64 { return b.excess.Load() }
+
 // Reserve reserves n bytes, and reports false without a reservation if that would exceed the limit. It panics if n is
 // negative.
 func (b *Budget) Reserve(c Class, n ident.Bytes) bool {
@@ -106,11 +111,18 @@
 	}
 }
 
-// Release ends the reservation of n bytes. It panics if the class has less.
+// Release ends the reservation of n bytes. Of more than the class has, it releases what the class has and counts an excess:
+// a panic would end the process, and releasing more would raise the limit.
 func (b *Budget) Release(c Class, n ident.Bytes) {
-	if b.used[c].Add(-int64(n)) < 0 {
-		// Releasing more than was reserved would silently raise the limit.
-		panic(fmt.Sprintf("more memory is released for %s than was reserved", c))
+	for {
+		old := b.used[c].Load()
+		if int64(n) > old {
+			b.excess.Add(1)
+			n = ident.Bytes(old)
+		}
+		if b.used[c].CompareAndSwap(old, old-int64(n)) {
+			break
+		}
 	}
 	b.total.Add(-int64(n))
 	if b.waiting.Load() {
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -51,6 +51,18 @@
 	})
 }
 
+// TestExcess guards against a release of more than was reserved that raises the limit or ends the process.
+func TestExcess(t *testing.T) {
+	is := is.New(t)
+	b := New(100)
+	is.True(b.Reserve(Heads, 30))
+	is.True(b.Reserve(Bodies, 20))
+	b.Release(Heads, 40)
+	is.Equal(b.Excess(), uint64(1))
+	is.Equal(b.Used(Heads), ident.Bytes(0))
+	is.Equal(b.Total(), ident.Bytes(20))
+}
+
 // TestVictims guards against evicting a request that is whole, against another order than the documented one, and against
 // evicting more than is needed.
 func TestVictims(t *testing.T) {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -153,6 +153,7 @@
 		total("evictions_total", "Connections of callers that were evicted to make room, by the stage of the request.",
 			prometheus.Labels{"stage": stage.String()}, func() uint64 { return callers.Evictions(stage) })
 	}
+	total("memory_release_errors_total", "Releases of more memory than was reserved, which are errors of the program.", nil, b.Excess)
 	total("rejected_connections_total", "Connections of callers that were closed at once because no memory was left.", nil, callers.Rejected)
 }
 
