Keep callers' connections from using up memory for heads and descriptors

When idle connections filled the budget, a sound caller's new request evicted its own connection and was refused after 250 ms.

A connection takes its share of three quarters of the descriptors too, so idle ones are evicted before these run out. A connection isn't evicted while it reserves memory for its head.

--- a/io/conns/evict_test.go
+++ b/io/conns/evict_test.go
@@ -154,6 +154,20 @@
 	is.Equal(set.Len(), callers)
 }
 
+// TestMaxConns guards against connections that use up the descriptors of the process while their memory is within the limit.
+func TestMaxConns(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 5
+	set := New(Config{Clock: clockwork.NewRealClock(), Memory: budget.New(1 << 20), MaxConns: limit})
+	addr := serveWith(t, set, bodyHandler(func(*http.Request) {}))
+	for range 3 * limit {
+		openIdle(t, addr)
+		is.True(set.Len() <= limit)
+	}
+	is.True(set.Evictions(budget.Idle) >= 2*limit)
+}
+
 func inStage(set *Set, stage budget.Stage) bool {
 	for _, c := range set.all() {
 		if c.holder().Stage == stage {
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -126,17 +126,26 @@
 	return c.holdHead(cost)
 }
 
-// holdHead reserves memory for a head, or refuses the request.
+// holdHead reserves memory for a head, or refuses the request. The connection isn't evicted meanwhile: it would make room
+// for itself, and its head may be whole.
 func (c *conn) holdHead(n ident.Bytes) error {
 	if c.set.cfg.Memory == nil {
 		return nil
 	}
+	c.mu.Lock()
+	if c.memory.stage != budget.Evicted {
+		c.memory.stage = budget.Serving
+	}
+	c.mu.Unlock()
 	if err := c.set.Reserve(context.Background(), budget.Heads, n, roomWait); err != nil {
 		c.refuseHead(NoMemory)
 		return closedError{err}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.memory.stage == budget.Serving && c.state != http.StateActive {
+		c.memory.stage = budget.ReadingHead
+	}
 	if c.memory.closed {
 		c.set.Release(budget.Heads, n)
 		return nil
@@ -191,7 +200,7 @@
 	}
 	c.memory.closed = true
 	c.releaseHead()
-	c.set.cfg.Memory.Release(budget.Connections, budget.ConnectionCost)
+	c.set.cfg.Memory.Release(budget.Connections, c.set.connCost())
 }
 
 // holder returns what an eviction has to know about the connection.
@@ -199,7 +208,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &c.memory
-	return budget.Holder{Stage: m.stage, Held: budget.ConnectionCost + m.headHeld + m.requestHeld, LastRead: m.lastRead}
+	return budget.Holder{Stage: m.stage, Held: c.set.connCost() + m.headHeld + m.requestHeld, LastRead: m.lastRead}
 }
 
 // evict lets the read that waits expire, if the connection is still in the given stage and has read nothing since.
--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -39,6 +39,9 @@
 	HeadLimit func() ident.Bytes
 	// Memory is the budget for connections and what they hold. It may be nil.
 	Memory *budget.Budget
+	// MaxConns is the number of connections that use up the budget, if their memory alone would allow for more. Zero
+	// means no such number.
+	MaxConns int
 	// Refusal returns the bytes of an answer that refuses a request whose head isn't whole. If it is nil, the connection
 	// is closed without an answer.
 	Refusal func(Refusal) []byte
@@ -85,6 +88,15 @@
 	return &Set{cfg: cfg, conns: make(map[*conn]struct{}), removed: make(chan struct{}, 1), rejecting: make(chan struct{}, maxRejecting)}
 }
 
+// connCost returns what a connection takes of the budget. Descriptors are as scarce as memory on some VMs, so that a
+// connection takes its share of both.
+func (s *Set) connCost() ident.Bytes {
+	if s.cfg.MaxConns <= 0 || s.cfg.Memory == nil {
+		return budget.ConnectionCost
+	}
+	return max(budget.ConnectionCost, s.cfg.Memory.Limit()/ident.Bytes(s.cfg.MaxConns))
+}
+
 // Listener returns a listener whose connections are in the set. The server that accepts them must have TrackState as its
 // ConnState hook, and a ReadHeaderTimeout.
 func (s *Set) Listener(ln net.Listener) net.Listener { return listener{RetryAccept(ln), s} }
@@ -101,7 +113,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.set.Reserve(context.Background(), budget.Connections, budget.ConnectionCost, roomWait) == nil {
+		if l.set.Reserve(context.Background(), budget.Connections, l.set.connCost(), roomWait) == nil {
 			return l.set.add(raw), nil
 		}
 		l.set.reject(raw)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -152,6 +152,7 @@
 	s.memory = newMemoryBudget(cfg.MemoryBytes)
 	s.callers = conns.New(conns.Config{
 		Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout, HeadLimit: s.headLimit, Memory: s.memory, Refusal: refusedHead,
+		MaxConns: maxCallerConns(cfg.MaxDescriptors),
 	})
 	deps.Metrics.observeMemory(s.memory, s.callers)
 	s.writer = newClaimWriter(s)
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -27,6 +27,16 @@
 	return budget.New(budget.LimitFor(ident.Bytes(memory)))
 }
 
+// maxCallerConns returns how many connections of callers a process with the given number of descriptors can hold, or zero
+// if it is unknown. The other descriptors are for files, targets, the store and other routers.
+func maxCallerConns(descriptors int) int {
+	const (
+		files       = 200
+		callerShare = 0.75 // of the rest
+	)
+	return int(callerShare * float64(max(descriptors-files, 0)))
+}
+
 // reserve reserves memory for the request. Before the request is passed on it waits for a short time and returns
 // conns.ErrFull. After that it waits until the deadline and returns the error of the context.
 func (x *exchange) reserve(class budget.Class, n ident.Bytes) error {
