Print the addresses of router and stand-ins without waiting for a reader

router and the stand-ins served nothing, and SIGTERM had no effect, if nobody read their output: the line with the addresses blocked before Serve (found by the review: killed after 6 and 8 s).

printMessage gives up after 100 ms.

--- a/io/cmds/router.go
+++ b/io/cmds/router.go
@@ -58,8 +58,8 @@
 	if certs != nil {
 		go watchCerts(cmd.Context(), cfg, certs, clock, log)
 	}
-	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q,\"peer_addr\":%q}\n",
-		n.ID(), n.CallerAddr(), n.AdminAddr(), n.PeerAddr())
+	printMessage(cmd.OutOrStdout(), fmt.Sprintf("{\"router\":%q,\"caller_addr\":%q,\"admin_addr\":%q,\"peer_addr\":%q}",
+		n.ID(), n.CallerAddr(), n.AdminAddr(), n.PeerAddr()))
 	go func() {
 		for range life.Hangups() {
 			log.Info("SIGHUP has no effect: a router's settings are flags")
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -51,7 +51,7 @@
 	case err != nil:
 		return err
 	}
-	_, _ = fmt.Fprintf(cmd.OutOrStdout(), "{\"addr\":%q}\n", l.Addr())
+	printMessage(cmd.OutOrStdout(), fmt.Sprintf("{\"addr\":%q}", l.Addr()))
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	context.AfterFunc(cmd.Context(), func() {
 		stop()
