Try again to read settings that a SIGHUP has announced

The file is read again every 100 ms until it is valid; the current settings stay in use meanwhile, and one line is logged.

TestReloadOnSignal now expects the settings of the whole file after the one signal that came before, and as before those of a later one; without the change it waits for ever.

--- a/io/cmds/edge.go
+++ b/io/cmds/edge.go
@@ -96,7 +96,10 @@
 	Reload(platform.Settings)
 }
 
-// reloadOnSignal reloads the settings file at each signal until done is closed. If the file cannot be read, the current
+// reloadRetry is the time between two attempts to read changed settings, which may be half written or find no descriptor.
+const reloadRetry = 100 * time.Millisecond
+
+// reloadOnSignal reloads the settings file at each signal until done is closed. While the file cannot be read, the current
 // settings stay in use.
 func reloadOnSignal(hangups <-chan os.Signal, done <-chan struct{}, path string, s reloader, log *slog.Logger) {
 	for {
@@ -107,8 +110,16 @@
 		}
 		cfg, err := platform.ReadSettings(path)
 		if err != nil {
-			log.Error("cannot read the changed settings; keeping the current ones", "error", err)
-			continue
+			log.Error("cannot read the changed settings; keeping the current ones and trying again", "error", err)
+		}
+		for err != nil {
+			select {
+			case <-done:
+				return
+			case <-hangups:
+			case <-time.After(reloadRetry):
+			}
+			cfg, err = platform.ReadSettings(path)
 		}
 		s.Reload(cfg)
 	}
--- a/io/cmds/edge_test.go
+++ b/io/cmds/edge_test.go
@@ -78,8 +78,10 @@
 	is.NoErr(os.WriteFile(path, []byte("garbled"), 0o600))
 	hangups <- syscall.SIGHUP
 	is.NoErr(os.WriteFile(path, []byte(`{"node":"a","listen":{"front":"b","ready":"c"},"provider":{"address":"d"}}`), 0o600))
+	is.Equal((<-got).VM, "a") // The signal that came before the file was whole is not lost.
+	is.NoErr(os.WriteFile(path, []byte(`{"node":"b","listen":{"front":"b","ready":"c"},"provider":{"address":"d"}}`), 0o600))
 	hangups <- syscall.SIGHUP
-	is.Equal((<-got).VM, "a")
+	is.Equal((<-got).VM, "b")
 }
 
 func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
