Shut down after a panic of a background task, and survive one of a message

A panic outside of net/http's handlers ended the process at once with status 2, the one of invalid settings: the requests that it held got no answer, and the queued lines of the log were lost. No such panic is known; the store's and the peers' bytes reach these goroutines.

A task that panics is logged with its stack, counted, and ends the router as SIGTERM does, with status 1. A message of a peer that panics is logged, counted and dropped, or answered with a failure. Panics of requests are logged as errors now; they were debug lines.

TestPanicInTask, TestPanicAtMessage and TestPanicInRequest; the first two end the test process without the change.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -76,7 +76,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.writer.run(ctx, lc.startedAt)
+		s.runTask("writer", func() { s.writer.run(ctx, lc.startedAt) })
 	}()
 	s.claims.run(ctx)
 	<-done
@@ -88,7 +88,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.runAllowanceWrites(ctx)
+		s.runTask("allowances", func() { s.runAllowanceWrites(ctx) })
 	}()
 	s.runLedgerWrites(ctx, lc)
 	<-done
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,6 +112,8 @@
 	runningRequests atomic.Int64
 
 	callerListener, readyListener net.Listener
+	// taskFailed receives the error of a background task that panicked.
+	taskFailed chan error
 
 	mu sync.Mutex
 	// bounds holds the bounds of the newest settings, which Reload replaces.
@@ -141,6 +144,7 @@
 		tokensChanged: newBroadcast(),
 		watchRestart:  newBroadcast(),
 		grantsNow:     make(chan struct{}, 1),
+		taskFailed:    make(chan error, 1),
 		allowancesNow: make(chan struct{}, 1),
 		retryBudgets:  make(map[ident.ServiceID]*retry.Budget),
 		bounds:        cfg.Bounds,
@@ -224,6 +228,9 @@
 		served <- err
 	case err := <-failed:
 		failure = trace.Wrap(err, "serve readiness checks")
+	case failure = <-s.taskFailed:
+		// A lock that the task held may keep the shutdown from ending.
+		s.deps.Clock.AfterFunc(s.gracePeriod()+life.ExitWait, func() { os.Exit(life.ExitFailure) })
 	case <-ctx.Done():
 	}
 	s.shutdown(server, served, cutRequests)
@@ -267,17 +274,22 @@
 
 // startTasks starts the background goroutines.
 func (s *Server) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
-	for _, task := range []func(context.Context){
-		s.watchConfig, s.watchTargets, s.watchReleases, s.advanceReleases, s.runTokenSync, s.runMaintenance, s.poison.run, s.poison.runSaves,
+	for _, task := range []struct {
+		name string
+		run  func(context.Context)
+	}{
+		{"watch of the configuration", s.watchConfig}, {"watch of the targets", s.watchTargets},
+		{"watch of the releases", s.watchReleases}, {"releases", s.advanceReleases}, {"tokens", s.runTokenSync},
+		{"maintenance", s.runMaintenance}, {"quarantine", s.poison.run}, {"saves of the quarantine", s.poison.runSaves},
 	} {
-		tasks.Go(func() { task(ctx) })
+		tasks.Go(func() { s.runTask(task.name, func() { task.run(ctx) }) })
 	}
 }
 
 func (s *Server) callerServer() *http.Server {
 	const maxHeader = 64 << 10 // bytes; the configuration may set less
 	return &http.Server{
-		Handler:           alice.New(s.countRunningRequests).Then(http.HandlerFunc(s.serveCaller)),
+		Handler:           alice.New(s.abortAtPanic, s.countRunningRequests).Then(http.HandlerFunc(s.serveCaller)),
 		MaxHeaderBytes:    maxHeader,
 		ReadHeaderTimeout: maxHeadTimeout,
 		ConnState:         s.callers.TrackState,
--- a/io/edge/flush.go
+++ b/io/edge/flush.go
@@ -61,7 +61,9 @@
 			continue
 		}
 		st := f.w.ledgers.stateOf(shard)
-		wg.Go(func() { f.writeLedger(ctx, shard, st, claimIndexes) })
+		wg.Go(func() {
+			f.w.s.runTask("ledger", func() { f.writeLedger(ctx, shard, st, claimIndexes) })
+		})
 	}
 	wg.Wait()
 }
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -28,6 +28,7 @@
 	changesCalls    *prometheus.CounterVec
 	losses          *prometheus.CounterVec
 	quarantined     prometheus.Gauge
+	panics          prometheus.Counter
 	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
 }
@@ -56,11 +57,13 @@
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "panics_total", Help: "Panics of requests, messages and background tasks."}),
 		shutdownGrace: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.notices, m.shutdownGrace)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace)
 	return m
 }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -18,6 +18,9 @@
 // codeRefused is the failure code for a claim that has had no effect and never will.
 const codeRefused = "refused"
 
+// codePanic is the failure code for a call that this router failed to handle. Whether it had an effect is unknown.
+const codePanic = "panic"
+
 // errNoPeerAddr means that this router has no address at which other routers reach it.
 var errNoPeerAddr = errors.New("no address for other routers")
 
@@ -46,13 +49,24 @@
 
 // HandleMessage takes the reports of other routers.
 func (h peerHandler) HandleMessage(from peer.Sender, m peer.Message) {
+	defer func() {
+		if v := recover(); v != nil {
+			h.s.logPanic("message", v)
+		}
+	}()
 	if m, ok := m.(peer.Poison); ok {
 		h.s.gossip.Load().receive(from, m.Report)
 	}
 }
 
 // HandleCall passes a claim to this router's writer, and serves the holds of other routers.
-func (h peerHandler) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (peer.Message, error) {
+func (h peerHandler) HandleCall(ctx context.Context, from peer.Sender, m peer.Message) (answer peer.Message, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			h.s.logPanic("call", v)
+			answer, err = nil, peer.Failure{Code: codePanic}
+		}
+	}()
 	lending := h.s.lending.Load()
 	switch m := m.(type) {
 	case peer.TokenClaim:
