--- a/cmd/soak/starts.go
+++ b/cmd/soak/starts.go
@@ -95,6 +95,11 @@
 		s.r.waitExit()
 		return nil
 	}
+	if p := s.r.process(); p != nil && s.rng.IntN(2) == 0 {
+		// The lines of the signals fill the pipe, so that the process waits for its log at its end.
+		s.env.countFault("log_stops")
+		p.log.stop()
+	}
 	s.env.countFault("term")
 	s.r.signal(syscall.SIGTERM)
 	var wg sync.WaitGroup
