--- a/io/edge/panic_test.go
+++ b/io/edge/panic_test.go
@@ -16,7 +16,7 @@
 func TestPanicInTask(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	s := newTestEnv(t).server
+	s := &Server{deps: newTestEnv(t).server.deps, taskFailed: make(chan error, 1)}
 	s.runTask("test", func() { panic("broken entry") })
 	err := <-s.taskFailed
 	is.True(strings.Contains(err.Error(), "task test panicked: broken entry"))
