Evict partial heads that fill the buffer of the server

A partial head of 4,120 bytes was never evicted: 42 such callers held 1 MB until the head timeout, and 0 of 20 sound callers were served (found by the review).

Cause: the buffer of net/http has room for one byte then, and a read of one byte was taken for the one that notices that a caller disconnects. While a head is read, it isn't that one.

TestHeadThatFillsTheBuffer failed before (503), and passes twice with the race detector.

--- a/io/conns/evict_test.go
+++ b/io/conns/evict_test.go
@@ -154,6 +154,33 @@
 	is.Equal(set.Len(), callers)
 }
 
+// TestHeadThatFillsTheBuffer guards against partial heads that are never evicted because the buffer of the server has room for
+// one byte.
+func TestHeadThatFillsTheBuffer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	set := New(Config{Clock: clockwork.NewRealClock(), Memory: budget.New(1 << 20), Refusal: refusal})
+	addr := serveWith(t, set, bodyHandler(func(*http.Request) {}))
+	const head = "GET / HTTP/1.1\r\nHost: h\r\nX: "
+	for range 60 {
+		_, err := io.WriteString(dial(t, addr), head+strings.Repeat("x", 4120-len(head)))
+		is.NoErr(err)
+	}
+	for set.Evictions(budget.ReadingHead) == 0 {
+		runtime.Gosched() // The heads use up the memory.
+	}
+	for range 20 {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, request)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(c.r, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.NoErr(resp.Body.Close())
+		is.NoErr(c.Close())
+	}
+}
+
 // TestMaxConns guards against connections that use up the descriptors of the process while their memory is within the limit.
 func TestMaxConns(t *testing.T) {
 	t.Parallel()
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -234,12 +234,13 @@
 
 // retryAfterEviction reports whether a read whose deadline expired has to be repeated, because the request became whole
 // while its connection was being evicted. A read of one byte is the one by which net/http notices that a caller disconnects
-// while its request, which is whole, is served.
+// while its request, which is whole, is served. While a head is read, its buffer may have room for one byte only.
 func (c *conn) retryAfterEviction(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &c.memory
-	if m.stage == budget.Evicted && size == 1 {
+	readsHead := c.state != http.StateActive && m.headSize > 0
+	if m.stage == budget.Evicted && size == 1 && !readsHead {
 		c.headComplete()
 		_ = c.applyDeadline() // Only a closed connection refuses it.
 	}
