--- a/io/edge/panic.go
+++ b/io/edge/panic.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -38,7 +39,7 @@
 			if v == nil {
 				return
 			}
-			if v != http.ErrAbortHandler {
+			if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 				s.logPanic("request", v)
 			}
 			panic(http.ErrAbortHandler)
