Keep no idle connections for readiness checks; heed the system's limit of descriptors

Beside 130 idle connections the next readiness check took 14.6 s, as 128 were kept for 15 s each.

The readiness server closes each connection after its answer, and one without a request after 1 s. Without max_fds in the settings, the limit of the operating system counts.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -154,9 +154,13 @@
 	}
 	s.buffers = newBufferLimiter(cfg.MemoryBytes)
 	s.memory = newMemoryBudget(cfg.MemoryBytes)
+	maxConns, err := maxCallerConns(cfg.MaxDescriptors)
+	if err != nil {
+		deps.Log.Warn("connections of callers are limited by memory alone", "error", err)
+	}
 	s.callers = conns.New(conns.Config{
 		Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout, HeadLimit: s.headLimit, Memory: s.memory, Refusal: refusedHead,
-		MaxConns: maxCallerConns(cfg.MaxDescriptors),
+		MaxConns: maxConns,
 	})
 	deps.Metrics.observeMemory(s.memory, s.callers)
 	s.writer = newClaimWriter(s)
@@ -355,14 +359,16 @@
 // send or read nothing end soon.
 func (s *Server) readyServer() *http.Server {
 	const (
-		maxHeader   = 4 << 10 // bytes
-		timeout     = 2 * time.Second
-		idleTimeout = 15 * time.Second
+		maxHeader = 4 << 10 // bytes
+		timeout   = 2 * time.Second
 	)
-	return &http.Server{
+	server := &http.Server{
 		Handler: s.readyHandler(), MaxHeaderBytes: maxHeader,
-		ReadHeaderTimeout: time.Second, ReadTimeout: timeout, WriteTimeout: timeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: time.Second, ReadTimeout: timeout, WriteTimeout: timeout,
 	}
+	// Idle connections would keep others waiting.
+	server.SetKeepAlivesEnabled(false)
+	return server
 }
 
 // readyHandler serves the readiness check and the metrics.
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/io/conns"
@@ -27,14 +31,21 @@
 	return budget.New(budget.LimitFor(ident.Bytes(memory)))
 }
 
-// maxCallerConns returns how many connections of callers a process with the given number of descriptors can hold, or zero
-// if it is unknown. The other descriptors are for files, targets, the store and other routers.
-func maxCallerConns(descriptors int) int {
+// maxCallerConns returns how many connections of callers a process with the given number of descriptors can hold. If it is
+// zero, the limit of the operating system counts. The other descriptors are for files, targets, the store and other routers.
+func maxCallerConns(descriptors int) (int, error) {
 	const (
 		files       = 200
 		callerShare = 0.75 // of the rest
 	)
-	return int(callerShare * float64(max(descriptors-files, 0)))
+	if descriptors <= 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			return 0, trace.Wrap(err, "read the limit of open files")
+		}
+		descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	return max(int(callerShare*float64(descriptors-files)), 1), nil
 }
 
 // reserve reserves memory for the request. Before the request is passed on it waits for a short time and returns
