Send the refusal of a body that did not come before its connection ends

Cause: the refusal moved the read deadline of the body 2 s on, and its write deadline ended at the same time. The earlier of the two read deadlines counts now, and writing has 2 s more.

TestEndlessRequests, TestCallersThatKeepConnections and TestSlowHead pass with the race detector.

--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -52,13 +52,7 @@
 		h["Connection"] = []string{"close"}
 	}
 	platform.SetErrorHeaders(h, x.requestHeaders.ID, r.retryAfter)
-	control := http.NewResponseController(x.w)
-	until := x.s.deps.Clock.Now().Add(refusalTime)
-	_ = control.SetWriteDeadline(until)
-	if !x.bodyRead {
-		// The server reads the rest of a short body before it sends the answer.
-		_ = control.SetReadDeadline(until)
-	}
+	x.limitRefusal()
 	body := r.reason + "\n"
 	h["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	x.w.WriteHeader(r.status)
@@ -66,3 +60,15 @@
 		x.reason += "; the refusal could not be written to the caller"
 	}
 }
+
+// limitRefusal sets the deadlines of a refusal. The server reads the rest of a short body before it sends the answer.
+func (x *exchange) limitRefusal() {
+	control := http.NewResponseController(x.w)
+	until := x.s.deps.Clock.Now().Add(refusalTime)
+	_ = control.SetWriteDeadline(until.Add(refusalTime))
+	switch {
+	case x.bodyRead:
+	case x.deadline.IsZero() || until.Before(x.deadline):
+		_ = control.SetReadDeadline(until)
+	}
+}
