--- a/cmd/soak/life_test.go
+++ b/cmd/soak/life_test.go
@@ -70,8 +70,15 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	go func() { p.exited <- p.cmd.Wait() }()
-	p.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	ended := make(chan struct{})
+	go func() {
+		p.exited <- p.cmd.Wait()
+		close(ended)
+	}()
+	p.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-ended // The next test may use the same address.
+	})
 }
 
 // waitHandled waits until a signal is in one of the sets of the process that the kernel names: the time before belongs to the loader.
