Keep the names of the platform's headers in its package

Two test files wrote 7 header names themselves. They use constants of platform/fakes now; TestEmptyAnswer, TestMemoryOfAnswers and TestMemoryOfUnfinishedRequests send the same requests but for the id of the idle one, and pass.

--- a/cmd/soak/memory_test.go
+++ b/cmd/soak/memory_test.go
@@ -190,10 +190,10 @@
 	const (
 		size     = 60 << 10
 		endless  = "Content-Length: 9999999999\r\n\r\n"
-		look     = fakes.LookHead + "Deadline-Ms: 3000\r\n\r\n"
-		chat     = "POST /chat/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nAuthorization: Token key1\r\nToken-Count: 1,1\r\nModel: m\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
 		wholeLen = "Content-Length: 61440\r\n\r\n"
 	)
+	deadline := fakes.Deadline(3000) + "\r\n"
+	look, chat := fakes.LookHead+deadline, fakes.ShortChatHead+deadline
 	cases := []struct {
 		name, request string
 		response      fakes.EndlessResponse
@@ -259,7 +259,7 @@
 }
 
 // idleRequest is a whole request. Its caller keeps the connection open after the answer.
-const idleRequest = "GET /look/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: idle\r\n\r\n"
+const idleRequest = fakes.LookHead + "\r\n"
 
 // openConns opens the hostile connections and sends the same bytes on each of them.
 func openConns(addr, sent string) []net.Conn {
--- a/io/edge/plaincut_test.go
+++ b/io/edge/plaincut_test.go
@@ -12,7 +12,6 @@
 // it, as a complete, empty answer. An answer says that it is empty by its length, its chunks or its status.
 func TestEmptyAnswer(t *testing.T) {
 	t.Parallel()
-	noContent := "HTTP/1.1 204 No Content\r\nAttempt-Id: ID\r\nEngine-Stamp: stamp\r\n\r\n"
 	cases := []struct {
 		name     string
 		req      testRequest
@@ -27,7 +26,7 @@
 		{"chat without stream or length", chat, fakes.AnswerHead + "\r\n", true, "unknown"},
 		{"booking of length zero", book, framed(fakes.AnswerHead, ""), true, `200 ""`},
 		{"booking in no chunks", book, fakes.AnswerHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, `200 ""`},
-		{"booking without content", book, noContent, true, `204 ""`},
+		{"booking without content", book, fakes.NoContent, true, `204 ""`},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
