Let the message of TestPanicAtMessage panic

The test passed without the recovery that it guards, although says that it ends the test process then: the claim was refused as malformed before it reached the missing writer.

The claim is well-formed now, and the failure has to be that of a panic.

--- a/io/edge/panic_test.go
+++ b/io/edge/panic_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/peer"
 )
 
@@ -29,10 +30,9 @@
 	t.Parallel()
 	is := is.New(t)
 	h := peerHandler{s: &Server{deps: newTestEnv(t).server.deps}} // has no writer
-	_, err := h.HandleCall(context.Background(), peer.Sender{ID: "vm-2.1"}, peer.TokenClaim{})
-	is.True(err != nil)
-	_, err = h.HandleCall(context.Background(), peer.Sender{}, nil)
-	is.True(err != nil)
+	claim := peer.TokenClaim{Claim: quota.Claim{Router: "vm-2.1", VM: "vm-2", Allowances: &quota.Allowances{}}}
+	_, err := h.HandleCall(context.Background(), peer.Sender{ID: "vm-2.1"}, claim)
+	is.Equal(err, peer.Failure{Code: codePanic})
 }
 
 // TestPanicInRequest guards against a panic of a request that leaves no line in the log.
