Let TestReloadOnSignal wait for the failed read

The test passed without the retry that it guards, although says that it waits for ever then: the whole file could be in place before the first read.

It waits for the log line of the failed read before it writes the whole file.

--- a/io/cmds/edge_test.go
+++ b/io/cmds/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -65,6 +66,14 @@
 
 func (r reloadRecorder) Reload(cfg platform.Settings) { r <- cfg }
 
+// lineRecorder receives the lines of a log.
+type lineRecorder chan string
+
+func (r lineRecorder) Write(line []byte) (int, error) {
+	r <- string(line)
+	return len(line), nil
+}
+
 // TestReloadOnSignal guards against changed settings that are not reloaded, and against an invalid file that replaces
 // the current settings.
 func TestReloadOnSignal(t *testing.T) {
@@ -74,9 +83,11 @@
 	hangups := make(chan os.Signal)
 	done := make(chan struct{})
 	defer close(done)
-	go reloadOnSignal(hangups, done, path, got, discardLog())
+	failed := make(lineRecorder, 1)
+	go reloadOnSignal(hangups, done, path, got, slog.New(slog.NewJSONHandler(failed, nil)))
 	is.NoErr(os.WriteFile(path, []byte("garbled"), 0o600))
 	hangups <- syscall.SIGHUP
+	is.True(strings.Contains(<-failed, "cannot read the changed settings"))
 	is.NoErr(os.WriteFile(path, []byte(`{"node":"a","listen":{"front":"b","ready":"c"},"provider":{"address":"d"}}`), 0o600))
 	is.Equal((<-got).VM, "a") // The signal that came before the file was whole is not lost.
 	is.NoErr(os.WriteFile(path, []byte(`{"node":"b","listen":{"front":"b","ready":"c"},"provider":{"address":"d"}}`), 0o600))
