--- a/io/cmds/edge_test.go
+++ b/io/cmds/edge_test.go
@@ -94,5 +94,3 @@
 	hangups <- syscall.SIGHUP
 	is.Equal((<-got).VM, "b")
 }
-
-func discardLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
