--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 soak:
 	go test -count 1 -timeout 60m $(PROPERTIES) -rapid.checks=$(CHECKS)
 
-# Runs real routers under faults, and under planned work alone; SEED is the first of SEEDS.
+# Runs real routers under faults, under planned work alone, and under faults at starts and stops; SEED is the first of SEEDS.
 SEED := 1
 SEEDS := 10
 
@@ -41,6 +41,7 @@
 	go build -o bench/ ./cmd/geraniumsaddle ./cmd/soak
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS)
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -planned -callers 24
+	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -starts -routers 4
 
 # Plays the standard days of both sites where the users' bench is present.
 BENCH := ../given/kit/more/system
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,6 +33,8 @@
 	Starts   bool
 	Partial  int
 	MemoryMB int
+	// Herd replaces the faults by one loss of power of all routers.
+	Herd bool
 }
 
 // summary is the result of one run.
@@ -46,6 +48,8 @@
 	Ends    map[string]int `json:"ends,omitempty"`
 	OwnEnds int            `json:"own_ends,omitempty"`
 	Lost    int            `json:"lost,omitempty"`
+	// ReadyMS has the times until all routers of a herd were ready, at the start and after the loss of power.
+	ReadyMS []int64 `json:"ready_ms,omitempty"`
 	// PeakMB is the largest resident size of a process.
 	PeakMB int64    `json:"peak_mb,omitempty"`
 	Broken []string `json:"broken,omitempty"`
@@ -66,9 +70,10 @@
 	flag.BoolVar(&cfg.Planned, "planned", false, "only planned work, beside callers with slow bodies and idle connections")
 	flag.BoolVar(&cfg.Starts, "starts", false, "only faults at the starts and stops of routers, beside partial requests")
 	flag.IntVar(&cfg.Partial, "partial", 400, "number of connections with partial requests at each router, with -starts")
+	flag.BoolVar(&cfg.Herd, "herd", false, "start all routers at once, before and after a loss of power of all of them")
 	flag.StringVar(&cfg.Dir, "dir", "", "directory for settings and logs; by default, a new one for each seed")
 	flag.Parse()
-	if cfg.Starts {
+	if cfg.Starts || cfg.Herd {
 		cfg.MemoryMB = smallVMMB
 	}
 	failed := 0
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -46,6 +46,32 @@
 	is.True(result.Answers["200"] > 0)
 }
 
+// TestStarts guards against processes that end by themselves or take too much memory, and against changed settings that
+// are not read, while routers are started and stopped beside signals, held ports, lost readers of the log and partial
+// requests.
+func TestStarts(t *testing.T) {
+	is := is.New(t)
+	cfg := config{Binary: buildRouter(t), Seed: 1, Length: 2 * time.Second, Routers: 4, Callers: 4, Dir: t.TempDir(), Starts: true}
+	cfg.Partial, cfg.MemoryMB = 300, smallVMMB
+	result, err := run(cfg)
+	is.NoErr(err)
+	for _, violation := range result.Broken {
+		t.Error(violation)
+	}
+	is.True(result.Answers["200"] > 0)
+}
+
+// TestLossOfPower guards against routers that do not all start again at once, and against tokens that are delivered twice,
+// after the loss of all processes.
+func TestLossOfPower(t *testing.T) {
+	is := is.New(t)
+	cfg := config{Binary: buildRouter(t), Seed: 1, Length: 2 * time.Second, Routers: 6, Callers: 4, Dir: t.TempDir(), Herd: true, MemoryMB: smallVMMB}
+	result, err := run(cfg)
+	is.NoErr(err)
+	is.Equal(result.Broken, nil)
+	is.True(result.Answers["200"] > 0)
+}
+
 // TestRepeatedTerm guards against a second SIGTERM that cuts off the requests of a router that is shutting down.
 func TestRepeatedTerm(t *testing.T) {
 	is := is.New(t)
