--- a/io/engine/send/send.go
+++ b/io/engine/send/send.go
@@ -25,6 +25,15 @@
 	ErrRejected = errors.New("request was rejected by the target")
 )
 
+// errStatus means that the status of a response is outside of the range that HTTP defines, as a target in trouble may send.
+var errStatus = errors.New("status of the response is out of range")
+
+// The range of the statuses of responses.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // Error is the failure of one request.
 type Error struct {
 	// Class is ErrNotSent, ErrOutcomeUnknown or ErrRejected.
@@ -147,6 +156,10 @@
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
 	resp, err := t.http.RoundTrip(r)
+	if err == nil && (resp.StatusCode < minStatus || resp.StatusCode > maxStatus) {
+		_ = resp.Body.Close()
+		return nil, &Error{Class: ErrOutcomeUnknown, Status: resp.StatusCode, Err: errStatus}
+	}
 	if err == nil {
 		return resp, nil
 	}
