Limit requests to cold targets and evacuated failure domains

Cause: the operator may evacuate a failure domain, and targets may be cold and then tolerate few requests a second from all routers together. Fleet knew neither.

Change: core/cold derives a router's share of the requests to a cold target from the list of routers alone: floor(planned/routers), and the remainder by rendezvous order of the routers for that target. The shares of routers with one list sum to at most the rate that the target tolerates and two thirds of the bound. core/place has the hooks: SetEvacuated, SetRouters, SetColdBounds, SetColdServices, RecordEntry, NoteCold; Choose asks the limiter, counts a pick, and takes a failure domain back by a ramp; Usable refuses an evacuated failure domain. Nothing calls them yet, so nothing changes.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -19,6 +19,9 @@
 	crossDomainCost = 4
 	// failureCost is the delay in milliseconds that a failed request counts as.
 	failureCost = 3000
+	// heldDomainCost is the delay in milliseconds of a target that a ramp leaves out of a choice. It exceeds all others, so
+	// that such a target is chosen only if no other one may take the request.
+	heldDomainCost = 100_000
 	// plainServiceCost is the delay in milliseconds of a target of a plain service when all of its slots are in use.
 	// The delay is proportional to the share of slots in use.
 	plainServiceCost = 100
@@ -65,13 +68,14 @@
 func (f *Fleet) Choose(r Request) (*Choice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.advanceRamps(r.Now)
 	pool := f.pools[r.Service]
 	owner := f.prefixOwner(pool, r.Prompt)
 	var best *member
 	var bestCost float64
 	candidates := 0
 	var quiet QuietError
-	allQuiet := true
+	allQuiet, coldOnly := true, false
 	for _, m := range pool {
 		if !f.eligible(m, r) {
 			continue
@@ -87,6 +91,10 @@
 		if r.Now.Before(m.fullUntil) {
 			continue
 		}
+		if !f.allowsCold(m, r.Now) {
+			coldOnly = true
+			continue
+		}
 		cost := f.estimateCost(m, r, m == owner)
 		if best == nil || cost < bestCost {
 			best, bestCost = m, cost
@@ -98,9 +106,13 @@
 	if best == nil && allQuiet {
 		return nil, &quiet
 	}
+	if best == nil && coldOnly {
+		return nil, ErrCold
+	}
 	if best == nil {
 		return nil, ErrFull
 	}
+	f.recordColdSend(best, r.Now)
 	c := &Choice{Target: best.Target, Cost: bestCost, EstimatedRequests: best.estimatedRequests(r.Now),
 		PrefixOwner: best == owner, fleet: f, member: best}
 	if r.Prompt != nil {
@@ -112,7 +124,7 @@
 }
 
 func (f *Fleet) eligible(m *member, r Request) bool {
-	if !m.serving() || slices.Contains(r.Exclude, m.ID) {
+	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
 	return r.Versions.allows(m.Version)
@@ -128,7 +140,7 @@
 	var highest uint64
 	hash := xxhash.Sum64String(prefix.ID)
 	for _, m := range pool {
-		if !m.serving() {
+		if !m.available() {
 			continue
 		}
 		if score := rendezvousScore(hash, m.hash); owner == nil || score > highest {
@@ -155,6 +167,9 @@
 	if r.Now.Before(m.backoffUntil) || f.suspectUnreachable(m.Domain, r.Now) {
 		cost += failureCost
 	}
+	if m.domain.held {
+		cost += heldDomainCost
+	}
 	if m.Domain != f.cfg.Domain {
 		cost += crossDomainCost
 	}
@@ -187,4 +202,7 @@
 	c.pendingPrefill = 0
 	c.member.recordResult(r, now)
 	c.fleet.recordReachability(c.Target, r, now)
+	if r == ResultUnreachable {
+		c.fleet.cold.SuspectRestart(c.Target.ID, now)
+	}
 }
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/ident"
 )
 
@@ -22,6 +23,8 @@
 type Config struct {
 	// Domain is the failure domain of the router that chooses.
 	Domain ident.DomainID
+	// VM is the VM of that router.
+	VM ident.VMID
 	// RemovalGrace is the time after an outage of the store within which live targets renew their expired entries.
 	RemovalGrace time.Duration
 }
@@ -35,6 +38,9 @@
 	pools            map[ident.ServiceID][]*member // sorted by ID
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
+	domains          map[ident.DomainID]*domainState
+	// cold limits the requests to cold targets.
+	cold *cold.Limiter
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
 	storeUnreachable bool
 	storeBackAt      time.Time
@@ -48,6 +54,8 @@
 		pools:            make(map[ident.ServiceID][]*member),
 		failuresByDomain: make(map[ident.DomainID]*domainFailures),
 		notices:          make(map[startKey]*notice),
+		domains:          make(map[ident.DomainID]*domainState),
+		cold:             cold.New(cfg.VM),
 	}
 }
 
@@ -58,13 +66,17 @@
 	old := f.targets[t.ID]
 	if old != nil && old.Service == t.Service && old.Addr == t.Addr && old.Born == t.Born {
 		old.Target = t
+		old.domain = f.domainState(t.Domain)
 		old.removeAt = time.Time{}
 		return
 	}
 	if old != nil {
 		f.remove(old)
 	}
-	m := &member{Target: t, notice: f.notices[t.key()], hash: xxhash.Sum64String(string(t.ID))}
+	m := &member{
+		Target: t, notice: f.notices[t.key()], domain: f.domainState(t.Domain), cold: f.cold.State(t.ID),
+		hash: xxhash.Sum64String(string(t.ID)),
+	}
 	f.targets[t.ID] = m
 	pool := append(f.pools[t.Service], m)
 	slices.SortFunc(pool, func(a, b *member) int { return compareIDs(a.ID, b.ID) })
@@ -192,7 +204,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.targets[t.ID]
-	return m != nil && m.serving() && m.Born == t.Born && m.Addr == t.Addr && !now.Before(m.quietUntil())
+	return m != nil && m.available() && m.Born == t.Born && m.Addr == t.Addr && !now.Before(m.quietUntil())
 }
 
 // ReportLoad records the load that a target has reported. Unknown targets are ignored.
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/ident"
 )
 
@@ -85,6 +86,9 @@
 	Target
 	// notice is what this start of the target has said about itself, or nil.
 	notice *notice
+	domain *domainState
+	// cold is what is known of the target's coldness.
+	cold *cold.State
 	// hash is the hash of the target's ID.
 	hash uint64
 	// removeAt is the time at which a target whose entry disappeared during an outage of the store is removed, or zero.
