Obey evacuations and limit requests to cold targets

Cause: the platform's operator evacuates failure domains by objects of kind evacuations, registry entries and answers say how long a target is cold, and the configuration names the regions whose targets may get a request. The router read none of them.

Change: io/edge follows the evacuations like the configuration, from the store or a watcher, where the settings have evacuate_ms. Metrics evacuated_domains and cold_sends_total, log lines and a field of the request line.

Result: tests of evacuations with a dropped history, a store that is away, a resumed stream and a follower of a watcher; of cold targets by entry and by answer; of homes. TestColdTarget found that a target known as cold without a time was blocked once more by its first answer; that is mended. TestDecodeConfig, TestDecodeTarget, TestReadResponseHeaders and TestDecodeSettings check the new fields as well.

--- a/core/cold/limiter.go
+++ b/core/cold/limiter.go
@@ -121,6 +121,9 @@
 	l.revision++
 }
 
+// RouterCount returns the number of routers that SetRouters has set.
+func (l *Limiter) RouterCount() int { return len(l.routers) }
+
 // ColdTime returns the longest time for which targets of any service are cold after a start.
 func (l *Limiter) ColdTime() time.Duration {
 	var longest time.Duration
@@ -179,10 +182,12 @@
 	s.setRemaining(remaining, now, false)
 }
 
-// setRemaining records how long the target stays cold. A target that was taken for warm may have got requests just now.
+// setRemaining records how long the target stays cold. A target that was taken for warm may have got requests just now that
+// were not counted.
 func (s *State) setRemaining(remaining time.Duration, now time.Time, isNew bool) {
 	until := now.Add(max(remaining, 0))
-	if !isNew && !now.Before(s.coldUntil) && until.After(now) {
+	s.forgetSends(now)
+	if !isNew && !now.Before(s.coldUntil) && until.After(now) && len(s.sends) == 0 {
 		s.blockedUntil = now.Add(window)
 	}
 	s.coldUntil = until
--- a/core/ident/ids.go
+++ b/core/ident/ids.go
@@ -17,6 +17,8 @@
 	TargetID string
 	// DomainID names a failure domain.
 	DomainID string
+	// RegionID names a region, a set of failure domains.
+	RegionID string
 	// VMID names a VM, as in the platform's VM list.
 	VMID string
 	// ModelID names a model as callers request it.
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -36,7 +36,9 @@
 	Exclude []ident.TargetID
 	// Versions restricts the versions that may take the request.
 	Versions VersionFilter
-	Now      time.Time
+	// Regions restricts the regions of the targets that may take the request.
+	Regions RegionFilter
+	Now     time.Time
 }
 
 // VersionFilter restricts the versions of targets. The zero value allows all.
@@ -57,6 +59,8 @@
 	Cost, EstimatedRequests float64
 	// PrefixOwner reports whether the target ranks first for the prompt's shared prefix and so probably has it cached.
 	PrefixOwner bool
+	// Cold reports whether the target is or may be cold and limits its requests.
+	Cold bool
 
 	fleet          *Fleet
 	member         *member
@@ -112,9 +116,9 @@
 	if best == nil {
 		return nil, ErrFull
 	}
-	f.recordColdSend(best, r.Now)
+	isCold := f.recordColdSend(best, r.Now)
 	c := &Choice{Target: best.Target, Cost: bestCost, EstimatedRequests: best.estimatedRequests(r.Now),
-		PrefixOwner: best == owner, fleet: f, member: best}
+		PrefixOwner: best == owner, Cold: isCold, fleet: f, member: best}
 	if r.Prompt != nil {
 		c.pendingPrefill = uncachedTokens(r.Prompt, best == owner)
 	}
@@ -127,7 +131,7 @@
 	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
-	return r.Versions.allows(m.Version)
+	return r.Versions.allows(m.Version) && f.inRegion(m, r.Regions)
 }
 
 // prefixOwner returns the target that caches the longest shared prefix of the prompt, or nil if no prefix is shared.
--- a/core/place/evacuation.go
+++ b/core/place/evacuation.go
@@ -86,9 +86,9 @@
 	return f.cold.Allows(m.cold, m.Service, m.domain.endedAt, now)
 }
 
-// recordColdSend counts a request to a target if that is cold. The caller holds f.mu.
-func (f *Fleet) recordColdSend(m *member, now time.Time) {
-	f.cold.RecordSend(m.cold, m.Service, m.domain.endedAt, now)
+// recordColdSend counts a request to a target if that is cold, and reports whether it is. The caller holds f.mu.
+func (f *Fleet) recordColdSend(m *member, now time.Time) bool {
+	return f.cold.RecordSend(m.cold, m.Service, m.domain.endedAt, now)
 }
 
 // RecordEntry records what a target's registry entry says about its coldness. It has to be called before Put.
@@ -125,3 +125,10 @@
 	defer f.mu.Unlock()
 	f.cold.SetRouters(routers, now)
 }
+
+// RouterCount returns the number of routers that SetRouters has set.
+func (f *Fleet) RouterCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cold.RouterCount()
+}
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -39,6 +39,7 @@
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
 	domains          map[ident.DomainID]*domainState
+	regions          map[ident.DomainID]ident.RegionID
 	// cold limits the requests to cold targets.
 	cold *cold.Limiter
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -37,6 +37,9 @@
 	Slots int
 	// Born is the start time in Unix milliseconds, or zero if unknown. It distinguishes two starts under the same ID.
 	Born int64
+	// ColdRemaining is how long the target stays cold after its entry was written, if ColdKnown is set.
+	ColdRemaining time.Duration
+	ColdKnown     bool
 }
 
 // Load is the load that a target reports about itself.
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -64,6 +64,8 @@
 	Public bool
 	// UsesEngine says that model engines serve the requests, which then describe their prompt.
 	UsesEngine bool
+	// Regions holds the regions whose targets may get the requests. If it is empty, all may.
+	Regions []ident.RegionID
 	// Resumable says that an interrupted stream may continue at another target.
 	Resumable bool
 }
@@ -91,6 +93,10 @@
 	HealthPath string
 	// MaxConns is the maximum number of connections that one target accepts in total.
 	MaxConns int
+	// ColdTime is how long a target is cold after its start, and ColdPerSecond the number of requests per second that it
+	// tolerates meanwhile. Zero means no limit.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -111,6 +117,8 @@
 	Priority *int
 	// Prepaid is the number of tokens that the organisation may use. It applies only if Metered is set.
 	Prepaid ident.Tokens
+	// Regions holds the regions whose targets may get the organisation's requests. If it is empty, all may.
+	Regions []ident.RegionID
 	// Metered is set if the configuration limits the organisation's tokens.
 	Metered bool
 }
--- a/io/edge/changes_test.go
+++ b/io/edge/changes_test.go
@@ -35,10 +35,17 @@
 // newWatchedFleet starts routers of one failure domain that count their polls, and returns the index of one that follows
 // the watchers.
 func newWatchedFleet(t *testing.T, host int) (envs []*testEnv, counters []pollCounter, follower int) {
+	t.Helper()
+	return newWatchedFleetWith(t, host, func(*platform.Settings, *Deps) {})
+}
+
+// newWatchedFleetWith does the same as newWatchedFleet, but set may change the settings and the dependencies of the routers.
+func newWatchedFleetWith(t *testing.T, host int, set func(*platform.Settings, *Deps)) (envs []*testEnv, counters []pollCounter, follower int) {
 	t.Helper()
 	const routers = 6
 	counters = make([]pollCounter, routers)
-	envs = newDomainFleet(t, host, routers, func(i int, _ *platform.Settings, d *Deps) {
+	envs = newDomainFleet(t, host, routers, func(i int, cfg *platform.Settings, d *Deps) {
+		set(cfg, d)
 		counters[i].PollingStore = d.Store
 		d.Store = &counters[i]
 	})
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -19,6 +19,7 @@
 			s.accounts.SetTotal(o.ID, o.Prepaid)
 		}
 	}
+	s.targets.SetColdServices(coldServices(cfg.Services))
 	s.table.Store(route.New(cfg))
 	s.callers.SetIdleLimit(cfg.Limits.IdleTimeout)
 	trigger(s.grantsNow)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -131,7 +131,7 @@
 		deps:          deps,
 		self:          self,
 		watchTimeouts: deps.WatchTimeouts,
-		targets:       place.New(place.Config{Domain: ident.DomainID(cfg.Domain), RemovalGrace: cfg.Bounds.RegistryRestoreTime}),
+		targets:       place.New(place.Config{Domain: ident.DomainID(cfg.Domain), VM: ident.VMID(cfg.VM), RemovalGrace: cfg.Bounds.RegistryRestoreTime}),
 		accounts: quota.NewAccounts(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
 			HoldOff: holdOff, SpareHorizon: spareHorizon, GrantHorizon: grantHorizon, LowHorizon: lowHorizon,
@@ -152,6 +152,8 @@
 	if s.watchTimeouts == nil {
 		s.watchTimeouts = defaultWatchTimeouts
 	}
+	s.targets.SetColdBounds(coldBoundsOf(cfg.Bounds))
+	s.targets.SetRegions(cfg.Regions)
 	s.buffers = newBufferLimiter(cfg.MemoryBytes)
 	s.memory = newMemoryBudget(cfg.MemoryBytes)
 	maxConns, err := maxCallerConns(cfg.MaxDescriptors)
@@ -261,6 +263,8 @@
 	old := s.bounds
 	s.bounds = cfg.Bounds
 	s.deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
+	s.targets.SetColdBounds(coldBoundsOf(cfg.Bounds))
+	s.targets.SetRegions(cfg.Regions)
 	for _, b := range s.retryBudgets {
 		b.Configure(s.retryConfig())
 	}
@@ -284,6 +288,7 @@
 	}{
 		{"watch of the configuration", s.watchConfig}, {"watch of the targets", s.watchTargets},
 		{"watch of the releases", s.watchReleases}, {"releases", s.advanceReleases}, {"tokens", s.runTokenSync},
+		{"watch of the evacuations", s.watchEvacuations}, {"list of routers", s.runRouterRefresh},
 		{"maintenance", s.runMaintenance}, {"quarantine", s.poison.run}, {"saves of the quarantine", s.poison.runSaves},
 	} {
 		tasks.Go(func() { s.runTask(task.name, func() { task.run(ctx) }) })
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -81,6 +81,7 @@
 	estimatedCost     float64
 	estimatedRequests float64
 	prefixOwner       bool
+	targetCold        bool
 	tokenWaitTime     time.Duration
 	targetVersion     ident.VersionID
 }
@@ -256,7 +257,7 @@
 		version = x.table.Version()
 	}
 	x.s.deps.Log.Info("request", "id", x.requestHeaders.ID, "route", routeName, "config", version, "organisation", org,
-		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner,
+		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner, "cold", x.targetCold,
 		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "tokens_held", x.heldTokens,
 		"prompt_parts", x.loggedParts(), "input", x.inputTokens(), "output", x.outputTokens, "quarantined_part", x.quarantinedPart, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(),
 		"first_ms", x.timeToFirstByte.Milliseconds(), "total_ms", total.Milliseconds())
@@ -285,6 +286,7 @@
 	}
 	r := place.Request{
 		Service: x.service, Exclude: x.triedTargets, Now: x.s.deps.Clock.Now(), Versions: x.versions,
+		Regions: x.allowedRegions(),
 	}
 	if x.route.UsesEngine {
 		r.Prompt = x.requestHeaders.Prompt
@@ -298,10 +300,23 @@
 		return nil, err
 	}
 	x.estimatedCost, x.estimatedRequests = c.Cost, c.EstimatedRequests
-	x.prefixOwner, x.targetVersion = c.PrefixOwner, c.Target.Version
+	x.prefixOwner, x.targetCold, x.targetVersion = c.PrefixOwner, c.Cold, c.Target.Version
+	if c.Cold {
+		x.s.deps.Metrics.countColdSend(x.service)
+	}
 	return c, nil
 }
 
+// allowedRegions returns the regions whose targets may get the request.
+func (x *exchange) allowedRegions() place.RegionFilter {
+	filter := place.RegionFilter{}
+	filter.Lists[0] = x.route.Regions
+	if x.org != nil {
+		filter.Lists[1] = x.org.Regions
+	}
+	return filter
+}
+
 // inputTokens returns the number of prompt tokens, or zero for a request without a prompt.
 func (x *exchange) inputTokens() ident.Tokens {
 	if x.requestHeaders.Prompt == nil {
--- a/io/edge/harness_test.go
+++ b/io/edge/harness_test.go
@@ -141,13 +141,18 @@
 
 // addTarget starts a target and adds its entry to the registry.
 func (env *testEnv) addTarget(id, service string) *fakes.Engine {
+	return env.addTargetIn("a", id, service)
+}
+
+// addTargetIn does the same as addTarget, with a failure domain.
+func (env *testEnv) addTargetIn(domain, id, service string) *fakes.Engine {
 	e, err := fakes.NewEngine(id)
 	if err != nil {
 		env.t.Fatal(err)
 	}
 	env.t.Cleanup(e.Close)
 	env.targets[id] = e
-	env.store.Put("servers", id, e.RegistryEntry(service, "a", "ready"))
+	env.store.Put("servers", id, e.RegistryEntry(service, domain, "ready"))
 	return e
 }
 
--- a/io/edge/join.go
+++ b/io/edge/join.go
@@ -62,6 +62,7 @@
 		fleet, err := lc.tryJoin(ctx)
 		if err == nil {
 			lc.s.accounts.SetRouterCount(len(fleet.members))
+			lc.s.setRouters(fleet.members)
 			lc.s.accounts.SetLayout(fleet.setup.Layout)
 			lc.s.accounts.SetStartVersion(lc.startVersion)
 			lc.s.deps.Log.Info("router joined the fleet", "routers", len(fleet.members), "shards", fleet.setup.Shards)
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -31,6 +31,8 @@
 	panics          prometheus.Counter
 	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
+	coldSends       *prometheus.CounterVec
+	evacuated       prometheus.Gauge
 }
 
 const (
@@ -57,13 +59,16 @@
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
+		coldSends: counter("cold_sends_total", "Requests for which a target was chosen that is or may be cold, by service.", "service"),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "evacuated_domains", Help: "Failure domains whose targets get no requests, because the operator evacuates them."}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "panics_total", Help: "Panics of requests, messages and background tasks."}),
 		shutdownGrace: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.coldSends, m.evacuated)
 	return m
 }
 
@@ -134,6 +139,14 @@
 	m.notices.WithLabelValues(string(service), notice).Inc()
 }
 
+// countColdSend counts a request for which a cold target was chosen.
+func (m *Metrics) countColdSend(service ident.ServiceID) {
+	m.coldSends.WithLabelValues(string(service)).Inc()
+}
+
+// setEvacuated sets the number of evacuated failure domains.
+func (m *Metrics) setEvacuated(n int) { m.evacuated.Set(float64(n)) }
+
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
--- a/io/edge/notice.go
+++ b/io/edge/notice.go
@@ -9,7 +9,8 @@
 	"geraniumsaddle/platform"
 )
 
-// heedNotices records what a target says about itself in an answer: that it is leaving, or wants no requests for a while.
+// heedNotices records what a target says about itself in an answer: that it is leaving, wants no requests for a while, or is
+// cold.
 func (x *exchange) heedNotices(t place.Target, headers platform.ResponseHeaders) {
 	now := x.s.deps.Clock.Now()
 	if headers.Leaving && x.s.targets.NoteLeaving(t, now) {
@@ -17,6 +18,9 @@
 		x.s.deps.Log.Info("target is leaving", "target", t.ID, "service", t.Service, "born", t.Born, "source", "answer",
 			"id", x.requestHeaders.ID)
 	}
+	if headers.ColdRemaining > 0 {
+		x.s.targets.NoteCold(t.ID, headers.ColdRemaining, now)
+	}
 	if headers.RetryAfter > 0 {
 		x.s.targets.NoteQuiet(t, now.Add(headers.RetryAfter), now)
 		x.s.deps.Metrics.countNotice(t.Service, "retry_after")
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -31,6 +31,7 @@
 	refuseTokensHeld      = refusal{http.StatusServiceUnavailable, "prepaid tokens are held by other routers", time.Second}
 	refuseNoTarget        = refusal{http.StatusServiceUnavailable, "no target serves the request", 500 * time.Millisecond}
 	refuseTargetsFull     = refusal{http.StatusServiceUnavailable, "every target is full", 300 * time.Millisecond}
+	refuseTargetsCold     = refusal{http.StatusServiceUnavailable, "every free target is cold", 300 * time.Millisecond}
 	// A repeat of the request would be refused too, so the caller is not told to come back.
 	refuseQuarantined    = refusal{http.StatusServiceUnavailable, "a part of the prompt has crashed several targets", 0}
 	refuseNoMemory       = refusal{http.StatusServiceUnavailable, "the memory of this router is used up", 300 * time.Millisecond}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -202,6 +202,8 @@
 		return x.refuseQuiet(place.AsQuiet(err))
 	case errors.Is(err, place.ErrNoTarget):
 		return refuseNoTarget
+	case errors.Is(err, place.ErrCold):
+		return refuseTargetsCold
 	case x.s.shedder.Full():
 		return refuseLinkFull
 	}
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
 	"geraniumsaddle/io/store"
@@ -24,17 +25,19 @@
 
 // defaultWatchTimeouts suits a store with a latency of a few milliseconds. If the store compacts its history, a watch
 // may get no answer. A change of the configuration has to be known within 2 s, so the watch of the configuration is
-// short, and its failure restarts the other watches. largeWatchTimeouts are for a large fleet, whose calls cost more.
+// short, and its failure restarts the other watches. Evacuations have a bound of the same size. largeWatchTimeouts are for a large fleet, whose calls cost more.
 var defaultWatchTimeouts = WatchTimeouts{
-	platform.KindConfig:  2 * time.Second,
-	platform.KindTarget:  4 * time.Second,
-	platform.KindRelease: 10 * time.Second,
+	platform.KindConfig:     2 * time.Second,
+	platform.KindEvacuation: 2 * time.Second,
+	platform.KindTarget:     4 * time.Second,
+	platform.KindRelease:    10 * time.Second,
 }
 
 var largeWatchTimeouts = WatchTimeouts{
-	platform.KindConfig:  5 * time.Second,
-	platform.KindTarget:  25 * time.Second,
-	platform.KindRelease: 25 * time.Second,
+	platform.KindConfig:     5 * time.Second,
+	platform.KindEvacuation: 5 * time.Second,
+	platform.KindTarget:     25 * time.Second,
+	platform.KindRelease:    25 * time.Second,
 }
 
 const (
@@ -292,9 +295,12 @@
 		s.targets.Remove(ident.TargetID(o.Key.Name), s.deps.Clock.Now())
 		return
 	}
+	s.targets.RecordEntry(t.ID, cold.Entry{
+		Version: o.Version, Born: t.Born, Remaining: t.ColdRemaining, Known: t.ColdKnown,
+	}, s.deps.Clock.Now())
 	s.targets.Put(t)
 	s.deps.Log.Debug("target entry received", "target", t.ID, "service", t.Service, "addr", t.Addr, "state", t.State,
-		"version", t.Version, "born", t.Born, "revision", o.Version)
+		"version", t.Version, "born", t.Born, "cold_ms", t.ColdRemaining.Milliseconds(), "revision", o.Version)
 }
 
 func (s *Server) removeTarget(id ident.TargetID) {
