Fall back to the old version while the new one's targets are cold

Cause: a release that selects the new version for a request refused it when the targets of that version were cold and had got the router's share, although targets of the old version were free. An entry that tells the cold time did not end the doubt of an earlier entry without one.

Change: chooseTarget falls back on ErrCold as on ErrNoTarget; SetEntry clears the doubt.

Result: TestReleaseWithColdTargets and a case of TestColdness failed before.

--- a/core/cold/limiter.go
+++ b/core/cold/limiter.go
@@ -169,6 +169,7 @@
 	s.version, s.born, s.changedAt = e.Version, e.Born, now
 	switch {
 	case e.Known:
+		s.doubtSince = time.Time{}
 		s.setRemaining(e.Remaining, now, isNew)
 	case isNew || restarted:
 		s.doubtSince = now
--- a/core/cold/limiter_test.go
+++ b/core/cold/limiter_test.go
@@ -265,6 +265,8 @@
 		is.True(!l.IsCold(l.State("1"), "llm", never, after(10*second)))
 		l.SetEntry("1", Entry{Version: 3, Born: 5}, after(10*second)) // it has restarted
 		is.True(l.IsCold(l.State("1"), "llm", never, after(11*second)))
+		l.SetEntry("1", entry(4, 0), after(11*second))
+		is.True(!l.IsCold(l.State("1"), "llm", never, after(11*second)))
 	})
 	t.Run("service without a limit", func(t *testing.T) {
 		is := is.New(t)
--- a/io/edge/evacuation_test.go
+++ b/io/edge/evacuation_test.go
@@ -238,3 +238,30 @@
 	home("r3")
 	is.Equal(env.do(look).status, http.StatusServiceUnavailable)
 }
+
+// TestReleaseWithColdTargets guards against requests that are refused because the release selects the new version for them
+// and its targets are cold, while targets of the old version are free.
+func TestReleaseWithColdTargets(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const coldMS = 3_600_000
+	env := newTestEnvWith(t, withCold)
+	version := env.configVersion() + 1
+	env.store.Put("config", "main", fakes.WithColdTargets(fakes.Config(version, 20_000, 1_000_000), 3600, 1))
+	env.store.Put("servers", "desk-1", fakes.WithColdTime(env.targets["desk-1"].RegistryEntry("desk", "a", "ready"), 0))
+	env.waitFor("the configuration", func() bool { return env.configVersion() == version })
+	env.store.Put("rollouts", "desk", `{"service":"desk","target":"v2","duration_s":60}`)
+	env.waitFor("the order", func() bool { return len(env.server.releases.running()) == 1 })
+	e, err := fakes.NewEngine("desk-2")
+	is.NoErr(err)
+	t.Cleanup(e.Close)
+	e.Version = "v2"
+	env.store.Put("servers", "desk-2", fakes.WithColdTime(e.RegistryEntry("desk", "a", "ready"), coldMS))
+	env.waitFor("a request to the new version", func() bool {
+		is.Equal(env.do(look).status, http.StatusOK)
+		return e.RequestCount() > 0
+	})
+	for range 300 {
+		is.Equal(env.do(look).status, http.StatusOK)
+	}
+}
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -275,8 +275,8 @@
 	return min(p, platform.LowestPriority)
 }
 
-// chooseTarget chooses the next target. If the version that a release selects for the request has no target, targets of
-// all versions are eligible.
+// chooseTarget chooses the next target. If the version that a release selects for the request has no target, or only
+// cold ones, targets of all versions are eligible.
 func (x *exchange) chooseTarget() (*place.Choice, error) {
 	if x.quarantined() {
 		return nil, errQuarantined
@@ -292,7 +292,7 @@
 		r.Prompt = x.requestHeaders.Prompt
 	}
 	c, err := x.s.targets.Choose(r)
-	if errors.Is(err, place.ErrNoTarget) && r.Versions.Only != "" {
+	if r.Versions.Only != "" && (errors.Is(err, place.ErrNoTarget) || errors.Is(err, place.ErrCold)) {
 		r.Versions = place.VersionFilter{}
 		c, err = x.s.targets.Choose(r)
 	}
