--- a/core/place/target.go
+++ b/core/place/target.go
@@ -9,6 +9,7 @@
 	"math"
 	"time"
 
+	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/ident"
 )
 
@@ -36,6 +37,9 @@
 	Slots int
 	// Born is the start time in Unix milliseconds, or zero if unknown. It distinguishes two starts under the same ID.
 	Born int64
+	// ColdRemaining is how long the target stays cold after its entry was written, if ColdKnown is set.
+	ColdRemaining time.Duration
+	ColdKnown     bool
 }
 
 // Load is the load that a target reports about itself.
@@ -85,6 +89,9 @@
 	Target
 	// notice is what this start of the target has said about itself, or nil.
 	notice *notice
+	domain *domainState
+	// cold is what is known of the target's coldness.
+	cold *cold.State
 	// hash is the hash of the target's ID.
 	hash uint64
 	// removeAt is the time at which a target whose entry disappeared during an outage of the store is removed, or zero.
