--- a/core/place/prompt.go
+++ b/core/place/prompt.go
@@ -13,6 +13,8 @@
 	Model string
 	// Input is the number of prompt tokens, and MaxOutput the maximum number of output tokens.
 	Input, MaxOutput ident.Tokens
+	// OutputHint is the caller's estimate of the output tokens, or zero. It is often far off.
+	OutputHint ident.Tokens
 	// Parts are in prompt order. The last one is specific to the request or its conversation.
 	Parts []Part
 }
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -41,6 +41,8 @@
 // Load is the load that a target reports about itself.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the target's machine now, in percent of the usual time, or zero if unknown.
+	Pace int
 }
 
 // Result is the outcome of a request as far as it concerns the health of the target.
