Choose targets by what a request costs and what each target still has to do

Routers of a large fleet chose nearly blind: each heard of a target once in ten seconds, from its own answers only, and all took the same minimum over all targets by fixed constants.

Small pools are compared whole, as before.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -4,29 +4,30 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/ident"
 )
 
 const (
-	// prefillTokensPerMs is the number of prompt tokens that an engine prefills per millisecond.
-	prefillTokensPerMs = 50
-	// runningRequestCost is the delay in milliseconds that each running request adds to the others at its engine.
-	runningRequestCost = 0.4
-	// crossDomainCost is the delay in milliseconds of a target in another failure domain. It includes the cost of the
-	// traffic between the domains.
-	crossDomainCost = 4
-	// failureCost is the delay in milliseconds that a failed request counts as.
-	failureCost = 3000
-	// plainServiceCost is the delay in milliseconds of a target of a plain service when all of its slots are in use.
-	// The delay is proportional to the share of slots in use.
-	plainServiceCost = 100
+	// smallPool is the number of targets up to which all targets of a service are compared. Among more, a choice compares the
+	// owners of the prompt and a few targets at random: the minimum over all of them would be the same for all routers.
+	smallPool = 16
+	// randomTargets is the number of targets of the router's subset that a choice compares. If none of these and of the owners
+	// is good enough, it compares widerTargets more of the failure domain and farTargets of others.
+	randomTargets = 2
+	widerTargets  = 6
+	farTargets    = 2
+	// defaultGoal is the time within which a first output has its full value, if the route doesn't say so.
+	defaultGoal = 600 * time.Millisecond
 )
 
 // Request describes a request for which a target is chosen.
 type Request struct {
 	Service ident.ServiceID
+	// Route is the name of the route, whose usual output is learned.
+	Route string
+	// Goal is the time to the first output within which an answer has its full value to the caller, or zero.
+	Goal time.Duration
 	// Prompt is nil for a plain service.
 	Prompt *Prompt
 	// Exclude lists the targets to which the request has already been sent.
@@ -54,137 +55,176 @@
 	Cost, EstimatedRequests float64
 	// PrefixOwner reports whether the target ranks first for the prompt's shared prefix and so probably has it cached.
 	PrefixOwner bool
+	// Work is what the request is expected to cost.
+	Work digest.Work
+	// Output is the number of output tokens that the target has sent. The caller sets it before Done.
+	Output ident.Tokens
+
+	fleet  *Fleet
+	pool   *pool
+	member *member
+	prompt *Prompt
+	route  string
+	// sentAt and firstAt are the times of the choice and of the first output. queued is the number of prompt tokens that the
+	// target had to read before those of the request, and first the expected time to the first output in milliseconds.
+	sentAt, firstAt time.Time
+	queued          ident.Tokens
+	first           float64
+}
 
-	fleet          *Fleet
-	member         *member
-	pendingPrefill ident.Tokens
+// selection is the search for the best target of one request.
+type selection struct {
+	f        *Fleet
+	pool     *pool
+	r        *Request
+	demand   demand
+	best     *member
+	estimate estimate
+	// candidates counts the targets that may take the request, and quietUntil is when the first one that wants none will.
+	candidates int
+	allQuiet   bool
+	quietUntil time.Time
 }
 
-// Choose picks the target with the least estimated delay and counts the request as running there. It returns
-// ErrNoTarget or ErrFull if it finds none.
+// Choose picks a target by the estimated delay and counts the request as running there. It returns ErrNoTarget, ErrFull or a
+// QuietError if it finds none.
 func (f *Fleet) Choose(r Request) (*Choice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	pool := f.pools[r.Service]
-	owner := f.prefixOwner(pool, r.Prompt)
-	var best *member
-	var bestCost float64
-	candidates := 0
-	var quiet QuietError
-	allQuiet := true
-	for _, m := range pool {
-		if !f.eligible(m, r) {
-			continue
-		}
-		candidates++
-		if until := m.quietUntil(); r.Now.Before(until) {
-			if quiet.Until.IsZero() || until.Before(quiet.Until) {
-				quiet.Until = until
-			}
-			continue
-		}
-		allQuiet = false
-		if r.Now.Before(m.fullUntil) {
-			continue
-		}
-		cost := f.estimateCost(m, r, m == owner)
-		if best == nil || cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	if candidates == 0 {
+	p := f.pools[r.Service]
+	if p == nil {
 		return nil, ErrNoTarget
 	}
-	if best == nil && allQuiet {
-		return nil, &quiet
+	f.refresh(p, r.Now)
+	s := selection{f: f, pool: p, r: &r, demand: p.demandOf(&r), allQuiet: true}
+	if len(p.members) > smallPool {
+		s.compareSome()
+	}
+	if s.best == nil {
+		s.candidates = 0
+		s.compare(p.members)
 	}
-	if best == nil {
+	switch {
+	case s.candidates == 0:
+		return nil, ErrNoTarget
+	case s.best == nil && s.allQuiet:
+		return nil, &QuietError{s.quietUntil}
+	case s.best == nil:
 		return nil, ErrFull
 	}
-	c := &Choice{Target: best.Target, Cost: bestCost, EstimatedRequests: best.estimatedRequests(r.Now),
-		PrefixOwner: best == owner, fleet: f, member: best}
-	if r.Prompt != nil {
-		c.pendingPrefill = uncachedTokens(r.Prompt, best == owner)
+	return s.choice(), nil
+}
+
+// compareSome compares the owners of the prompt and a few other targets, and more of them if none of these is good enough.
+func (s *selection) compareSome() {
+	s.compare(s.demand.owners[:])
+	s.compareRandom(s.pool.subset, randomTargets)
+	if s.best != nil && !s.estimate.full && s.estimate.cost <= s.pool.patience(s.r) {
+		return
 	}
-	best.running++
-	best.pendingPrefill += c.pendingPrefill
-	return c, nil
+	s.compareRandom(s.pool.home, widerTargets)
+	s.compareRandom(s.pool.far, farTargets)
 }
 
-func (f *Fleet) eligible(m *member, r Request) bool {
-	if !m.serving() || slices.Contains(r.Exclude, m.ID) {
-		return false
+func (s *selection) compareRandom(members []*member, n int) {
+	if len(members) <= n {
+		s.compare(members)
+		return
+	}
+	for range n {
+		m := members[s.f.rng.IntN(len(members))]
+		s.compare([]*member{m})
 	}
-	return r.Versions.allows(m.Version)
 }
 
-// prefixOwner returns the target that caches the longest shared prefix of the prompt, or nil if no prefix is shared.
-func (f *Fleet) prefixOwner(pool []*member, p *Prompt) *member {
-	prefix, ok := p.sharedPart()
-	if !ok {
-		return nil
-	}
-	var owner *member
-	var highest uint64
-	hash := xxhash.Sum64String(prefix.ID)
-	for _, m := range pool {
-		if !m.serving() {
+// compare takes the best of the given targets and of the best one so far. Nil entries are skipped.
+func (s *selection) compare(members []*member) {
+	for _, m := range members {
+		if m == nil || !s.f.eligible(m, s.r) {
 			continue
 		}
-		if score := rendezvousScore(hash, m.hash); owner == nil || score > highest {
-			owner, highest = m, score
+		s.candidates++
+		if until := m.quietUntil(); s.r.Now.Before(until) {
+			if s.quietUntil.IsZero() || until.Before(s.quietUntil) {
+				s.quietUntil = until
+			}
+			continue
 		}
-	}
-	return owner
-}
-
-// uncachedTokens returns the number of prompt tokens that a target has to prefill. Every target is assumed to cache the
-// first part, and the owner of the prefix all parts but the last.
-func uncachedTokens(p *Prompt, cached bool) ident.Tokens {
-	n := p.Input
-	for i, part := range p.Parts {
-		if i+1 < len(p.Parts) && (cached || i == 0) {
-			n -= part.Tokens
+		s.allQuiet = false
+		if s.r.Now.Before(m.fullUntil) {
+			continue
+		}
+		e := s.f.estimate(s.pool, m, s.r, &s.demand)
+		if s.best == nil || e.cost < s.estimate.cost {
+			s.best, s.estimate = m, e
 		}
 	}
-	return max(n, 0)
 }
 
-func (f *Fleet) estimateCost(m *member, r Request, prefixCached bool) float64 {
-	cost := failureCost * m.decayedFailureRate(r.Now)
-	if r.Now.Before(m.backoffUntil) || f.suspectUnreachable(m.Domain, r.Now) {
-		cost += failureCost
+// choice counts the request at the best target.
+func (s *selection) choice() *Choice {
+	m, p := s.best, s.pool
+	isOwner := m == s.demand.owners[0]
+	if !isOwner && s.demand.shared != 0 {
+		p.reads.add(s.demand.shared, m, s.r.Now)
 	}
-	if m.Domain != f.cfg.Domain {
-		cost += crossDomainCost
+	c := &Choice{
+		Target: m.Target, Cost: s.estimate.cost, EstimatedRequests: s.estimate.requests, PrefixOwner: isOwner,
+		fleet: s.f, pool: p, member: m, prompt: s.r.Prompt, route: s.r.Route,
+		sentAt: s.r.Now, queued: s.estimate.queued, first: s.estimate.first,
 	}
-	requests := m.estimatedRequests(r.Now)
-	if r.Prompt == nil {
-		return cost + plainServiceCost*requests/float64(max(m.Slots, 1))
+	c.Work = digest.Work{Running: 1}
+	if s.r.Prompt != nil {
+		c.Work.Prefill, c.Work.Output = s.estimate.prefill, s.demand.output
+		c.Work.Memory = s.r.Prompt.Input + s.demand.output
 	}
-	cost += float64(uncachedTokens(r.Prompt, prefixCached)+m.pendingPrefill) / prefillTokensPerMs
-	cost += runningRequestCost * requests
-	if excess := requests - float64(m.Slots); m.Slots > 0 && excess >= 0 {
-		cost += 100 + 10*excess
+	m.addWork(c.Work, 1)
+	if m.home {
+		p.ownRunning++
+	}
+	return c
+}
+
+func (f *Fleet) eligible(m *member, r *Request) bool {
+	if !m.serving() || slices.Contains(r.Exclude, m.ID) {
+		return false
 	}
-	return cost
+	return r.Versions.allows(m.Version)
 }
 
-// PrefillDone records that the target has read the prompt. The caller calls it on the first event of the answer.
-func (c *Choice) PrefillDone() {
+// FirstOutput records that the target has read the prompt. The caller calls it on each event of the answer; the first call
+// counts.
+func (c *Choice) FirstOutput(now time.Time) {
+	if !c.firstAt.IsZero() {
+		return
+	}
+	c.firstAt = now
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	c.member.pendingPrefill -= c.pendingPrefill
-	c.pendingPrefill = 0
+	c.member.recordFirst(c, now)
+	c.member.own.Prefill -= c.Work.Prefill
+	c.Work.Prefill = 0
 }
 
 // Done records the result of the request and no longer counts it as running at the target.
 func (c *Choice) Done(r Result, now time.Time) {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
-	c.member.running--
-	c.member.pendingPrefill -= c.pendingPrefill
-	c.pendingPrefill = 0
+	c.member.addWork(c.Work, -1)
+	if c.member.home {
+		c.pool.ownRunning--
+	}
 	c.member.recordResult(r, now)
 	c.fleet.recordReachability(c.Target, r, now)
+	if r != ResultOK {
+		return
+	}
+	c.pool.rates.AddHold(now.Sub(c.sentAt))
+	if c.prompt == nil || c.Output <= 0 {
+		return
+	}
+	c.pool.lengths.Add(c.route, c.prompt.OutputHint, c.Output)
+	if !c.firstAt.IsZero() {
+		c.pool.rates.AddOutput(c.Output, now.Sub(c.firstAt))
+	}
 }
--- /dev/null
+++ b/core/place/estimate.go
@@ -0,0 +1,151 @@
+package place
+
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
+
+const (
+	// crossDomainCost is the delay in milliseconds of a target in another failure domain, and farCost the one of a service
+	// whose targets in the own domain can do without the others. They include the cost of the traffic between the domains.
+	crossDomainCost = 4
+	farCost         = 25
+	// failureCost is the delay in milliseconds that a failed request counts as.
+	failureCost = 3000
+	// plainServiceCost is the delay in milliseconds of a target of a plain service when all of its slots are in use.
+	// The delay is proportional to the share of slots in use.
+	plainServiceCost = 100
+	// fullCost is the delay in milliseconds of a target without a free slot, beside the wait for one.
+	fullCost = 100
+	// outputShare is the share of an engine's time that goes to the output of running requests.
+	outputShare = 0.1
+	// batchCost is the delay in milliseconds of an engine whose slots are all in use. It grows with the square of the share.
+	batchCost = 40
+	// boundRatio and boundSlack bound the load of an engine that has a shared part in its cache: that ratio of the mean over
+	// the engines, and the slack in requests. Each request beyond that costs boundCost milliseconds.
+	boundRatio = 1.25
+	boundSlack = 2
+	boundCost  = 30
+	// memoryShare is the share of an engine's KV cache that running requests may use. Beyond it requests are preempted and
+	// read again, which costs memoryCost milliseconds, and as much again for each tenth more.
+	memoryShare = 0.9
+	memoryCost  = 200
+	// stepTime is the time in milliseconds from the send of a short request to its first output at an idle engine.
+	stepTime = 8
+)
+
+// demand is what a request needs, whatever the target.
+type demand struct {
+	// output is the expected output in tokens.
+	output ident.Tokens
+	// shared is the hash of the part of the prompt that other requests share, or zero. owners are the engines that most likely
+	// have it in their caches, in this order.
+	shared uint64
+	owners owners
+}
+
+// estimate is what a request costs at one target.
+type estimate struct {
+	// cost is the delay in milliseconds, and first the part of it that is the time to the first output.
+	cost, first float64
+	// requests is the estimated number of requests at the target. full says that none of its slots is free.
+	requests float64
+	full     bool
+	// prefill is the number of prompt tokens that the target has to read for the request, and queued the ones before it.
+	prefill, queued ident.Tokens
+}
+
+func (p *pool) demandOf(r *Request) demand {
+	if r.Prompt == nil {
+		return demand{}
+	}
+	d := demand{output: p.lengths.Expect(r.Route, r.Prompt.OutputHint, r.Prompt.MaxOutput)}
+	if part, ok := r.Prompt.sharedPart(); ok {
+		d.shared = partHash(part)
+		d.owners = p.ownersOf(d.shared)
+	}
+	return d
+}
+
+// patience returns the cost in milliseconds from which more targets are compared: an answer would come too late to leave
+// room for another attempt.
+func (p *pool) patience(r *Request) float64 {
+	goal := r.Goal
+	if goal <= 0 {
+		goal = defaultGoal
+	}
+	return float64(goal) / float64(time.Millisecond) / 2
+}
+
+// estimate returns what a request costs at a target. The caller holds f.mu.
+func (f *Fleet) estimate(p *pool, m *member, r *Request, d *demand) estimate {
+	var e estimate
+	e.requests = f.requestsAt(m, r.Now)
+	if !m.home && p.selfSufficient && r.Now.Sub(m.reportedAt) > freshReport {
+		// Nothing is known of it, so that it is taken to be as busy as the others.
+		e.requests = max(e.requests, p.meanRequests())
+	}
+	slots := float64(max(m.Slots, 1))
+	e.full = m.Slots > 0 && e.requests >= slots
+	e.cost = f.riskOf(p, m, r.Now)
+	if r.Prompt == nil {
+		e.cost += plainServiceCost * e.requests / slots * m.pace(r.Now)
+		return e
+	}
+	f.addEngineCost(&e, p, m, r, d)
+	if e.full {
+		e.cost += fullCost + p.rates.Hold()*(e.requests-slots+1)/slots
+	}
+	return e
+}
+
+// riskOf returns the cost of a target in milliseconds that no request changes: its failures and its place.
+func (f *Fleet) riskOf(p *pool, m *member, now time.Time) float64 {
+	cost := failureCost * m.decayedFailureRate(now)
+	if now.Before(m.backoffUntil) || f.suspectUnreachable(m.Domain, now) {
+		cost += failureCost
+	}
+	switch {
+	case m.Domain == f.cfg.Domain:
+	case p.selfSufficient:
+		cost += farCost
+	default:
+		cost += crossDomainCost
+	}
+	return cost
+}
+
+// addEngineCost adds the time to the first output, and what the request costs the others at the engine.
+func (f *Fleet) addEngineCost(e *estimate, p *pool, m *member, r *Request, d *demand) {
+	others := f.otherWork(m)
+	e.prefill = uncachedTokens(r.Prompt, p.caches(m, d))
+	e.queued = m.own.Prefill + others.Prefill
+	e.first = (stepTime + p.rates.Prefill(float64(e.prefill+e.queued))) * m.speedAt(r.Now) * m.pace(r.Now)
+	e.cost += e.first
+	slots := float64(max(m.Slots, 1))
+	share := e.requests / slots
+	e.cost += batchCost * share * share
+	e.cost += outputShare * p.rates.Output() * float64(m.own.Output+others.Output) / slots
+	if m.home {
+		e.cost += boundCost * max(e.requests-boundRatio*p.meanRequests()-boundSlack, 0)
+	}
+	if p.capacity > 0 {
+		used := float64(m.own.Memory+others.Memory+r.Prompt.Input+d.output) / float64(p.capacity)
+		if used > memoryShare {
+			e.cost += memoryCost * (1 + 10*(used-memoryShare))
+		}
+	}
+}
+
+// uncachedTokens returns the number of prompt tokens that a target has to prefill. Every target is assumed to cache the
+// first part, and one that caches the shared prefix all parts but the last.
+func uncachedTokens(p *Prompt, cached bool) ident.Tokens {
+	n := p.Input
+	for i, part := range p.Parts {
+		if i+1 < len(p.Parts) && (cached || i == 0) {
+			n -= part.Tokens
+		}
+	}
+	return max(n, 0)
+}
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumsaddle/core/cost"
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/ident"
 )
 
@@ -24,15 +27,28 @@
 	Domain ident.DomainID
 	// RemovalGrace is the time after an outage of the store within which live targets renew their expired entries.
 	RemovalGrace time.Duration
+	// Seed makes routers choose differently among equal targets.
+	Seed uint64
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// KVCapacity is the number of tokens in the KV cache of an engine, or zero if unknown.
+	KVCapacity ident.Tokens
 }
 
 // Fleet holds the targets. It is safe for concurrent use.
 type Fleet struct {
 	cfg Config
 
+	// mu is held for less than a microsecond by a choice, whatever the number of targets, but for the view of a pool.
 	mu               sync.Mutex
+	rng              *rand.Rand
 	targets          map[ident.TargetID]*member
-	pools            map[ident.ServiceID][]*member // sorted by ID
+	byWorkKey        map[digest.Key]*member
+	pools            map[ident.ServiceID]*pool
+	others           *digest.Table
+	peers            Peers
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
@@ -44,8 +60,11 @@
 func New(cfg Config) *Fleet {
 	return &Fleet{
 		cfg:              cfg,
+		rng:              rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		targets:          make(map[ident.TargetID]*member),
-		pools:            make(map[ident.ServiceID][]*member),
+		byWorkKey:        make(map[digest.Key]*member),
+		pools:            make(map[ident.ServiceID]*pool),
+		others:           digest.NewTable(),
 		failuresByDomain: make(map[ident.DomainID]*domainFailures),
 		notices:          make(map[startKey]*notice),
 	}
@@ -59,16 +78,44 @@
 	if old != nil && old.Service == t.Service && old.Addr == t.Addr && old.Born == t.Born {
 		old.Target = t
 		old.removeAt = time.Time{}
+		f.poolOf(t.Service).changed = true
 		return
 	}
 	if old != nil {
 		f.remove(old)
 	}
-	m := &member{Target: t, notice: f.notices[t.key()], hash: xxhash.Sum64String(string(t.ID))}
+	m := &member{
+		Target: t, notice: f.notices[t.key()], hash: xxhash.Sum64String(string(t.ID)), workKey: digest.KeyOf(t.ID, t.Born),
+		speed: cost.NewQuantile(0.5, speedStep, 1, minSpeed, maxSpeed),
+	}
 	f.targets[t.ID] = m
-	pool := append(f.pools[t.Service], m)
-	slices.SortFunc(pool, func(a, b *member) int { return compareIDs(a.ID, b.ID) })
-	f.pools[t.Service] = pool
+	f.byWorkKey[m.workKey] = m
+	f.poolOf(t.Service).add(m)
+}
+
+// poolOf returns the pool of a service and creates it on first use. The caller holds f.mu.
+func (f *Fleet) poolOf(s ident.ServiceID) *pool {
+	p := f.pools[s]
+	if p == nil {
+		p = newPool()
+		f.pools[s] = p
+	}
+	return p
+}
+
+// SetEngine sets what the configuration says about the engines of a service.
+func (f *Fleet) SetEngine(s ident.ServiceID, e Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poolOf(s).capacity = e.KVCapacity
+}
+
+// members returns the targets of a service. The caller holds f.mu.
+func (f *Fleet) members(s ident.ServiceID) []*member {
+	if p := f.pools[s]; p != nil {
+		return p.members
+	}
+	return nil
 }
 
 func compareIDs(a, b ident.TargetID) int {
@@ -103,8 +150,8 @@
 
 func (f *Fleet) remove(m *member) {
 	delete(f.targets, m.ID)
-	pool := f.pools[m.Service]
-	f.pools[m.Service] = slices.DeleteFunc(pool, func(o *member) bool { return o == m })
+	delete(f.byWorkKey, m.workKey)
+	f.poolOf(m.Service).remove(m)
 }
 
 // IDs returns the IDs of all targets in ascending order.
@@ -156,7 +203,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	counts := make(map[ident.VersionID]int)
-	for _, m := range f.pools[s] {
+	for _, m := range f.members(s) {
 		if m.serving() {
 			counts[m.Version]++
 		}
@@ -178,9 +225,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
-	for _, m := range f.pools[s] {
+	for _, m := range f.members(s) {
 		if m.Version != v {
-			n += m.running
+			n += m.own.Running
 		}
 	}
 	return n
--- /dev/null
+++ b/core/place/owners.go
@@ -0,0 +1,86 @@
+package place
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// ownerCount is the number of engines that share the requests with a part of a prompt before others do.
+	ownerCount = 3
+	// maxOwnerEntries bounds the parts whose owners are remembered.
+	maxOwnerEntries = 1024
+)
+
+// owners are the engines with the highest rendezvous scores for a part, the highest one first. Missing ones are nil.
+type owners [ownerCount]*member
+
+func partHash(part Part) uint64 { return max(xxhash.Sum64String(part.ID), 1) }
+
+// ownersOf returns the owners of a part among the home targets. All routers of a failure domain agree on them.
+func (p *pool) ownersOf(part uint64) owners {
+	if o, ok := p.ownerMap[part]; ok {
+		return o
+	}
+	var o owners
+	var scores [ownerCount]uint64
+	for _, m := range p.home {
+		score := rendezvousScore(part, m.hash)
+		candidate := m
+		for i := range o {
+			if o[i] == nil || score > scores[i] {
+				o[i], candidate = candidate, o[i]
+				scores[i], score = score, scores[i]
+			}
+			if candidate == nil {
+				break
+			}
+		}
+	}
+	if len(p.ownerMap) >= maxOwnerEntries {
+		clear(p.ownerMap)
+	}
+	p.ownerMap[part] = o
+	return o
+}
+
+// caches reports whether an engine probably has the shared part of a request in its cache: the first owner reads it for all
+// routers, and the others only if this router has sent it there.
+func (p *pool) caches(m *member, d *demand) bool {
+	return d.shared != 0 && (m == d.owners[0] || p.reads.has(d.shared, m))
+}
+
+const (
+	// readMemory is the time for which a readLog holds an entry at least, and at most twice as long. Engines need the room of
+	// parts that are not used for some seconds.
+	readMemory = 5 * time.Second
+	// maxReads bounds the entries of a generation.
+	maxReads = 1024
+)
+
+// readLog remembers which engines have recently read which parts for this router. It keeps two generations, and forgets the
+// older one as a whole.
+type readLog struct {
+	current, previous map[uint64]struct{}
+	since             time.Time
+}
+
+func readKey(part uint64, m *member) uint64 { return rendezvousScore(part, m.hash) }
+
+func (l *readLog) add(part uint64, m *member, now time.Time) {
+	if l.current == nil || len(l.current) >= maxReads || now.Sub(l.since) > readMemory {
+		l.current, l.previous = make(map[uint64]struct{}), l.current
+		l.since = now
+	}
+	l.current[readKey(part, m)] = struct{}{}
+}
+
+func (l *readLog) has(part uint64, m *member) bool {
+	key := readKey(part, m)
+	if _, ok := l.current[key]; ok {
+		return true
+	}
+	_, ok := l.previous[key]
+	return ok
+}
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -1,14 +1,17 @@
-// Package place chooses a target for each request by load, cached prompt prefixes and recent failures.
+// Package place chooses a target for each request by what the request is likely to cost, what each target still has to do,
+// cached prompt prefixes and recent failures.
 //
-// A router knows its own requests exactly, and those of other routers only from the load that targets report in their
-// answers. All routers rank the engines for a prompt in the same order, so a shared prompt is cached on few engines
-// without messages between routers.
+// A router knows its own requests exactly, and those of other routers from their digests and from the load that targets
+// report in their answers. The routers of a failure domain rank the engines for a shared part of prompts in the same order, so
+// that few engines cache it. A choice compares these owners and a few targets at random. See docs/design/placing.md.
 package place
 
 import (
 	"math"
 	"time"
 
+	"geraniumsaddle/core/cost"
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/ident"
 )
 
@@ -80,6 +83,15 @@
 	maxLoadAge = 1500 * time.Millisecond
 	// fullBackoff is the time for which a target that refused a request as full gets no further requests.
 	fullBackoff = 100 * time.Millisecond
+	// paceHalfLife is the time in which a report of the machine's pace loses half of its effect, because it changes many times
+	// a second. minPace and maxPace bound what a target is believed.
+	paceHalfLife     = 40 * time.Millisecond
+	minPace, maxPace = 0.25, 8
+	// speedHalfLife is the time in which the learned speed of a target returns half of the way to the usual one.
+	speedHalfLife = 3 * time.Second
+	// speedStep is the largest change of the learned speed with one answer, and minSpeed and maxSpeed its bounds.
+	speedStep          = 0.15
+	minSpeed, maxSpeed = 0.5, 4
 )
 
 // member is a target with the load and health that this router has recorded for it. It is guarded by Fleet.mu.
@@ -91,10 +103,14 @@
 	hash uint64
 	// removeAt is the time at which a target whose entry disappeared during an outage of the store is removed, or zero.
 	removeAt time.Time
-	// running is the number of this router's requests at the target, and pendingPrefill the number of prompt tokens
-	// that the target still has to read for them.
-	running        int
-	pendingPrefill ident.Tokens
+	// workKey identifies this start of the target in digests, and own is what this router has in progress there.
+	workKey digest.Key
+	own     digest.Work
+	// home says that the target counts among those that requests stay among.
+	home bool
+	// speed is the time to a first output in relation to the expected one, as of speedSetAt.
+	speed      cost.Quantile
+	speedSetAt time.Time
 	// otherLoad is the load from other routers as of reportedAt.
 	otherLoad  Load
 	reportedAt time.Time
@@ -137,16 +153,66 @@
 
 // recordLoad records a load report. It subtracts this router's own requests, which are known exactly.
 func (m *member) recordLoad(l Load, now time.Time) {
-	m.otherLoad = Load{Running: max(l.Running+l.Waiting-m.running, 0), Waiting: l.Waiting, Slots: l.Slots}
+	m.otherLoad = Load{Running: max(l.Running+l.Waiting-m.own.Running, 0), Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace}
 	m.reportedAt = now
 }
 
-// estimatedRequests returns the estimated number of requests at the target: this router's own, and those of other
-// routers with a weight that falls linearly with the age of the report.
-func (m *member) estimatedRequests(now time.Time) float64 {
+// reportedOthers returns the number of requests of other routers at the target by its last report, with a weight that falls
+// linearly with the age of the report, and this age.
+func (m *member) reportedOthers(now time.Time) (n float64, age time.Duration) {
+	if m.reportedAt.IsZero() {
+		return 0, maxLoadAge
+	}
+	if age = now.Sub(m.reportedAt); age >= maxLoadAge {
+		return 0, age
+	}
+	return float64(m.otherLoad.Running) * (1 - float64(age)/float64(maxLoadAge)), age
+}
+
+// pace returns how long work takes on the target's machine in relation to the usual time. What the target last said about it
+// loses half of its effect with each paceHalfLife.
+func (m *member) pace(now time.Time) float64 {
+	if m.otherLoad.Pace <= 0 || m.otherLoad.Pace == 100 {
+		return 1
+	}
 	age := now.Sub(m.reportedAt)
-	if m.reportedAt.IsZero() || age >= maxLoadAge {
-		return float64(m.running)
+	if age > 8*paceHalfLife {
+		return 1
+	}
+	p := min(max(float64(m.otherLoad.Pace)/100, minPace), maxPace)
+	return 1 + (p-1)*math.Exp2(-float64(age)/float64(paceHalfLife))
+}
+
+// addWork adds the work of a request, or takes it away if sign is -1.
+func (m *member) addWork(w digest.Work, sign int) {
+	m.own.Running += sign * w.Running
+	m.own.Prefill += ident.Tokens(sign) * w.Prefill
+	m.own.Output += ident.Tokens(sign) * w.Output
+	m.own.Memory += ident.Tokens(sign) * w.Memory
+}
+
+// speedAt returns the time to a first output in relation to the expected one. It returns to 1 while there are no answers.
+func (m *member) speedAt(now time.Time) float64 {
+	if m.speed.Value() == 1 {
+		return 1
+	}
+	if age := now.Sub(m.speedSetAt); age > 0 {
+		return math.Pow(m.speed.Value(), math.Exp2(-float64(age)/float64(speedHalfLife)))
+	}
+	return m.speed.Value()
+}
+
+// recordFirst records the time to the first output of a request.
+func (m *member) recordFirst(c *Choice, now time.Time) {
+	took := time.Duration(float64(now.Sub(c.sentAt)) / m.pace(now))
+	c.pool.rates.AddFirst(c.Work.Prefill+c.queued, took)
+	if c.first <= 0 {
+		return
+	}
+	expected := c.first / m.speedAt(c.sentAt) // milliseconds
+	if age := now.Sub(m.speedSetAt); age > 0 && !m.speedSetAt.IsZero() {
+		m.speed.Scale(1 - math.Exp2(-float64(age)/float64(speedHalfLife)))
 	}
-	return float64(m.running) + float64(m.otherLoad.Running)*(1-float64(age)/float64(maxLoadAge))
+	m.speedSetAt = now
+	m.speed.Add(float64(took) / float64(time.Millisecond) / expected)
 }
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -72,6 +72,8 @@
 		s: s, ledgers: lc, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
 	s.startLending(fleet.members)
+	stopReports := s.startReports(ctx, fleet.members)
+	defer stopReports()
 	s.changes.Store(newChangeFeed(s, fleet.members))
 	done := make(chan struct{})
 	go func() {
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/place"
 	"geraniumsaddle/core/route"
 )
 
@@ -19,6 +20,11 @@
 			s.accounts.SetTotal(o.ID, o.Prepaid)
 		}
 	}
+	for _, svc := range cfg.Services {
+		if svc.Engine != nil {
+			s.targets.SetEngine(svc.ID, place.Engine{KVCapacity: svc.Engine.KVCapacity})
+		}
+	}
 	s.table.Store(route.New(cfg))
 	s.callers.SetIdleLimit(cfg.Limits.IdleTimeout)
 	trigger(s.grantsNow)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
@@ -28,6 +29,7 @@
 	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
+	"geraniumsaddle/io/report"
 	"geraniumsaddle/io/store"
 	"geraniumsaddle/platform"
 )
@@ -100,8 +102,10 @@
 	changes atomic.Pointer[changeFeed]
 	// poison keeps requests that crash targets from further targets. gossip is set once the router has joined a fleet with
 	// other routers.
-	poison        *poisonGuard
-	gossip        atomic.Pointer[gossip]
+	poison *poisonGuard
+	gossip atomic.Pointer[gossip]
+	// reports is set once a large fleet exchanges digests of the work in progress at targets.
+	reports       atomic.Pointer[report.Exchange]
 	tokensChanged *broadcast
 	// watchRestart makes all watches list their objects again.
 	watchRestart *broadcast
@@ -131,7 +135,9 @@
 		deps:          deps,
 		self:          self,
 		watchTimeouts: deps.WatchTimeouts,
-		targets:       place.New(place.Config{Domain: ident.DomainID(cfg.Domain), RemovalGrace: cfg.Bounds.RegistryRestoreTime}),
+		targets: place.New(place.Config{
+			Domain: ident.DomainID(cfg.Domain), RemovalGrace: cfg.Bounds.RegistryRestoreTime, Seed: xxhash.Sum64String(cfg.VM),
+		}),
 		accounts: quota.NewAccounts(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
 			HoldOff: holdOff, SpareHorizon: spareHorizon, GrantHorizon: grantHorizon, LowHorizon: lowHorizon,
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumsaddle/core/budget"
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
@@ -83,6 +84,8 @@
 	prefixOwner       bool
 	tokenWaitTime     time.Duration
 	targetVersion     ident.VersionID
+	// expectedWork is what the request was expected to cost at the last chosen target.
+	expectedWork digest.Work
 }
 
 // serveCaller answers one request of a caller.
@@ -257,7 +260,7 @@
 	}
 	x.s.deps.Log.Info("request", "id", x.requestHeaders.ID, "route", routeName, "config", version, "organisation", org,
 		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner,
-		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "tokens_held", x.heldTokens,
+		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "prefill", x.expectedWork.Prefill, "expected_output", x.expectedWork.Output, "tokens_held", x.heldTokens,
 		"prompt_parts", x.loggedParts(), "input", x.inputTokens(), "output", x.outputTokens, "quarantined_part", x.quarantinedPart, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(),
 		"first_ms", x.timeToFirstByte.Milliseconds(), "total_ms", total.Milliseconds())
 }
@@ -284,7 +287,8 @@
 		return nil, errShuttingDown
 	}
 	r := place.Request{
-		Service: x.service, Exclude: x.triedTargets, Now: x.s.deps.Clock.Now(), Versions: x.versions,
+		Service: x.service, Route: x.route.Name, Goal: x.route.TargetLatency, Exclude: x.triedTargets,
+		Now: x.s.deps.Clock.Now(), Versions: x.versions,
 	}
 	if x.route.UsesEngine {
 		r.Prompt = x.requestHeaders.Prompt
@@ -299,6 +303,8 @@
 	}
 	x.estimatedCost, x.estimatedRequests = c.Cost, c.EstimatedRequests
 	x.prefixOwner, x.targetVersion = c.PrefixOwner, c.Target.Version
+	x.expectedWork = c.Work
+	x.s.deps.Metrics.countChoice(x.service, c.Target.Domain == ident.DomainID(x.s.cfg.Domain), c.PrefixOwner)
 	return c, nil
 }
 
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -12,6 +12,7 @@
 	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/io/conns"
+	"geraniumsaddle/io/report"
 	"geraniumsaddle/io/store"
 )
 
@@ -31,6 +32,9 @@
 	panics          prometheus.Counter
 	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
+	choices         *prometheus.CounterVec
+	// reports counts the digests that routers exchange.
+	reports *report.Metrics
 }
 
 const (
@@ -55,6 +59,7 @@
 		changesCalls:    counter("changes_calls_total", "Calls to watchers of the store by result.", "result"),
 		losses:          counter("target_losses_total", "Targets that ended with unanswered requests of this router, by service.", "service"),
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
+		choices:         counter("choices_total", "Choices of targets by service, failure domain (own, other) and whether the target owns the prompt's shared part.", "service", "domain", "owner"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
@@ -63,7 +68,8 @@
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.choices)
+	m.reports = report.NewMetrics(m.registry, namespace, subsystem)
 	return m
 }
 
@@ -134,6 +140,15 @@
 	m.notices.WithLabelValues(string(service), notice).Inc()
 }
 
+// countChoice counts a choice of a target.
+func (m *Metrics) countChoice(service ident.ServiceID, ownDomain, owner bool) {
+	domain := "other"
+	if ownDomain {
+		domain = "own"
+	}
+	m.choices.WithLabelValues(string(service), domain, strconv.FormatBool(owner)).Inc()
+}
+
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
--- a/io/edge/peers.go
+++ b/io/edge/peers.go
@@ -54,8 +54,13 @@
 			h.s.logPanic("message", v)
 		}
 	}()
-	if m, ok := m.(peer.Poison); ok {
+	switch m := m.(type) {
+	case peer.Poison:
 		h.s.gossip.Load().receive(from, m.Report)
+	case peer.Work:
+		if e := h.s.reports.Load(); e != nil {
+			e.Receive(from, m.Digest)
+		}
 	}
 }
 
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -173,14 +173,14 @@
 		if !e.empty {
 			stream.sendEvents++
 		}
-		if !stream.headWritten {
-			sent.choice.PrefillDone()
+		if !e.empty {
+			sent.choice.FirstOutput(x.s.deps.Clock.Now())
 		}
 		if err := stream.writeEvent(sent.answer, e); err != nil {
 			stream.callerFailed = true
 			return err
 		}
-		x.countOutput()
+		sent.choice.Output += x.countOutput()
 	}
 }
 
@@ -283,12 +283,13 @@
 	return p != nil && x.route.UsesEngine && ident.Tokens(events) > p.MaxOutput+extraEvents
 }
 
-// countOutput counts the tokens of one delivered event. The service's configuration says how many tokens an event of
+// countOutput counts the tokens of one delivered event, and returns them. The service's configuration says how many tokens an event of
 // its engine holds; settleTokens applies the limit of the request.
-func (x *exchange) countOutput() {
+func (x *exchange) countOutput() ident.Tokens {
 	n := ident.Tokens(1)
 	if svc := x.table.Service(x.service); svc != nil && svc.Engine != nil {
 		n = svc.Engine.EventTokens
 	}
 	x.outputTokens += n
+	return n
 }
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumsaddle/core/change"
 	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
@@ -81,6 +82,7 @@
 			Clearances:  []poison.Clearance{{Part: poison.Part{Service: "llm", ID: "a"}, Age: time.Second}},
 			Quarantines: []poison.Quarantine{{Part: poison.Part{Service: "llm", ID: "b"}, Age: 1, LossAge: 2, Losses: 3, Prompts: 4, Strikes: 1, Term: time.Minute}},
 		}},
+		peer.Work{Digest: digest.Digest{Seq: 4, Domain: "d1", Packed: digest.Pack([]digest.Row{{Target: 7, Work: digest.Work{Running: 2}}})}},
 	}
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -5,6 +5,7 @@
 
 	"geraniumsaddle/core/change"
 	"geraniumsaddle/core/config"
+	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/escrow"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/member"
@@ -329,6 +330,9 @@
 // Poison carries evidence on parts of prompts that crash targets, and the quarantined parts.
 type Poison struct{ poison.Report }
 
+// Work carries what the sender has in progress at targets.
+type Work struct{ digest.Digest }
+
 // Done answers a call that has no other reply.
 type Done struct{}
 
--- a/io/peer/types.go
+++ b/io/peer/types.go
@@ -43,6 +43,7 @@
 	TypeChangesWanted
 	TypeChanges
 	TypePoison
+	TypeWork
 	typeEnd
 )
 
@@ -99,6 +100,7 @@
 	TypeChangesWanted: {"changes_wanted", priorityHigh, func(b []byte) (Message, error) { var m ChangesWanted; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeChanges:       {"changes", priorityHigh, func(b []byte) (Message, error) { var m Changes; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypePoison:        {"poison", priorityHigh, func(b []byte) (Message, error) { var m Poison; err := decMode.Unmarshal(b, &m); return m, err }},
+	TypeWork:          {"work", priorityLow, func(b []byte) (Message, error) { var m Work; err := decMode.Unmarshal(b, &m); return m, err }},
 	TypeFailure:       {"failure", priorityHigh, func(b []byte) (Message, error) { var m Failure; err := decMode.Unmarshal(b, &m); return m, err }},
 }
 
@@ -226,6 +228,9 @@
 // Type implements Message.
 func (Poison) Type() Type { return TypePoison }
 
+// Type implements Message.
+func (Work) Type() Type { return TypeWork }
+
 func (ClaimAsk) message()      {}
 func (ClaimAnswer) message()   {}
 func (Probe) message()         {}
@@ -264,3 +269,4 @@
 func (ChangesWanted) message() {}
 func (Changes) message()       {}
 func (Poison) message()        {}
+func (Work) message()          {}
