Merge the hooks for evacuated failure domains and cold targets

The choice among a few targets asks them as the choice among all did: the owners and the random targets are those that are available, the limiter of cold targets is asked before a pick and counted at it, and a failure domain that its ramp holds back is chosen only after all targets were compared. go test ./core/place ./core/cold passes, the tests of evac unchanged.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -84,6 +84,8 @@
 	candidates int
 	allQuiet   bool
 	quietUntil time.Time
+	// coldOnly says that targets were left out because they are cold.
+	coldOnly bool
 }
 
 // Choose picks a target by the estimated delay and counts the request as running there. It returns ErrNoTarget, ErrFull or a
@@ -95,12 +97,13 @@
 	if p == nil {
 		return nil, ErrNoTarget
 	}
+	f.advanceRamps(r.Now)
 	f.refresh(p, r.Now)
 	s := selection{f: f, pool: p, r: &r, demand: p.demandOf(&r), allQuiet: true}
 	if len(p.members) > smallPool {
 		s.compareSome()
 	}
-	if s.best == nil {
+	if s.best == nil || s.best.domain.held {
 		s.candidates = 0
 		s.compare(p.members)
 	}
@@ -109,6 +112,8 @@
 		return nil, ErrNoTarget
 	case s.best == nil && s.allQuiet:
 		return nil, &QuietError{s.quietUntil}
+	case s.best == nil && s.coldOnly:
+		return nil, ErrCold
 	case s.best == nil:
 		return nil, ErrFull
 	}
@@ -154,6 +159,10 @@
 		if s.r.Now.Before(m.fullUntil) {
 			continue
 		}
+		if !s.f.allowsCold(m, s.r.Now) {
+			s.coldOnly = true
+			continue
+		}
 		e := s.f.estimate(s.pool, m, s.r, &s.demand)
 		if s.best == nil || e.cost < s.estimate.cost {
 			s.best, s.estimate = m, e
@@ -179,6 +188,7 @@
 		c.Work.Memory = s.r.Prompt.Input + s.demand.output
 	}
 	m.addWork(c.Work, 1)
+	s.f.recordColdSend(m, s.r.Now)
 	if m.home {
 		p.ownRunning++
 	}
@@ -186,7 +196,7 @@
 }
 
 func (f *Fleet) eligible(m *member, r *Request) bool {
-	if !m.serving() || slices.Contains(r.Exclude, m.ID) {
+	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
 	return r.Versions.allows(m.Version)
@@ -216,6 +226,9 @@
 	}
 	c.member.recordResult(r, now)
 	c.fleet.recordReachability(c.Target, r, now)
+	if r == ResultUnreachable {
+		c.fleet.cold.SuspectRestart(c.Target.ID, now)
+	}
 	if r != ResultOK {
 		return
 	}
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -11,6 +11,9 @@
 	// whose targets in the own domain can do without the others. They include the cost of the traffic between the domains.
 	crossDomainCost = 4
 	farCost         = 25
+	// heldDomainCost is the delay in milliseconds of a target that a ramp leaves out of a choice. It exceeds all others, so
+	// that such a target is chosen only if no other one may take the request.
+	heldDomainCost = 100_000
 	// failureCost is the delay in milliseconds that a failed request counts as.
 	failureCost = 3000
 	// plainServiceCost is the delay in milliseconds of a target of a plain service when all of its slots are in use.
@@ -106,6 +109,9 @@
 	if now.Before(m.backoffUntil) || f.suspectUnreachable(m.Domain, now) {
 		cost += failureCost
 	}
+	if m.domain.held {
+		cost += heldDomainCost
+	}
 	switch {
 	case m.Domain == f.cfg.Domain:
 	case p.selfSufficient:
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/cost"
 	"geraniumsaddle/core/digest"
 	"geraniumsaddle/core/ident"
@@ -25,10 +26,10 @@
 type Config struct {
 	// Domain is the failure domain of the router that chooses.
 	Domain ident.DomainID
+	// VM is the VM of that router. Routers of different VMs choose differently among equal targets.
+	VM ident.VMID
 	// RemovalGrace is the time after an outage of the store within which live targets renew their expired entries.
 	RemovalGrace time.Duration
-	// Seed makes routers choose differently among equal targets.
-	Seed uint64
 }
 
 // Engine describes the model engines of a service.
@@ -51,6 +52,9 @@
 	peers            Peers
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
+	domains          map[ident.DomainID]*domainState
+	// cold limits the requests to cold targets.
+	cold *cold.Limiter
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
 	storeUnreachable bool
 	storeBackAt      time.Time
@@ -60,13 +64,15 @@
 func New(cfg Config) *Fleet {
 	return &Fleet{
 		cfg:              cfg,
-		rng:              rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		rng:              rand.New(rand.NewPCG(xxhash.Sum64String(string(cfg.VM)), 0)),
 		targets:          make(map[ident.TargetID]*member),
 		byWorkKey:        make(map[digest.Key]*member),
 		pools:            make(map[ident.ServiceID]*pool),
 		others:           digest.NewTable(),
 		failuresByDomain: make(map[ident.DomainID]*domainFailures),
 		notices:          make(map[startKey]*notice),
+		domains:          make(map[ident.DomainID]*domainState),
+		cold:             cold.New(cfg.VM),
 	}
 }
 
@@ -77,6 +83,7 @@
 	old := f.targets[t.ID]
 	if old != nil && old.Service == t.Service && old.Addr == t.Addr && old.Born == t.Born {
 		old.Target = t
+		old.domain = f.domainState(t.Domain)
 		old.removeAt = time.Time{}
 		f.poolOf(t.Service).changed = true
 		return
@@ -85,7 +92,8 @@
 		f.remove(old)
 	}
 	m := &member{
-		Target: t, notice: f.notices[t.key()], hash: xxhash.Sum64String(string(t.ID)), workKey: digest.KeyOf(t.ID, t.Born),
+		Target: t, notice: f.notices[t.key()], domain: f.domainState(t.Domain), cold: f.cold.State(t.ID),
+		hash: xxhash.Sum64String(string(t.ID)), workKey: digest.KeyOf(t.ID, t.Born),
 		speed: cost.NewQuantile(0.5, speedStep, 1, minSpeed, maxSpeed),
 	}
 	f.targets[t.ID] = m
@@ -239,7 +247,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.targets[t.ID]
-	return m != nil && m.serving() && m.Born == t.Born && m.Addr == t.Addr && !now.Before(m.quietUntil())
+	return m != nil && m.available() && m.Born == t.Born && m.Addr == t.Addr && !now.Before(m.quietUntil())
 }
 
 // ReportLoad records the load that a target has reported. Unknown targets are ignored.
--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -148,7 +148,7 @@
 		s.order = append(s.order, e)
 	}
 	for i := range routers {
-		f := New(Config{Domain: "a", RemovalGrace: time.Second, Seed: uint64(i + 1)})
+		f := New(Config{Domain: "a", RemovalGrace: time.Second, VM: ident.VMID(fmt.Sprint("r", i))})
 		f.SetEngine("llm", Engine{KVCapacity: 414_446})
 		f.SetPeers(Peers{Index: i, Routers: routers, Heard: neighbors})
 		for _, e := range s.order {
--- a/core/place/outlook.go
+++ b/core/place/outlook.go
@@ -40,7 +40,7 @@
 	busy := 0.0
 	hold := p.rates.Hold()
 	for _, m := range p.members {
-		if !m.serving() {
+		if !m.available() {
 			continue
 		}
 		n := f.requestsAt(m, now)
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -75,7 +75,7 @@
 	f.others.Expire(now)
 	near := 0
 	for _, m := range p.members {
-		if m.serving() && m.Domain == f.cfg.Domain {
+		if m.available() && m.Domain == f.cfg.Domain {
 			near++
 		}
 	}
@@ -84,14 +84,14 @@
 	p.ownRunning, p.otherRunning = 0, 0
 	hash := uint64(0)
 	for _, m := range p.members {
-		m.home = m.serving() && (!p.selfSufficient || m.Domain == f.cfg.Domain)
+		m.home = m.available() && (!p.selfSufficient || m.Domain == f.cfg.Domain)
 		switch {
 		case m.home:
 			p.home = append(p.home, m)
 			hash ^= m.hash
 			p.ownRunning += m.own.Running
 			p.otherRunning += f.requestsAt(m, now) - float64(m.own.Running)
-		case m.serving():
+		case m.available():
 			p.far = append(p.far, m)
 		}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
@@ -136,7 +135,7 @@
 		self:          self,
 		watchTimeouts: deps.WatchTimeouts,
 		targets: place.New(place.Config{
-			Domain: ident.DomainID(cfg.Domain), RemovalGrace: cfg.Bounds.RegistryRestoreTime, Seed: xxhash.Sum64String(cfg.VM),
+			Domain: ident.DomainID(cfg.Domain), RemovalGrace: cfg.Bounds.RegistryRestoreTime, VM: ident.VMID(cfg.VM),
 		}),
 		accounts: quota.NewAccounts(quota.Config{
 			Self: self, VM: ident.VMID(cfg.VM),
