--- a/core/place/evacuation.go
+++ b/core/place/evacuation.go
@@ -46,6 +46,9 @@
 		return false
 	}
 	d.evacuated = evacuated
+	for _, p := range f.pools {
+		p.changed = true
+	}
 	d.ramp = nil
 	if !evacuated {
 		d.endedAt = now
