Let requests wait for room while all targets of a service are full

Cause: while every target was left alone after a refusal, requests were refused at once with 503 and a fixed Retry-After. Change: the request path enters the gate of the service (core/admit, io/gate) before it chooses a target. The wait for tokens counts against the wait for room. New log field room_wait_ms and metric room_total. Result: TestRoomReturns fails without the wait and passes with it.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -25,6 +25,7 @@
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/core/stream"
 	"geraniumsaddle/io/conns"
+	"geraniumsaddle/io/gate"
 	"geraniumsaddle/io/life"
 	"geraniumsaddle/io/peer"
 	"geraniumsaddle/io/relay"
@@ -80,7 +81,9 @@
 	targets  *place.Fleet
 	accounts *quota.Accounts
 	pool     *relay.Pool
-	callers  *conns.Set
+	// gates order the requests that find every target of their service full.
+	gates   *gate.Gates
+	callers *conns.Set
 	// memory limits what callers and targets can make the process hold, and buffers what one organisation's large bodies
 	// and answers can.
 	memory  *budget.Budget
@@ -143,6 +146,7 @@
 			IdleShare: idleShare, LivenessTimeout: livenessTimeout,
 		}),
 		pool:          relay.New(relay.Config{Clock: deps.Clock, Meter: linkMeter}),
+		gates:         gate.New(deps.Clock),
 		linkMeter:     linkMeter,
 		shedder:       link.NewShedder(cfg.LinkRate),
 		releases:      newReleases(),
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -84,6 +84,7 @@
 	prefixOwner       bool
 	targetCold        bool
 	tokenWaitTime     time.Duration
+	roomWait          time.Duration
 	targetVersion     ident.VersionID
 	// expectedWork is what the request was expected to cost at the last chosen target.
 	expectedWork digest.Work
@@ -262,7 +263,7 @@
 	x.s.deps.Log.Info("request", "id", x.requestHeaders.ID, "route", routeName, "config", version, "organisation", org,
 		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner, "cold", x.targetCold,
 		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "prefill", x.expectedWork.Prefill, "expected_output", x.expectedWork.Output, "tokens_held", x.heldTokens,
-		"prompt_parts", x.loggedParts(), "input", x.inputTokens(), "output", x.outputTokens, "quarantined_part", x.quarantinedPart, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(),
+		"prompt_parts", x.loggedParts(), "input", x.inputTokens(), "output", x.outputTokens, "quarantined_part", x.quarantinedPart, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(), "room_wait_ms", x.roomWait.Milliseconds(),
 		"first_ms", x.timeToFirstByte.Milliseconds(), "total_ms", total.Milliseconds())
 }
 
@@ -271,16 +272,20 @@
 	if !x.route.UsesEngine {
 		return -1
 	}
-	p := x.route.Priority
+	return min(x.priority(), platform.LowestPriority)
+}
+
+// priority returns the priority of the request, which its organisation may set in place of its route.
+func (x *exchange) priority() int {
 	if x.org != nil && x.org.Priority != nil {
-		p = *x.org.Priority
+		return *x.org.Priority
 	}
-	return min(p, platform.LowestPriority)
+	return x.route.Priority
 }
 
-// chooseTarget chooses the next target. If the version that a release selects for the request has no target, or only
+// pickTarget chooses the next target. If the version that a release selects for the request has no target, or only
 // cold ones, targets of all versions are eligible.
-func (x *exchange) chooseTarget() (*place.Choice, error) {
+func (x *exchange) pickTarget() (*place.Choice, error) {
 	if x.quarantined() {
 		return nil, errQuarantined
 	}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -35,6 +35,7 @@
 	coldSends       *prometheus.CounterVec
 	evacuated       prometheus.Gauge
 	choices         *prometheus.CounterVec
+	room            *prometheus.CounterVec
 	// reports counts the digests that routers exchange.
 	reports *report.Metrics
 }
@@ -61,6 +62,7 @@
 		changesCalls:    counter("changes_calls_total", "Calls to watchers of the store by result.", "result"),
 		losses:          counter("target_losses_total", "Targets that ended with unanswered requests of this router, by service.", "service"),
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
+		room:            counter("room_total", "Requests that found every target full, by service and result (waited, refused).", "service", "result"),
 		choices:         counter("choices_total", "Choices of targets by service, failure domain (own, other) and whether the target owns the prompt's shared part.", "service", "domain", "owner"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
@@ -73,7 +75,7 @@
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.coldSends, m.evacuated, m.choices)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.coldSends, m.evacuated, m.choices, m.room)
 	m.reports = report.NewMetrics(m.registry, namespace, subsystem)
 	return m
 }
@@ -153,6 +155,11 @@
 // setEvacuated sets the number of evacuated failure domains.
 func (m *Metrics) setEvacuated(n int) { m.evacuated.Set(float64(n)) }
 
+// countRoom counts a request that found every target of its service full.
+func (m *Metrics) countRoom(service ident.ServiceID, result string) {
+	m.room.WithLabelValues(string(service), result).Inc()
+}
+
 // countChoice counts a choice of a target.
 func (m *Metrics) countChoice(service ident.ServiceID, ownDomain, owner bool) {
 	domain := "other"
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -8,6 +8,7 @@
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
 	"geraniumsaddle/io/engine/send"
+	"geraniumsaddle/io/gate"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/platform"
 )
@@ -76,6 +77,7 @@
 	}
 	if !answerHeaders.NotRun {
 		x.recordArrival()
+		x.s.gates.Taken(x.service)
 	}
 	if !answerHeaders.Signed && a.Status < http.StatusMultipleChoices {
 		a.Close(0)
@@ -200,6 +202,8 @@
 		return refuseQuarantined
 	case place.AsQuiet(err) != nil:
 		return x.refuseQuiet(place.AsQuiet(err))
+	case gate.AsRefused(err) != nil:
+		return refuseFull(gate.AsRefused(err))
 	case errors.Is(err, place.ErrNoTarget):
 		return refuseNoTarget
 	case errors.Is(err, place.ErrCold):
