Check the log lines of evacuations and the field cold

Cause: the request line has the new field cold, and TestOperatorLogLines holds the fields of that line.

Change: the test expects the field, and the lines of an evacuation's begin and end.

--- a/io/edge/log_test.go
+++ b/io/edge/log_test.go
@@ -33,8 +33,10 @@
 	"link is no longer busy":                         "bytes_per_s capacity",
 	"prepaid tokens not synchronized with the store": "error object",
 	"request refused for lack of prepaid tokens":     "allowance_age_ms elsewhere free granted grows_ms growth held id limit near need organisation spent store_away total verdict",
-	"request":                     "busy config cost_ms first_ms home id input lender organisation output prompt_parts quarantined_part reason route status targets token_wait_ms tokens_held total_ms version",
+	"request":                     "busy cold config cost_ms first_ms home id input lender organisation output prompt_parts quarantined_part reason route status targets token_wait_ms tokens_held total_ms version",
 	"router joined the fleet":     "routers shards",
+	"failure domain evacuated":    "domain revision",
+	"failure domain taken back":   "domain revision",
 	"target is leaving":           "born id service source target",
 	"target asks for no requests": "id retry_after_ms service target",
 }
@@ -91,9 +93,14 @@
 	is := is.New(t)
 	var lines logBuffer
 	env := newTestEnvWith(t, func(cfg *platform.Settings, d *Deps) {
+		withEvacuations(cfg, d)
 		cfg.LinkRate = 200_000
 		d.Log = slog.New(slog.NewJSONHandler(&lines, nil))
 	})
+	env.store.Put("evacuations", "b", "{}")
+	env.waitFor("the evacuation", env.isEvacuated("b"))
+	env.store.Delete("evacuations", "b")
+	env.waitFor("the end of the evacuation", func() bool { return !env.isEvacuated("b")() })
 	large := book
 	large.body = strings.Repeat("x", 100_000)
 	env.do(large)
