Ask for the coldness of warm targets with one comparison

Cause: Choose asks the limiter for each target. Three comparisons of times, a look-up of the service and a larger Request made a choice among 140 engines dearer.

Change: a state remembers whether any of its times may lie ahead; Request has a pointer to the region filter.

--- a/core/cold/limiter.go
+++ b/core/cold/limiter.go
@@ -73,6 +73,8 @@
 	version   ident.ObjectVersion
 	born      int64
 	changedAt time.Time
+	// mayBeCold is false if none of the following times lies ahead, which spares most targets the comparison.
+	mayBeCold bool
 	// coldUntil is the end of the time that the target itself told, doubtSince the time at which it started without telling
 	// one, and doubtUntil the end of the time in which it may have restarted.
 	coldUntil, doubtSince, doubtUntil time.Time
@@ -110,6 +112,9 @@
 func (l *Limiter) SetServices(services map[ident.ServiceID]Service) {
 	l.services = services
 	l.revision++
+	for _, s := range l.states {
+		s.mayBeCold = true // a longer time may apply to it
+	}
 }
 
 // SetRouters sets the VMs whose routers may send, including this one. The list is not changed afterwards.
@@ -172,7 +177,7 @@
 		s.doubtSince = time.Time{}
 		s.setRemaining(e.Remaining, now, isNew)
 	case isNew || restarted:
-		s.doubtSince = now
+		s.doubtSince, s.mayBeCold = now, true
 	}
 }
 
@@ -191,34 +196,34 @@
 	if !isNew && !now.Before(s.coldUntil) && until.After(now) && len(s.sends) == 0 {
 		s.blockedUntil = now.Add(window)
 	}
-	s.coldUntil = until
+	s.coldUntil, s.mayBeCold = until, true
 }
 
 // SuspectRestart records that a target could not be reached, so that it may be restarting.
 func (l *Limiter) SuspectRestart(id ident.TargetID, now time.Time) {
-	l.State(id).doubtUntil = now.Add(restartDoubt)
+	s := l.State(id)
+	s.doubtUntil, s.mayBeCold = now.Add(restartDoubt), true
 }
 
 // IsCold reports whether a target is cold or may be. evacuatedUntil is the end of the last evacuation of its failure
 // domain, or zero.
 func (l *Limiter) IsCold(s *State, service ident.ServiceID, evacuatedUntil, now time.Time) bool {
-	if now.Before(s.coldUntil) || now.Before(s.doubtUntil) {
-		return true
-	}
-	doubt := evacuatedUntil
-	if s.doubtSince.After(doubt) {
-		doubt = s.doubtSince
-	}
-	return !doubt.IsZero() && now.Before(doubt.Add(l.services[service].ColdTime))
+	coldTime := l.services[service].ColdTime
+	s.mayBeCold = now.Before(s.coldUntil) || now.Before(s.doubtUntil) || now.Before(s.doubtSince.Add(coldTime))
+	return s.mayBeCold || now.Before(evacuatedUntil.Add(coldTime))
 }
 
 // limits reports whether requests to a target are limited now.
 func (l *Limiter) limits(s *State, service ident.ServiceID, evacuatedUntil, now time.Time) bool {
-	return l.bounds != (Bounds{}) && l.services[service].PerSecond > 0 && l.IsCold(s, service, evacuatedUntil, now)
+	return l.bounds != (Bounds{}) && l.IsCold(s, service, evacuatedUntil, now) && l.services[service].PerSecond > 0
 }
 
 // Allows reports whether the router may send a request to a target now.
 func (l *Limiter) Allows(s *State, service ident.ServiceID, evacuatedUntil, now time.Time) bool {
+	return !s.mayBeCold && evacuatedUntil.IsZero() || l.allows(s, service, evacuatedUntil, now)
+}
+
+func (l *Limiter) allows(s *State, service ident.ServiceID, evacuatedUntil, now time.Time) bool {
 	if !l.limits(s, service, evacuatedUntil, now) {
 		return true
 	}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -36,8 +36,8 @@
 	Exclude []ident.TargetID
 	// Versions restricts the versions that may take the request.
 	Versions VersionFilter
-	// Regions restricts the regions of the targets that may take the request.
-	Regions RegionFilter
+	// Regions restricts the regions of the targets that may take the request, unless it is nil.
+	Regions *RegionFilter
 	Now     time.Time
 }
 
@@ -131,7 +131,7 @@
 	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
-	return r.Versions.allows(m.Version) && f.inRegion(m, r.Regions)
+	return r.Versions.allows(m.Version) && (r.Regions == nil || f.inRegion(m, r.Regions))
 }
 
 // prefixOwner returns the target that caches the longest shared prefix of the prompt, or nil if no prefix is shared.
--- a/core/place/region.go
+++ b/core/place/region.go
@@ -7,7 +7,7 @@
 	"geraniumsaddle/core/ident"
 )
 
-// RegionFilter restricts the regions of targets. The zero value allows all.
+// RegionFilter restricts the regions of targets.
 type RegionFilter struct {
 	// Lists holds the allowed regions of the route and of the organisation. An empty list restricts nothing; if neither is
 	// empty, a region has to be in both.
@@ -23,7 +23,7 @@
 }
 
 // inRegion reports whether a target is in an allowed region. The caller holds f.mu.
-func (f *Fleet) inRegion(m *member, filter RegionFilter) bool {
+func (f *Fleet) inRegion(m *member, filter *RegionFilter) bool {
 	for _, allowed := range filter.Lists {
 		if len(allowed) == 0 {
 			continue
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -307,14 +307,16 @@
 	return c, nil
 }
 
-// allowedRegions returns the regions whose targets may get the request.
-func (x *exchange) allowedRegions() place.RegionFilter {
-	filter := place.RegionFilter{}
-	filter.Lists[0] = x.route.Regions
+// allowedRegions returns the regions whose targets may get the request, or nil if all may.
+func (x *exchange) allowedRegions() *place.RegionFilter {
+	var ofOrg []ident.RegionID
 	if x.org != nil {
-		filter.Lists[1] = x.org.Regions
+		ofOrg = x.org.Regions
 	}
-	return filter
+	if len(x.route.Regions)+len(ofOrg) == 0 {
+		return nil
+	}
+	return &place.RegionFilter{Lists: [2][]ident.RegionID{x.route.Regions, ofOrg}}
 }
 
 // inputTokens returns the number of prompt tokens, or zero for a request without a prompt.
