--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -34,8 +34,8 @@
 	Exclude []ident.TargetID
 	// Versions restricts the versions that may take the request.
 	Versions VersionFilter
-	// Regions restricts the regions of the targets that may take the request.
-	Regions RegionFilter
+	// Regions restricts the regions of the targets that may take the request, unless it is nil.
+	Regions *RegionFilter
 	Now     time.Time
 }
 
@@ -203,7 +203,7 @@
 	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
-	return r.Versions.allows(m.Version) && f.inRegion(m, r.Regions)
+	return r.Versions.allows(m.Version) && (r.Regions == nil || f.inRegion(m, r.Regions))
 }
 
 // FirstOutput records that the target has read the prompt. The caller calls it on each event of the answer; the first call
