Keep shared parts with their owners and leave targets whose address another one has

Prompt tokens that others told an engine to read count half, and reading a part again counts for others too; the next owner counts as one that has the part once those before it are beyond their bound. A target that is gone from its address gets nothing for 5 s. A choice allocates once.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -76,7 +76,7 @@
 type selection struct {
 	f        *Fleet
 	pool     *pool
-	r        *Request
+	r        Request
 	demand   demand
 	best     *member
 	estimate estimate
@@ -99,7 +99,7 @@
 	}
 	f.advanceRamps(r.Now)
 	f.refresh(p, r.Now)
-	s := selection{f: f, pool: p, r: &r, demand: p.demandOf(&r), allQuiet: true}
+	s := selection{f: f, pool: p, r: r, demand: p.demandOf(&r), allQuiet: true}
 	if len(p.members) > smallPool {
 		s.compareSome()
 	}
@@ -124,7 +124,7 @@
 func (s *selection) compareSome() {
 	s.compare(s.demand.owners[:])
 	s.compareRandom(s.pool.subset, randomTargets)
-	if s.best != nil && !s.estimate.full && s.estimate.cost <= s.pool.patience(s.r) {
+	if s.best != nil && !s.estimate.full && s.estimate.cost <= s.pool.patience(&s.r) {
 		return
 	}
 	s.compareRandom(s.pool.home, widerTargets)
@@ -145,7 +145,7 @@
 // compare takes the best of the given targets and of the best one so far. Nil entries are skipped.
 func (s *selection) compare(members []*member) {
 	for _, m := range members {
-		if m == nil || !s.f.eligible(m, s.r) {
+		if m == nil || !s.f.eligible(m, &s.r) {
 			continue
 		}
 		s.candidates++
@@ -163,7 +163,7 @@
 			s.coldOnly = true
 			continue
 		}
-		e := s.f.estimate(s.pool, m, s.r, &s.demand)
+		e := s.f.estimate(s.pool, m, &s.r, &s.demand)
 		if s.best == nil || e.cost < s.estimate.cost {
 			s.best, s.estimate = m, e
 		}
--- a/core/place/domain.go
+++ b/core/place/domain.go
@@ -25,7 +25,7 @@
 		}
 		failures.targets[t.ID] = true
 		failures.lastAt = now
-	case ResultOK, ResultFull:
+	case ResultOK, ResultFull, ResultGone:
 		delete(f.failuresByDomain, t.Domain)
 	}
 }
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -27,13 +27,19 @@
 	batchCost = 40
 	// boundRatio and boundSlack bound the load of an engine that has a shared part in its cache: that ratio of the mean over
 	// the engines, and the slack in requests. Each request beyond that costs boundCost milliseconds.
-	boundRatio = 1.25
-	boundSlack = 2
-	boundCost  = 30
+	boundRatio = 1.2
+	boundSlack = 0.5
+	boundCost  = 60
 	// memoryShare is the share of an engine's KV cache that running requests may use. Beyond it requests are preempted and
 	// read again, which costs memoryCost milliseconds, and as much again for each tenth more.
 	memoryShare = 0.9
 	memoryCost  = 200
+	// rereadCost is how much the time to read tokens that another engine probably has in its cache counts beside the delay of
+	// the request itself: it delays others at the engine, and the next request with the part finds it in two places or none.
+	rereadCost = 1.0
+	// toldPrefill is the share of the prompt tokens that other routers have told an engine to read which still lie before a
+	// request. Their digests are some 100 ms old, and engines read several prompts by turns.
+	toldPrefill = 0.5
 	// stepTime is the time in milliseconds from the send of a short request to its first output at an idle engine.
 	stepTime = 8
 )
@@ -42,6 +48,8 @@
 type demand struct {
 	// output is the expected output in tokens.
 	output ident.Tokens
+	// ownTokens is the number of prompt tokens that no engine has in its cache, and allTokens that with the shared part.
+	ownTokens, allTokens ident.Tokens
 	// shared is the hash of the part of the prompt that other requests share, or zero. owners are the engines that most likely
 	// have it in their caches, in this order.
 	shared uint64
@@ -64,7 +72,10 @@
 		return demand{}
 	}
 	d := demand{output: p.lengths.Expect(r.Route, r.Prompt.OutputHint, r.Prompt.MaxOutput)}
+	d.allTokens = uncachedTokens(r.Prompt, false)
+	d.ownTokens = d.allTokens
 	if part, ok := r.Prompt.sharedPart(); ok {
+		d.ownTokens = uncachedTokens(r.Prompt, true)
 		d.shared = partHash(part)
 		d.owners = p.ownersOf(d.shared)
 	}
@@ -125,16 +136,20 @@
 // addEngineCost adds the time to the first output, and what the request costs the others at the engine.
 func (f *Fleet) addEngineCost(e *estimate, p *pool, m *member, r *Request, d *demand) {
 	others := f.otherWork(m)
-	e.prefill = uncachedTokens(r.Prompt, p.caches(m, d))
-	e.queued = m.own.Prefill + others.Prefill
+	e.prefill = d.allTokens
+	if f.caches(p, m, d, r.Now) {
+		e.prefill = d.ownTokens
+	}
+	e.queued = m.own.Prefill + ident.Tokens(toldPrefill*float64(others.Prefill))
 	e.first = (stepTime + p.rates.Prefill(float64(e.prefill+e.queued))) * m.speedAt(r.Now) * m.pace(r.Now)
 	e.cost += e.first
+	e.cost += rereadCost * p.rates.Prefill(float64(e.prefill-d.ownTokens))
 	slots := float64(max(m.Slots, 1))
 	share := e.requests / slots
 	e.cost += batchCost * share * share
 	e.cost += outputShare * p.rates.Output() * float64(m.own.Output+others.Output) / slots
 	if m.home {
-		e.cost += boundCost * max(e.requests-boundRatio*p.meanRequests()-boundSlack, 0)
+		e.cost += boundCost * max(e.requests-p.bound(), 0)
 	}
 	if p.capacity > 0 {
 		used := float64(m.own.Memory+others.Memory+r.Prompt.Input+d.output) / float64(p.capacity)
@@ -144,6 +159,9 @@
 	}
 }
 
+// bound returns the number of requests beyond which an engine leaves requests with shared parts to the next owner.
+func (p *pool) bound() float64 { return boundRatio*p.meanRequests() + boundSlack }
+
 // uncachedTokens returns the number of prompt tokens that a target has to prefill. Every target is assumed to cache the
 // first part, and one that caches the shared prefix all parts but the last.
 func uncachedTokens(p *Prompt, cached bool) ident.Tokens {
--- a/core/place/evacuation.go
+++ b/core/place/evacuation.go
@@ -53,6 +53,7 @@
 	if !evacuated {
 		d.endedAt = now
 		d.ramp = cold.NewRamp(now, f.cold.ColdTime()+rampTime)
+		f.ramping = true
 	}
 	return true
 }
@@ -73,11 +74,16 @@
 
 // advanceRamps determines which failure domains are left out of the next choice. The caller holds f.mu.
 func (f *Fleet) advanceRamps(now time.Time) {
+	if !f.ramping {
+		return
+	}
+	f.ramping = false
 	for _, d := range f.domains {
 		d.held = d.ramp != nil && !d.ramp.Admit(now)
 		if d.ramp != nil && d.ramp.Done(now) {
 			d.ramp = nil
 		}
+		f.ramping = f.ramping || d.ramp != nil || d.held
 	}
 }
 
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -53,6 +53,8 @@
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
 	domains          map[ident.DomainID]*domainState
+	// ramping says that a failure domain is taken back by a ramp.
+	ramping bool
 	// cold limits the requests to cold targets.
 	cold *cold.Limiter
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -201,6 +201,23 @@
 	is.NoErr(err)
 }
 
+// TestGoneTarget guards against sends to a target whose address another one has got, again and again until its entry expires,
+// and against one that stays away after it has started anew.
+func TestGoneTarget(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1")
+	c, err := f.Choose(testRequest(nil))
+	is.NoErr(err)
+	c.Done(ResultGone, testStart)
+	_, err = f.Choose(Request{Service: "llm", Now: testStart.Add(goneBackoff - 1)})
+	is.True(errors.Is(err, ErrFull))
+	restarted := testEngine("1")
+	restarted.Born = 5
+	f.Put(restarted)
+	_, err = f.Choose(Request{Service: "llm", Now: testStart.Add(time.Millisecond)})
+	is.NoErr(err)
+}
+
 // TestUnreachableDomain guards against requests that try one target after another in an unreachable failure domain, and
 // against a domain that stays suspect after one of its targets has answered.
 func TestUnreachableDomain(t *testing.T) {
--- /dev/null
+++ b/core/place/load_failures_test.go
@@ -0,0 +1,249 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumsaddle/core/digest"
+	"geraniumsaddle/core/ident"
+)
+
+// TestManyRoutersWithFailures guards against callers who pay for a failure of the exchange of digests or for a wrong report:
+// routers must serve on with what they know themselves, and one that lies has a bounded effect.
+func TestManyRoutersWithFailures(t *testing.T) {
+	const load = 1.5
+	cases := []struct {
+		name  string
+		apply func(*simFleet)
+		// late and spread bound the share of late first outputs, and the busiest engine in relation to the mean.
+		late, spread float64
+	}{
+		{"half of the digests lost", func(s *simFleet) {
+			rng := rand.New(rand.NewPCG(5, 6))
+			s.hearsDigest = func(int, int) bool { return rng.IntN(2) == 0 }
+		}, 0.02, 1.6},
+		{"all digests lost", func(s *simFleet) {
+			s.hearsDigest = func(int, int) bool { return false }
+		}, 0.05, 2.5},
+		{"one router cut off", func(s *simFleet) {
+			s.hearsDigest = func(from, to int) bool { return from != 3 && to != 3 }
+		}, 0.02, 1.6},
+		{"an engine that reports no load", func(s *simFleet) { s.order[7].lies = true }, 0.02, 1.6},
+		{"a router that claims to fill all engines", func(s *simFleet) {
+			s.alter = func(from int, rows []digest.Row) []digest.Row {
+				if from != 3 {
+					return rows
+				}
+				rows = nil
+				for _, e := range s.order {
+					rows = append(rows, digest.Row{Target: digest.KeyOf(e.target.ID, 0),
+						Work: digest.Work{Running: 1 << 20, Prefill: 1 << 40, Output: 1 << 40, Memory: 1 << 40}})
+				}
+				return rows
+			}
+		}, 0.05, 1.8},
+		{"a router that claims to fill a third of the engines", func(s *simFleet) {
+			s.alter = func(from int, rows []digest.Row) []digest.Row {
+				if from != 3 {
+					return rows
+				}
+				rows = nil
+				for _, e := range s.order[:len(s.order)/3] {
+					rows = append(rows, digest.Row{Target: digest.KeyOf(e.target.ID, 0),
+						Work: digest.Work{Running: 1 << 20, Prefill: 1 << 40}})
+				}
+				return rows
+			}
+		}, 0.05, 1.8},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimFleet(load)
+			c.apply(s)
+			s.run(12 * time.Second)
+			r := s.result()
+			t.Log(r)
+			is.Equal(r.lost, 0)
+			is.True(r.lateShare() < c.late)
+			is.True(r.refusedShare < 0.01)
+			is.True(r.spread < c.spread)
+		})
+	}
+}
+
+// TestDigestOfRestartedTarget guards against work at the old process of a target that counts against the new one, at the
+// router that sent it and at those that heard of it.
+func TestDigestOfRestartedTarget(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := newTestFleet("1"), newTestFleet("1")
+	c, err := sender.Choose(testRequest(testPrompt("p")))
+	is.NoErr(err)
+	d := digest.Digest{Seq: 1, Domain: "a", Packed: digest.Pack(sender.Work())}
+	is.NoErr(receiver.ApplyDigest("r.1", d, testStart))
+	is.Equal(receiver.Outlook("llm", testStart).Busy, 1)
+	restarted := testEngine("1")
+	restarted.Born = 5
+	sender.Put(restarted)
+	receiver.Put(restarted)
+	later := testStart.Add(outlookAge)
+	is.Equal(receiver.Outlook("llm", later).Busy, 0)
+	is.Equal(len(sender.Work()), 0)
+	c.FirstOutput(later)
+	c.Done(ResultFailed, later)
+	is.Equal(len(sender.Work()), 0)
+	next, err := sender.Choose(Request{Service: "llm", Now: later})
+	is.NoErr(err)
+	is.Equal(next.EstimatedRequests, 0.0)
+}
+
+// TestOneLiarCannotFillTarget guards against a router that alone makes the others believe that a target is full, by a large
+// number or by a target that it lists many times.
+func TestOneLiarCannotFillTarget(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1")
+	row := digest.Row{Target: digest.KeyOf("1", 0), Work: digest.Work{Running: 1000, Prefill: 1 << 40, Memory: 1 << 40}}
+	rows := []digest.Row{row, row, row}
+	is.NoErr(f.ApplyDigest("r.1", digest.Digest{Seq: 1, Domain: "a", Packed: digest.Pack(rows)}, testStart))
+	c, err := f.Choose(testRequest(testPrompt("p")))
+	is.NoErr(err)
+	is.Equal(c.EstimatedRequests, float64(testEngine("1").Slots/2))
+}
+
+// TestRefusedDigests guards against digests of other failure domains, overtaken ones and malformed ones.
+func TestRefusedDigests(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1")
+	apply := func(seq uint64, domain ident.DomainID, packed []byte) error {
+		return f.ApplyDigest("r.1", digest.Digest{Seq: seq, Domain: domain, Packed: packed}, testStart)
+	}
+	is.True(errors.Is(apply(1, "b", nil), ErrOtherDomain))
+	is.NoErr(apply(2, "a", nil))
+	is.True(errors.Is(apply(2, "a", nil), ErrOldDigest))
+	is.True(apply(3, "a", []byte{1}) != nil)
+}
+
+// TestSilentRouterIsForgotten guards against the work of a router that has gone, which would count for ever.
+func TestSilentRouterIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1")
+	row := digest.Row{Target: digest.KeyOf("1", 0), Work: digest.Work{Running: 3}}
+	is.NoErr(f.ApplyDigest("r.1", digest.Digest{Seq: 1, Domain: "a", Packed: digest.Pack([]digest.Row{row})}, testStart))
+	is.Equal(f.Outlook("llm", testStart).Busy, 3)
+	is.Equal(f.Outlook("llm", testStart.Add(digest.MaxAge+time.Millisecond)).Busy, 0)
+}
+
+// TestRequestsStayInDomain guards against requests that leave the failure domain although its targets have room, and against
+// ones that wait there for a full target while others have room.
+func TestRequestsStayInDomain(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{Domain: "a", RemovalGrace: time.Second, VM: "vm"})
+	for i := range 30 {
+		target := testEngine(fmt.Sprint(i))
+		if i >= 10 {
+			target.Domain = "b"
+		}
+		f.Put(target)
+	}
+	domains := map[ident.DomainID]int{}
+	for i := range 40 {
+		c, err := f.Choose(testRequest(testPrompt(fmt.Sprint(i))))
+		is.NoErr(err)
+		domains[c.Target.Domain]++
+		c.FirstOutput(testStart.Add(50 * time.Millisecond))
+	}
+	is.Equal(domains["b"], 0)
+	for i := range 100 {
+		c, err := f.Choose(testRequest(testPrompt(fmt.Sprint(i))))
+		is.NoErr(err)
+		domains[c.Target.Domain]++
+	}
+	is.True(domains["b"] > 0) // the own domain has 80 slots
+}
+
+// TestMemoryOfEngine guards against a request that an engine has no room for in its KV cache although it has free slots.
+func TestMemoryOfEngine(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1", "2")
+	f.SetEngine("llm", Engine{KVCapacity: 21_000})
+	rows := []digest.Row{ // the first engine has fewer requests, and larger ones
+		{Target: digest.KeyOf("1", 0), Work: digest.Work{Running: 1, Memory: 11_000}},
+		{Target: digest.KeyOf("2", 0), Work: digest.Work{Running: 2, Memory: 1000}},
+	}
+	is.NoErr(f.ApplyDigest("r.1", digest.Digest{Seq: 1, Domain: "a", Packed: digest.Pack(rows)}, testStart))
+	c, err := f.Choose(testRequest(&Prompt{Input: 9000, MaxOutput: 80}))
+	is.NoErr(err)
+	is.Equal(c.Target.ID, ident.TargetID("2"))
+	c.Done(ResultNeutral, testStart)
+	c, err = f.Choose(testRequest(&Prompt{Input: 900, MaxOutput: 80}))
+	is.NoErr(err)
+	is.Equal(c.Target.ID, ident.TargetID("1"))
+}
+
+// TestPaceOfMachine guards against a target whose machine is slowed that gets as many requests as the others, and against one
+// that is avoided when what it said is old.
+func TestPaceOfMachine(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1", "2")
+	own := &Prompt{Input: 3000, MaxOutput: 10}
+	f.ReportLoad("1", Load{Slots: 8, Pace: 300}, testStart)
+	f.ReportLoad("2", Load{Slots: 8, Pace: 100}, testStart)
+	c, err := f.Choose(testRequest(own))
+	is.NoErr(err)
+	is.Equal(c.Target.ID, ident.TargetID("2"))
+	c.Done(ResultNeutral, testStart)
+	m := f.targets["1"]
+	is.True(m.pace(testStart.Add(paceHalfLife)) < 2.1)
+	is.Equal(m.pace(testStart.Add(time.Second)), 1.0)
+	f.ReportLoad("1", Load{Slots: 8, Pace: 1 << 20}, testStart)
+	is.Equal(m.pace(testStart), float64(maxPace))
+}
+
+// TestSlowTarget guards against a target that is slower than the others and gets as many requests as they do, and against one
+// that stays avoided when it has recovered.
+func TestSlowTarget(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1", "2")
+	own := &Prompt{Input: 3000, MaxOutput: 10}
+	now := testStart
+	counts := map[ident.TargetID]int{}
+	for range 200 {
+		c, err := f.Choose(Request{Service: "llm", Prompt: own, Now: now})
+		is.NoErr(err)
+		counts[c.Target.ID]++
+		took := 60 * time.Millisecond
+		if c.Target.ID == "1" {
+			took *= 3
+		}
+		c.FirstOutput(now.Add(took))
+		c.Done(ResultOK, now.Add(took))
+		now = now.Add(50 * time.Millisecond)
+	}
+	is.True(counts["1"] < counts["2"]/2)
+	is.True(f.targets["1"].speedAt(now.Add(time.Minute)) < 1.05)
+}
+
+// TestOutlook guards against an outlook that shows room at full targets, or no end of a wait that has one.
+func TestOutlook(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet("1", "2")
+	is.Equal(f.Outlook("none", testStart), Outlook{})
+	o := f.Outlook("llm", testStart)
+	is.Equal(o.Slots, 16)
+	is.Equal(o.Busy, 0)
+	is.Equal(o.RoomAt, testStart)
+	for range 16 {
+		_, err := f.Choose(testRequest(nil))
+		is.NoErr(err)
+	}
+	later := testStart.Add(outlookAge)
+	o = f.Outlook("llm", later)
+	is.Equal(o.Busy, 16)
+	is.True(o.EndsPerSecond > 0)
+	is.True(o.RoomAt.After(later) && o.RoomAt.Before(later.Add(time.Minute)))
+}
--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -25,9 +25,9 @@
 	cache  map[string]bool
 	freeAt time.Duration // when it has read all prompts that it has
 	ends   []time.Duration
-	// busy is the time integral of its requests, and refused says how many it had no room for.
-	busy    time.Duration
-	refused int
+	// busy is the time integral of its requests, and sharedRead the number of tokens of shared parts that it has read.
+	busy       time.Duration
+	sharedRead int
 }
 
 // The figures of the engines follow the sheet of a deployment with 112 of them.
@@ -49,7 +49,6 @@
 func (e *fakeEngine) serve(p *Prompt, output int, now time.Duration) (first, end time.Duration, ok bool) {
 	n := e.load(now)
 	if n >= simSlots+simQueue {
-		e.refused++
 		return 0, 0, false
 	}
 	start := max(now, e.freeAt)
@@ -58,10 +57,13 @@
 		start = max(start, e.ends[n-simSlots])
 	}
 	tokens, cached := 0, true
-	for _, part := range p.Parts {
+	for i, part := range p.Parts {
 		cached = cached && e.cache[part.ID]
 		if !cached {
 			tokens += int(part.Tokens)
+			if i+1 < len(p.Parts) {
+				e.sharedRead += int(part.Tokens)
+			}
 		}
 		e.cache[part.ID] = true
 	}
@@ -124,7 +126,6 @@
 	alter       func(from int, rows []digest.Row) []digest.Row
 
 	sends, refused int
-	prefillTokens  int
 }
 
 // newSimFleet returns a failure domain of the size of one of three with 66 routers and 112 engines.
@@ -269,6 +270,8 @@
 	// refusedShare is the share of sends that met a full engine, and spread the requests at the busiest engine in relation to
 	// the mean.
 	refusedShare, spread float64
+	// sharedRead is the number of tokens of shared parts that engines have read, in millions.
+	sharedRead float64
 }
 
 func (s *simFleet) result() simResult {
@@ -280,6 +283,7 @@
 	var sum, most time.Duration
 	for _, e := range s.order {
 		sum += e.busy
+		r.sharedRead += float64(e.sharedRead) / 1e6
 		most = max(most, e.busy)
 	}
 	r.spread = float64(most) * float64(len(s.order)) / float64(sum)
@@ -289,8 +293,8 @@
 func (r simResult) lateShare() float64 { return float64(r.late) / float64(max(r.served, 1)) }
 
 func (r simResult) String() string {
-	return fmt.Sprintf("%d served, %.2f%% late, %d lost, %.2f%% of sends met a full engine, busiest/mean %.2f",
-		r.served, 100*r.lateShare(), r.lost, 100*r.refusedShare, r.spread)
+	return fmt.Sprintf("%d served, %.2f%% late, %d lost, %.2f%% of sends met a full engine, busiest/mean %.2f, %.2fM tokens of shared parts read",
+		r.served, 100*r.lateShare(), r.lost, 100*r.refusedShare, r.spread, r.sharedRead)
 }
 
 // TestManyRouters guards against routers that choose targets by what little each has heard itself, so that some engines are
--- a/core/place/owners.go
+++ b/core/place/owners.go
@@ -45,10 +45,22 @@
 	return o
 }
 
-// caches reports whether an engine probably has the shared part of a request in its cache: the first owner reads it for all
-// routers, and the others only if this router has sent it there.
-func (p *pool) caches(m *member, d *demand) bool {
-	return d.shared != 0 && (m == d.owners[0] || p.reads.has(d.shared, m))
+// caches reports whether an engine probably has the shared part of a request in its cache. The first owner reads it for all
+// routers, and each next one once those before it are loaded beyond their bound. Of other engines a router knows only what
+// it has sent there itself. The caller holds Fleet.mu.
+func (f *Fleet) caches(p *pool, m *member, d *demand, now time.Time) bool {
+	if d.shared == 0 {
+		return false
+	}
+	for _, o := range d.owners {
+		if o == m {
+			return true
+		}
+		if o == nil || f.requestsAt(o, now) <= p.bound() {
+			break
+		}
+	}
+	return p.reads.has(d.shared, m)
 }
 
 const (
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -60,6 +60,8 @@
 	ResultOK
 	// ResultFull means that the target refused the request without running it.
 	ResultFull
+	// ResultGone means that another target has answered at the address, and has not run the request.
+	ResultGone
 	// ResultFailed means an error of the target or of the connection to it.
 	ResultFailed
 	// ResultUnreachable means that no connection to the target could be opened.
@@ -84,6 +86,9 @@
 	maxLoadAge = 1500 * time.Millisecond
 	// fullBackoff is the time for which a target that refused a request as full gets no further requests.
 	fullBackoff = 100 * time.Millisecond
+	// goneBackoff is the time for which a target gets no requests after another one has answered at its address. Its entry
+	// expires in that time, unless the store is away.
+	goneBackoff = 5 * time.Second
 	// paceHalfLife is the time in which a report of the machine's pace loses half of its effect, because it changes many times
 	// a second. minPace and maxPace bound what a target is believed.
 	paceHalfLife     = 40 * time.Millisecond
@@ -145,6 +150,8 @@
 		m.failureRateAt = now
 	case ResultFull:
 		m.fullUntil = now.Add(fullBackoff)
+	case ResultGone:
+		m.fullUntil = now.Add(goneBackoff)
 	case ResultFailed:
 		m.failureRate = m.decayedFailureRate(now)*(1-failureWeight) + failureWeight
 		m.failureRateAt = now
--- a/io/edge/buffered.go
+++ b/io/edge/buffered.go
@@ -143,7 +143,13 @@
 		x.s.deps.Log.Debug("body of the target's refusal not read", "id", x.requestHeaders.ID, "error", err)
 	}
 	x.s.deps.Log.Info("target refused the request", "id", x.requestHeaders.ID, "target", sent.choice.Target.ID,
-		"status", sent.answer.Status, "misdirected", sent.answerHeaders.Misdirected)
+		"status", sent.answer.Status, "misdirected", sent.answerHeaders.Misdirected,
+		"busy", int(sent.choice.EstimatedRequests), "running", sent.answerHeaders.Load.Running,
+		"waiting", sent.answerHeaders.Load.Waiting, "slots", sent.answerHeaders.Load.Slots)
+	if sent.answerHeaders.Misdirected {
+		x.endSend(sent, place.ResultGone)
+		return place.ErrFull
+	}
 	x.endSend(sent, place.ResultFull)
 	return place.ErrFull
 }
--- a/io/edge/log_test.go
+++ b/io/edge/log_test.go
@@ -26,7 +26,7 @@
 	"configuration in force":                         "organisations revision routes version",
 	"target entry removed":                           "target",
 	"send to target failed":                          "addr error events id prompt_parts result target",
-	"target refused the request":                     "id misdirected status target",
+	"target refused the request":                     "busy id misdirected running slots status target waiting",
 	"store is unreachable":                           "error",
 	"store is reachable again":                       "away_ms",
 	"link is busy; taking no new callers":            "bytes_per_s capacity",
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -164,7 +164,7 @@
 }
 
 var resultNames = map[place.Result]string{
-	place.ResultNeutral: "neutral", place.ResultOK: "ok", place.ResultFull: "full", place.ResultFailed: "failed", place.ResultUnreachable: "unreachable",
+	place.ResultNeutral: "neutral", place.ResultOK: "ok", place.ResultFull: "full", place.ResultGone: "gone", place.ResultFailed: "failed", place.ResultUnreachable: "unreachable",
 }
 
 // mayTryAnother reports whether the request may be offered to another target. If the last send may have arrived, the
