--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -24,7 +24,7 @@
 	// outputShare is the share of an engine's time that goes to the output of running requests.
 	outputShare = 0.1
 	// batchCost is the delay in milliseconds of an engine whose slots are all in use. It grows with the square of the share.
-	batchCost = 40
+	batchCost = 10
 	// boundRatio and boundSlack bound the load of an engine that has a shared part in its cache: that ratio of the mean over
 	// the engines, and the slack in requests. Each request beyond that costs boundCost milliseconds.
 	boundRatio = 1.2
@@ -36,10 +36,10 @@
 	memoryCost  = 200
 	// rereadCost is how much the time to read tokens that another engine probably has in its cache counts beside the delay of
 	// the request itself: it delays others at the engine, and the next request with the part finds it in two places or none.
-	rereadCost = 1.0
+	rereadCost = 2.0
 	// toldPrefill is the share of the prompt tokens that other routers have told an engine to read which still lie before a
 	// request. Their digests are some 100 ms old, and engines read several prompts by turns.
-	toldPrefill = 0.5
+	toldPrefill = 0.2
 	// stepTime is the time in milliseconds from the send of a short request to its first output at an idle engine.
 	stepTime = 8
 )
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -57,7 +57,7 @@
 )
 
 // ApplyDigest records what another router has in progress. Rows of unknown targets are dropped. What one router can claim to
-// have at a target is bounded by half of the target's slots, so that no router alone can make a target look full.
+// have at a target is bounded by a quarter of its slots and memory, so that no router alone can make a target look full.
 func (f *Fleet) ApplyDigest(from ident.RouterID, d digest.Digest, now time.Time) error {
 	rows, err := d.Rows()
 	if err != nil {
@@ -82,17 +82,21 @@
 	return nil
 }
 
-// maxRequestTokens bounds the tokens that one request in a digest counts for, in each respect.
-const maxRequestTokens = 32 << 10
+const (
+	// claimShare is the part of a target, as its reciprocal, that one router is believed to have in use.
+	claimShare = 4
+	// maxRequestTokens bounds the tokens that one request in a digest counts for, in each respect.
+	maxRequestTokens = 32 << 10
+)
 
 // bounded returns a row within the bounds of what one router is believed. The caller holds f.mu.
 func (f *Fleet) bounded(r digest.Row, m *member) digest.Row {
-	r.Running = min(r.Running, max(m.Slots/2, 1))
+	r.Running = min(r.Running, max(m.Slots/claimShare, 1))
 	tokens := ident.Tokens(r.Running) * maxRequestTokens
 	r.Prefill, r.Output = min(r.Prefill, tokens), min(r.Output, tokens)
 	r.Memory = min(r.Memory, tokens)
 	if p := f.pools[m.Service]; p != nil && p.capacity > 0 {
-		r.Memory = min(r.Memory, p.capacity/2)
+		r.Memory = min(r.Memory, p.capacity/claimShare)
 	}
 	return r
 }
