--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -34,5 +34,5 @@
 // Value returns the estimate.
 func (e *Quantile) Value() float64 { return e.value }
 
-// Scale moves the estimate towards 1 by a share between 0 and 1, on a logarithmic scale.
-func (e *Quantile) Scale(share float64) { e.value = math.Pow(e.value, 1-share) }
+// Relax moves the estimate towards 1 by a share between 0 and 1, on a logarithmic scale.
+func (e *Quantile) Relax(share float64) { e.value = math.Pow(e.value, 1-share) }
--- a/core/digest/digest_test.go
+++ b/core/digest/digest_test.go
@@ -82,7 +82,6 @@
 	is.Equal(table.Total(k).Running, 2)
 	table.Expire(testStart.Add(MaxAge + 1))
 	is.Equal(table.Total(k), Work{})
-	is.Equal(table.Fresh(testStart.Add(MaxAge+1)), 0)
 }
 
 // TestRestartedTargetHasAnotherKey guards against work at the old process of a target that counts for the new one.
--- a/core/digest/table.go
+++ b/core/digest/table.go
@@ -94,14 +94,3 @@
 
 // Total returns what the other routers have in progress at a target.
 func (t *Table) Total(k Key) Work { return t.totals[k] }
-
-// Fresh returns the number of routers whose digests count.
-func (t *Table) Fresh(now time.Time) int {
-	n := 0
-	for _, s := range t.sources {
-		if now.Sub(s.at) <= MaxAge {
-			n++
-		}
-	}
-	return n
-}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -34,7 +34,9 @@
 	Exclude []ident.TargetID
 	// Versions restricts the versions that may take the request.
 	Versions VersionFilter
-	Now      time.Time
+	// Regions restricts the regions of the targets that may take the request.
+	Regions RegionFilter
+	Now     time.Time
 }
 
 // VersionFilter restricts the versions of targets. The zero value allows all.
@@ -59,6 +61,8 @@
 	Work digest.Work
 	// Output is the number of output tokens that the target has sent. The caller sets it before Done.
 	Output ident.Tokens
+	// Cold reports whether the target is or may be cold and limits its requests.
+	Cold bool
 
 	fleet  *Fleet
 	pool   *pool
@@ -66,7 +70,7 @@
 	prompt *Prompt
 	route  string
 	// sentAt and firstAt are the times of the choice and of the first output. queued is the number of prompt tokens that the
-	// target had to read before those of the request, and first the expected time to the first output in milliseconds.
+	// target had to read before those of the request, and first the time to the first output in milliseconds that is usual for that.
 	sentAt, firstAt time.Time
 	queued          ident.Tokens
 	first           float64
@@ -188,7 +192,7 @@
 		c.Work.Memory = s.r.Prompt.Input + s.demand.output
 	}
 	m.addWork(c.Work, 1)
-	s.f.recordColdSend(m, s.r.Now)
+	c.Cold = s.f.recordColdSend(m, s.r.Now)
 	if m.home {
 		p.ownRunning++
 	}
@@ -199,7 +203,7 @@
 	if !m.available() || slices.Contains(r.Exclude, m.ID) {
 		return false
 	}
-	return r.Versions.allows(m.Version)
+	return r.Versions.allows(m.Version) && f.inRegion(m, r.Regions)
 }
 
 // FirstOutput records that the target has read the prompt. The caller calls it on each event of the answer; the first call
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -25,17 +25,19 @@
 	outputShare = 0.1
 	// batchCost is the delay in milliseconds of an engine whose slots are all in use. It grows with the square of the share.
 	batchCost = 10
-	// boundRatio and boundSlack bound the load of an engine that has a shared part in its cache: that ratio of the mean over
-	// the engines, and the slack in requests. Each request beyond that costs boundCost milliseconds.
-	boundRatio = 1.2
+	// boundRatio and boundSlack bound the load of an engine in a self-sufficient failure domain: that ratio of the mean over
+	// its engines, and the slack in requests. Each request beyond that costs boundCost milliseconds. In a smaller pool each
+	// router knows enough of the load to do without.
+	boundRatio = 1.15
 	boundSlack = 0.5
-	boundCost  = 60
+	boundCost  = 90
 	// memoryShare is the share of an engine's KV cache that running requests may use. Beyond it requests are preempted and
 	// read again, which costs memoryCost milliseconds, and as much again for each tenth more.
 	memoryShare = 0.9
 	memoryCost  = 200
 	// rereadCost is how much the time to read tokens that another engine probably has in its cache counts beside the delay of
 	// the request itself: it delays others at the engine, and the next request with the part finds it in two places or none.
+	// It weighs against boundCost and so holds for the same pools.
 	rereadCost = 2.0
 	// toldPrefill is the share of the prompt tokens that other routers have told an engine to read which still lie before a
 	// request. Their digests are some 100 ms old, and engines read several prompts by turns.
@@ -58,7 +60,7 @@
 
 // estimate is what a request costs at one target.
 type estimate struct {
-	// cost is the delay in milliseconds, and first the part of it that is the time to the first output.
+	// cost is the delay in milliseconds, and first the time to the first output at a target of the usual speed and pace.
 	cost, first float64
 	// requests is the estimated number of requests at the target. full says that none of its slots is free.
 	requests float64
@@ -95,7 +97,7 @@
 // estimate returns what a request costs at a target. The caller holds f.mu.
 func (f *Fleet) estimate(p *pool, m *member, r *Request, d *demand) estimate {
 	var e estimate
-	e.requests = f.requestsAt(m, r.Now)
+	e.requests = f.requestsAt(p, m, r.Now)
 	if !m.home && p.selfSufficient && r.Now.Sub(m.reportedAt) > freshReport {
 		// Nothing is known of it, so that it is taken to be as busy as the others.
 		e.requests = max(e.requests, p.meanRequests())
@@ -141,14 +143,14 @@
 		e.prefill = d.ownTokens
 	}
 	e.queued = m.own.Prefill + ident.Tokens(toldPrefill*float64(others.Prefill))
-	e.first = (stepTime + p.rates.Prefill(float64(e.prefill+e.queued))) * m.speedAt(r.Now) * m.pace(r.Now)
-	e.cost += e.first
-	e.cost += rereadCost * p.rates.Prefill(float64(e.prefill-d.ownTokens))
+	e.first = stepTime + p.rates.Prefill(float64(e.prefill+e.queued))
+	e.cost += e.first * m.speedAt(r.Now) * m.pace(r.Now)
 	slots := float64(max(m.Slots, 1))
 	share := e.requests / slots
 	e.cost += batchCost * share * share
 	e.cost += outputShare * p.rates.Output() * float64(m.own.Output+others.Output) / slots
-	if m.home {
+	if p.selfSufficient {
+		e.cost += rereadCost * p.rates.Prefill(float64(e.prefill-d.ownTokens))
 		e.cost += boundCost * max(e.requests-p.bound(), 0)
 	}
 	if p.capacity > 0 {
--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -55,6 +55,7 @@
 	domains          map[ident.DomainID]*domainState
 	// ramping says that a failure domain is taken back by a ramp.
 	ramping bool
+	regions map[ident.DomainID]ident.RegionID
 	// cold limits the requests to cold targets.
 	cold *cold.Limiter
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
--- a/core/place/target.go
+++ b/core/place/target.go
@@ -40,6 +40,9 @@
 	Slots int
 	// Born is the start time in Unix milliseconds, or zero if unknown. It distinguishes two starts under the same ID.
 	Born int64
+	// ColdRemaining is how long the target stays cold after its entry was written, if ColdKnown is set.
+	ColdRemaining time.Duration
+	ColdKnown     bool
 }
 
 // Load is the load that a target reports about itself.
@@ -217,13 +220,12 @@
 func (m *member) recordFirst(c *Choice, now time.Time) {
 	took := time.Duration(float64(now.Sub(c.sentAt)) / m.pace(now))
 	c.pool.rates.AddFirst(c.Work.Prefill+c.queued, took)
-	if c.first <= 0 {
+	if c.first <= 0 { // A plain service has no time to the first output.
 		return
 	}
-	expected := c.first / m.speedAt(c.sentAt) // milliseconds
 	if age := now.Sub(m.speedSetAt); age > 0 && !m.speedSetAt.IsZero() {
-		m.speed.Scale(1 - math.Exp2(-float64(age)/float64(speedHalfLife)))
+		m.speed.Relax(1 - math.Exp2(-float64(age)/float64(speedHalfLife)))
 	}
 	m.speedSetAt = now
-	m.speed.Add(float64(took) / float64(time.Millisecond) / expected)
+	m.speed.Add(float64(took) / float64(time.Millisecond) / c.first)
 }
--- a/io/edge/config.go
+++ b/io/edge/config.go
@@ -25,6 +25,7 @@
 			s.targets.SetEngine(svc.ID, place.Engine{KVCapacity: svc.Engine.KVCapacity})
 		}
 	}
+	s.targets.SetColdServices(coldServices(cfg.Services))
 	s.table.Store(route.New(cfg))
 	s.callers.SetIdleLimit(cfg.Limits.IdleTimeout)
 	trigger(s.grantsNow)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -157,6 +157,8 @@
 	if s.watchTimeouts == nil {
 		s.watchTimeouts = defaultWatchTimeouts
 	}
+	s.targets.SetColdBounds(coldBoundsOf(cfg.Bounds))
+	s.targets.SetRegions(cfg.Regions)
 	s.buffers = newBufferLimiter(cfg.MemoryBytes)
 	s.memory = newMemoryBudget(cfg.MemoryBytes)
 	maxConns, err := maxCallerConns(cfg.MaxDescriptors)
@@ -266,6 +268,8 @@
 	old := s.bounds
 	s.bounds = cfg.Bounds
 	s.deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
+	s.targets.SetColdBounds(coldBoundsOf(cfg.Bounds))
+	s.targets.SetRegions(cfg.Regions)
 	for _, b := range s.retryBudgets {
 		b.Configure(s.retryConfig())
 	}
@@ -289,6 +293,7 @@
 	}{
 		{"watch of the configuration", s.watchConfig}, {"watch of the targets", s.watchTargets},
 		{"watch of the releases", s.watchReleases}, {"releases", s.advanceReleases}, {"tokens", s.runTokenSync},
+		{"watch of the evacuations", s.watchEvacuations}, {"list of routers", s.runRouterRefresh},
 		{"maintenance", s.runMaintenance}, {"quarantine", s.poison.run}, {"saves of the quarantine", s.poison.runSaves},
 	} {
 		tasks.Go(func() { s.runTask(task.name, func() { task.run(ctx) }) })
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -82,6 +82,7 @@
 	estimatedCost     float64
 	estimatedRequests float64
 	prefixOwner       bool
+	targetCold        bool
 	tokenWaitTime     time.Duration
 	targetVersion     ident.VersionID
 	// expectedWork is what the request was expected to cost at the last chosen target.
@@ -259,7 +260,7 @@
 		version = x.table.Version()
 	}
 	x.s.deps.Log.Info("request", "id", x.requestHeaders.ID, "route", routeName, "config", version, "organisation", org,
-		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner,
+		"status", x.status, "reason", x.reason, "targets", x.triedTargets, "version", x.targetVersion, "home", x.prefixOwner, "cold", x.targetCold,
 		"cost_ms", int(x.estimatedCost), "busy", int(x.estimatedRequests), "prefill", x.expectedWork.Prefill, "expected_output", x.expectedWork.Output, "tokens_held", x.heldTokens,
 		"prompt_parts", x.loggedParts(), "input", x.inputTokens(), "output", x.outputTokens, "quarantined_part", x.quarantinedPart, "lender", x.lenderVM(), "token_wait_ms", x.tokenWaitTime.Milliseconds(),
 		"first_ms", x.timeToFirstByte.Milliseconds(), "total_ms", total.Milliseconds())
@@ -277,8 +278,8 @@
 	return min(p, platform.LowestPriority)
 }
 
-// chooseTarget chooses the next target. If the version that a release selects for the request has no target, targets of
-// all versions are eligible.
+// chooseTarget chooses the next target. If the version that a release selects for the request has no target, or only
+// cold ones, targets of all versions are eligible.
 func (x *exchange) chooseTarget() (*place.Choice, error) {
 	if x.quarantined() {
 		return nil, errQuarantined
@@ -289,12 +290,13 @@
 	r := place.Request{
 		Service: x.service, Route: x.route.Name, Goal: x.route.TargetLatency, Exclude: x.triedTargets,
 		Now: x.s.deps.Clock.Now(), Versions: x.versions,
+		Regions: x.allowedRegions(),
 	}
 	if x.route.UsesEngine {
 		r.Prompt = x.requestHeaders.Prompt
 	}
 	c, err := x.s.targets.Choose(r)
-	if errors.Is(err, place.ErrNoTarget) && r.Versions.Only != "" {
+	if r.Versions.Only != "" && (errors.Is(err, place.ErrNoTarget) || errors.Is(err, place.ErrCold)) {
 		r.Versions = place.VersionFilter{}
 		c, err = x.s.targets.Choose(r)
 	}
@@ -302,12 +304,25 @@
 		return nil, err
 	}
 	x.estimatedCost, x.estimatedRequests = c.Cost, c.EstimatedRequests
-	x.prefixOwner, x.targetVersion = c.PrefixOwner, c.Target.Version
+	x.prefixOwner, x.targetCold, x.targetVersion = c.PrefixOwner, c.Cold, c.Target.Version
 	x.expectedWork = c.Work
 	x.s.deps.Metrics.countChoice(x.service, c.Target.Domain == ident.DomainID(x.s.cfg.Domain), c.PrefixOwner)
+	if c.Cold {
+		x.s.deps.Metrics.countColdSend(x.service)
+	}
 	return c, nil
 }
 
+// allowedRegions returns the regions whose targets may get the request.
+func (x *exchange) allowedRegions() place.RegionFilter {
+	filter := place.RegionFilter{}
+	filter.Lists[0] = x.route.Regions
+	if x.org != nil {
+		filter.Lists[1] = x.org.Regions
+	}
+	return filter
+}
+
 // inputTokens returns the number of prompt tokens, or zero for a request without a prompt.
 func (x *exchange) inputTokens() ident.Tokens {
 	if x.requestHeaders.Prompt == nil {
