--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -97,7 +97,7 @@
 // estimate returns what a request costs at a target. The caller holds f.mu.
 func (f *Fleet) estimate(p *pool, m *member, r *Request, d *demand) estimate {
 	var e estimate
-	e.requests = f.requestsAt(p, m, r.Now)
+	e.requests = f.requestsAt(m, r.Now)
 	if !m.home && p.selfSufficient && r.Now.Sub(m.reportedAt) > freshReport {
 		// Nothing is known of it, so that it is taken to be as busy as the others.
 		e.requests = max(e.requests, p.meanRequests())
--- a/core/place/outlook.go
+++ b/core/place/outlook.go
@@ -43,7 +43,7 @@
 		if !m.available() {
 			continue
 		}
-		n := f.requestsAt(p, m, now)
+		n := f.requestsAt(m, now)
 		if !m.home {
 			n = max(n, p.meanRequests())
 		}
--- a/core/place/owners.go
+++ b/core/place/owners.go
@@ -56,7 +56,7 @@
 		if o == m {
 			return true
 		}
-		if o == nil || f.requestsAt(p, o, now) <= p.bound() {
+		if o == nil || f.requestsAt(o, now) <= p.bound() {
 			break
 		}
 	}
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -40,8 +40,6 @@
 	// ownRunning is the number of this router's requests at home, and otherRunning the estimate of those of others.
 	ownRunning   int
 	otherRunning float64
-	// meanTold is the number of requests that other routers have told of the mean target of home.
-	meanTold float64
 
 	outlook   Outlook
 	outlookAt time.Time
@@ -83,8 +81,8 @@
 	}
 	p.selfSufficient = near >= domainTargets && len(p.members) > smallPool
 	p.home, p.far = p.home[:0], p.far[:0]
-	p.ownRunning, p.otherRunning, p.meanTold = 0, 0, 0
-	hash, told := uint64(0), 0
+	p.ownRunning, p.otherRunning = 0, 0
+	hash := uint64(0)
 	for _, m := range p.members {
 		m.home = m.available() && (!p.selfSufficient || m.Domain == f.cfg.Domain)
 		switch {
@@ -92,15 +90,11 @@
 			p.home = append(p.home, m)
 			hash ^= m.hash
 			p.ownRunning += m.own.Running
-			told += f.others.Total(m.workKey).Running
+			p.otherRunning += f.requestsAt(m, now) - float64(m.own.Running)
 		case m.available():
 			p.far = append(p.far, m)
 		}
 	}
-	p.meanTold = float64(told) / float64(max(len(p.home), 1))
-	for _, m := range p.home {
-		p.otherRunning += f.requestsAt(p, m, now) - float64(m.own.Running)
-	}
 	if hash != p.homeHash {
 		p.homeHash = hash
 		clear(p.ownerMap)
--- a/core/place/work.go
+++ b/core/place/work.go
@@ -119,13 +119,11 @@
 // requestsAt returns the estimated number of requests at a target: this router's own, which it knows, and those of others.
 // For these a fresh report of the target counts, but not less than other routers say they have there. An older one has a
 // weight that falls with its age. The caller holds f.mu.
-func (f *Fleet) requestsAt(p *pool, m *member, now time.Time) float64 {
+func (f *Fleet) requestsAt(m *member, now time.Time) float64 {
 	told := float64(f.others.Total(m.workKey).Running)
 	reported, age := m.reportedOthers(now)
-	if age > freshReport && m.home {
-		// The routers that are not heard have as much there as the others, and as at other targets: a small sample alone would
-		// make targets look busy by chance.
-		told += (f.peers.scale() - 1) * (told + p.meanTold) / 2
+	if age > freshReport {
+		told *= f.peers.scale()
 	}
 	return float64(m.own.Running) + max(told, reported)
 }
