--- a/core/place/target.go
+++ b/core/place/target.go
@@ -63,6 +63,8 @@
 	ResultOK
 	// ResultFull means that the target refused the request without running it.
 	ResultFull
+	// ResultGone means that another target has answered at the address, and has not run the request.
+	ResultGone
 	// ResultFailed means an error of the target or of the connection to it.
 	ResultFailed
 	// ResultUnreachable means that no connection to the target could be opened.
@@ -87,6 +89,9 @@
 	maxLoadAge = 1500 * time.Millisecond
 	// fullBackoff is the time for which a target that refused a request as full gets no further requests.
 	fullBackoff = 100 * time.Millisecond
+	// goneBackoff is the time for which a target gets no requests after another one has answered at its address. Its entry
+	// expires in that time, unless the store is away.
+	goneBackoff = 5 * time.Second
 	// paceHalfLife is the time in which a report of the machine's pace loses half of its effect, because it changes many times
 	// a second. minPace and maxPace bound what a target is believed.
 	paceHalfLife     = 40 * time.Millisecond
@@ -148,6 +153,8 @@
 		m.failureRateAt = now
 	case ResultFull:
 		m.fullUntil = now.Add(fullBackoff)
+	case ResultGone:
+		m.fullUntil = now.Add(goneBackoff)
 	case ResultFailed:
 		m.failureRate = m.decayedFailureRate(now)*(1-failureWeight) + failureWeight
 		m.failureRateAt = now
@@ -213,13 +220,12 @@
 func (m *member) recordFirst(c *Choice, now time.Time) {
 	took := time.Duration(float64(now.Sub(c.sentAt)) / m.pace(now))
 	c.pool.rates.AddFirst(c.Work.Prefill+c.queued, took)
-	if c.first <= 0 {
+	if c.first <= 0 { // A plain service has no time to the first output.
 		return
 	}
-	expected := c.first / m.speedAt(c.sentAt) // milliseconds
 	if age := now.Sub(m.speedSetAt); age > 0 && !m.speedSetAt.IsZero() {
-		m.speed.Scale(1 - math.Exp2(-float64(age)/float64(speedHalfLife)))
+		m.speed.Relax(1 - math.Exp2(-float64(age)/float64(speedHalfLife)))
 	}
 	m.speedSetAt = now
-	m.speed.Add(float64(took) / float64(time.Millisecond) / expected)
+	m.speed.Add(float64(took) / float64(time.Millisecond) / c.first)
 }
