Recover ledgers after a rewind of the store

A grant that a store has lost can be made a second time, and a holder that was closed comes back with its grant.

A ledger now has the era and a sequence number of its write. If its value is from before the present era, routers report their own rows and the newest value that they know, and nobody is granted tokens. When reports are missing at the end of the wait, all unallotted tokens are reserved. Allowances from before the rewind prove nothing about a process that ended.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -115,6 +115,8 @@
 	ledgerReadAt map[Shard]time.Duration
 	layout       Layout
 	startVersion ident.ObjectVersion
+	// era is the latest known era of the store.
+	era ident.Era
 }
 
 // clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, as known at an uptime.
--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -12,6 +12,8 @@
 // Allowances is the stored object that declares how much a holder may spend without a further write.
 type Allowances struct {
 	Format int `json:"format"`
+	// Era is the latest era of the store that the holder knew of.
+	Era ident.Era `json:"era,omitempty"`
 	// Sent is when the holder sent the write.
 	Sent Moment `json:"sent"`
 	// Clocks holds the times of day of other VMs at Sent, extrapolated from their last observations, in Unix milliseconds.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -114,7 +114,7 @@
 		Router: a.cfg.Self, VM: a.cfg.VM, Writes: a.writes, StartVersion: a.startVersion, Started: started,
 		Needs: make(map[ident.OrgID]Need),
 		Allowances: &Allowances{
-			Format: Format, Sent: at, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(at.Uptime),
+			Format: Format, Era: a.era, Sent: at, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(at.Uptime),
 			Rows: make(map[ident.OrgID]Allowance),
 		},
 	}
--- a/core/quota/divide.go
+++ b/core/quota/divide.go
@@ -45,6 +45,12 @@
 		d.sumsFor(org).granted += n
 		d.sumsFor(org).spent += n
 	}
+	if l.Recovery != nil {
+		for org, n := range l.Recovery.Reserve {
+			d.sumsFor(org).granted += n
+			d.sumsFor(org).spent += n
+		}
+	}
 	for id, h := range l.Holders {
 		d.latestStartVersion[h.VM] = max(d.latestStartVersion[h.VM], h.StartVersion)
 		for org, row := range h.Rows {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -92,6 +92,11 @@
 	Holders map[ident.RouterID]*Holder `json:"holders"`
 	// Closed is what is counted as spent by holders that have ended.
 	Closed map[ident.OrgID]ident.Tokens `json:"closed,omitempty"`
+	// Era is the store's era of the last write, and Seq counts the writes. Both are zero on a platform without eras.
+	Era ident.Era `json:"era,omitempty"`
+	Seq uint64    `json:"seq,omitempty"`
+	// Recovery is the recovery from the latest rewind of the store, or nil.
+	Recovery *Recovery `json:"recovery,omitempty"`
 }
 
 // NewLedger returns an empty ledger.
@@ -135,9 +140,10 @@
 	return b
 }
 
-// Granted returns what is granted to open holders and counted as spent by closed ones of an organisation's tokens.
+// Granted returns what is granted to open holders, reserved, and counted as spent by closed ones of an organisation's
+// tokens.
 func (l *Ledger) Granted(org ident.OrgID) ident.Tokens {
-	n := l.Closed[org]
+	n := l.Closed[org] + l.Reserved(org)
 	for _, h := range l.Holders {
 		n += h.Rows[org].Granted
 	}
@@ -187,7 +193,7 @@
 // last ones of the holder, or nil if unknown.
 func (l *Ledger) CloseHolder(id ident.RouterID, allowances *Allowances, started Moment, clocks []ClockReading) HolderClosure {
 	var closure HolderClosure
-	if allowances != nil {
+	if l.trusts(allowances) {
 		closure.Age, closure.AgeKnown = allowances.age(l.Holders[id].VM, started, clocks)
 	}
 	for org, row := range l.Holders[id].Rows {
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -143,7 +143,7 @@
 	defer a.mu.Unlock()
 	a.updateRates(now.Uptime)
 	allowances := &Allowances{
-		Format: Format, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
+		Format: Format, Era: a.era, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
 		Rows: make(map[ident.OrgID]Allowance),
 	}
 	for _, id := range a.orgIDs() {
--- /dev/null
+++ b/core/quota/rewind_test.go
@@ -0,0 +1,215 @@
+package quota
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumsaddle/core/ident"
+)
+
+// recoveryWait is how long a router of the model waits for the reports of others.
+const recoveryWait = 4 * time.Second
+
+// rewindSafeguards are the safeguards of a rewind that the model can switch off.
+type rewindSafeguards struct {
+	// report writes back what a router knows, known includes the newest ledger in it, and freeze grants nothing until all have
+	// reported. reserve sets aside what lost VMs may have been granted, and lostVMs counts VMs whose process is new as lost.
+	report, known, freeze, reserve, lostVMs bool
+	// eraOfAllowances ignores allowances from before the rewind.
+	eraOfAllowances bool
+}
+
+var allRewindSafeguards = rewindSafeguards{true, true, true, true, true, true}
+
+// rewindFleet is a fleet whose store goes back.
+type rewindFleet struct {
+	*testFleet
+	safe     rewindSafeguards
+	era      ident.Era
+	past     []testStore
+	memories map[ident.RouterID]*Memory
+	// heard is when each router first saw each era.
+	heard map[string]time.Duration
+}
+
+func newRewindFleet(t *rapid.T, safe rewindSafeguards) *rewindFleet {
+	return &rewindFleet{
+		testFleet: newTestFleet(t), safe: safe, era: 1,
+		memories: make(map[ident.RouterID]*Memory), heard: make(map[string]time.Duration),
+	}
+}
+
+// save remembers the state of the store, to which it can go back.
+func (f *rewindFleet) save() {
+	const kept = 30
+	copied := testStore{versions: maps.Clone(f.store.versions), values: maps.Clone(f.store.values), next: f.store.next}
+	f.past = append(f.past, copied)
+	f.past = f.past[max(len(f.past)-kept, 0):]
+}
+
+// rewind makes the store go back. Writes that are under way may still arrive.
+func (f *rewindFleet) rewind() {
+	i := rapid.IntRange(0, len(f.past)-1).Draw(f.t, "copy")
+	p := f.past[i]
+	f.past = f.past[:i+1]
+	f.store.versions, f.store.values, f.store.next = maps.Clone(p.versions), maps.Clone(p.values), p.next
+	f.era++
+}
+
+func (f *rewindFleet) memoryOf(id ident.RouterID) *Memory {
+	if f.memories[id] == nil {
+		f.memories[id] = &Memory{}
+	}
+	return f.memories[id]
+}
+
+func (f *rewindFleet) reportOf(r *testRouter) Report {
+	key := fmt.Sprint(r.id, f.era)
+	if _, ok := f.heard[key]; !ok {
+		f.heard[key] = f.clock
+	}
+	var vms []ident.VMID
+	for _, v := range f.vms {
+		vms = append(vms, v.id)
+	}
+	report, err := f.memoryOf(r.id).Complete(ident.VMID(r.id.Name()), Report{Era: f.era, Created: 1, VMs: vms, Expired: f.clock-f.heard[key] >= recoveryWait})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if !f.safe.known {
+		report.Known = nil
+	}
+	if !f.safe.lostVMs {
+		report.KnowsVM = true
+	}
+	return report
+}
+
+func (f *rewindFleet) syncGrants(v *testVM) {
+	r := v.router
+	if r.cut {
+		return
+	}
+	l := f.readLedger()
+	from := f.store.versions["ledger"]
+	report := f.reportOf(r)
+	r.accounts.SetEra(f.era)
+	if f.safe.report && l.NeedsReport(v.id, report) {
+		l = r.accounts.PlanReport(0, l, report, v.now(f.clock))
+		f.weaken(l)
+	} else {
+		f.closePredecessors(v, l)
+		r.accounts.PlanGrants(0, l, v.now(f.clock))
+	}
+	l.Stamp(f.era)
+	value := l.Encode()
+	if ok, _ := f.write("ledger", from, value); ok {
+		r.accounts.CommitGrants(0)
+		f.memoryOf(r.id).Remember(value, f.era, !l.recovering())
+	}
+}
+
+// weaken takes away what a safeguard that is switched off has put into a ledger.
+func (f *rewindFleet) weaken(l *Ledger) {
+	if !f.safe.freeze {
+		l.Recovery.Settled, l.Recovery.Pending = true, nil
+	}
+	if !f.safe.reserve {
+		l.Recovery.Reserve = nil
+	}
+}
+
+func (f *rewindFleet) closePredecessors(v *testVM, l *Ledger) {
+	r := v.router
+	clocks := r.accounts.ClockUpperBounds(r.started.Uptime)
+	for _, id := range l.Predecessors(v.id, r.id, 0) {
+		allowances := f.readAllowances(id)
+		if allowances != nil && !f.safe.eraOfAllowances {
+			allowances.Era = f.era
+		}
+		l.CloseHolder(id, allowances, r.started, clocks)
+	}
+}
+
+func (f *rewindFleet) request(v *testVM) {
+	n := rapid.SampledFrom([]ident.Tokens{100, 300, 900}).Draw(f.t, "tokens")
+	if v.router.accounts.Hold(testOrg, n, v.now(f.clock).Uptime).Verdict != Held {
+		f.syncGrants(v)
+		f.syncAllowances(v)
+		if v.router.accounts.Hold(testOrg, n, v.now(f.clock).Uptime).Verdict != Held {
+			return
+		}
+	}
+	if rapid.Bool().Draw(f.t, "long") {
+		v.router.holds = append(v.router.holds, n)
+		return
+	}
+	f.settle(v, n)
+}
+
+// play runs random steps and reports whether more tokens were spent than prepaid.
+func (f *rewindFleet) play(steps int) (overspent bool) {
+	actions := f.actions()
+	actions["request"] = func() { f.request(f.vm()) }
+	actions["grants"] = func() { f.syncGrants(f.vm()) }
+	actions["rewind"] = f.rewind
+	var names []string
+	for name, weight := range map[string]int{"request": 14, "grants": 8, "allowances": 5, "time": 3, "settle": 3, "late": 1,
+		"cut": 1, "kill": 1, "rewind": 1} {
+		names = append(names, slices.Repeat([]string{name}, weight)...)
+	}
+	slices.Sort(names)
+	for range steps {
+		f.save()
+		actions[rapid.SampledFrom(names).Draw(f.t, "action")]()
+		if f.spent > f.total {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRewindNeverOverspends guards against tokens that are granted twice after the store has gone back, once or several
+// times in a row, while writes are lost or late and routers are cut off or killed.
+func TestRewindNeverOverspends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newRewindFleet(t, allRewindSafeguards)
+		if f.play(rapid.IntRange(100, 300).Draw(t, "steps")) {
+			t.Fatalf("%d of %d tokens are spent", f.spent, f.total)
+		}
+	})
+}
+
+// TestRewindSafeguardsAreNeeded guards against a model that would not notice the loss of a safeguard.
+func TestRewindSafeguardsAreNeeded(t *testing.T) {
+	const maxSeeds = 3000
+	for _, tc := range []struct {
+		name string
+		off  func(*rewindSafeguards)
+	}{
+		{"report", func(s *rewindSafeguards) { s.report = false }},
+		{"known", func(s *rewindSafeguards) { s.known = false }},
+		{"freeze", func(s *rewindSafeguards) { s.freeze = false }},
+		{"reserve", func(s *rewindSafeguards) { s.reserve = false }},
+		{"lost VMs", func(s *rewindSafeguards) { s.lostVMs = false }},
+		{"era of allowances", func(s *rewindSafeguards) { s.eraOfAllowances = false }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			safe := allRewindSafeguards
+			tc.off(&safe)
+			play := rapid.Custom(func(t *rapid.T) bool { return newRewindFleet(t, safe).play(200) })
+			for seed := range maxSeeds {
+				if play.Example(seed) {
+					t.Logf("noticed with seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not noticed with %d seeds", maxSeeds)
+		})
+	}
+}
