Bring back what routers know after a rewind of the store

The routers went on from the state of the older copy.

On a higher era all watches list anew, the setup, the member entries, the allowances and the quarantine are written again, and the routers report to all ledgers before they take or give grants. Writers refuse claims until then.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -178,6 +178,9 @@
 
 // runRound offers a claim to the writers in turn, and writes directly when none has served for some rounds.
 func (cs *claimSender) runRound(ctx context.Context) error {
+	if reported, err := cs.reportBeforeClaims(ctx); reported {
+		return err
+	}
 	cs.checkStore(ctx)
 	err := cs.offerInTurn(ctx)
 	if err == nil {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -88,6 +88,7 @@
 	linkMeter    *link.Meter
 	shedder      *link.Shedder
 	storeMonitor *storeMonitor
+	rewinds      *rewinds
 	releases     *releases
 	// peerTransport connects to other routers, and claims sends them this router's claims; both are nil in a small fleet.
 	// writer serves the claims of other routers.
@@ -167,6 +168,8 @@
 	s.poison = newPoisonGuard(s)
 	deps.Metrics.setShutdownGrace(cfg.Bounds.ShutdownGrace)
 	s.storeMonitor = newStoreMonitor(deps.Clock, deps.Log, s.storeChanged)
+	s.rewinds = newRewinds(s)
+	deps.Store.OnRewind(s.rewinds.observe)
 	deps.Log.Info("router starts", "router", self, "vm", cfg.VM, "domain", cfg.Domain,
 		"uptime_ms", now.Uptime.Milliseconds(), "boot", now.Boot, "first_start", cfg.FirstStart)
 	return s
@@ -284,7 +287,7 @@
 	}{
 		{"watch of the configuration", s.watchConfig}, {"watch of the targets", s.watchTargets},
 		{"watch of the releases", s.watchReleases}, {"releases", s.advanceReleases}, {"tokens", s.runTokenSync},
-		{"maintenance", s.runMaintenance}, {"quarantine", s.poison.run}, {"saves of the quarantine", s.poison.runSaves},
+		{"rewinds of the store", s.rewinds.run}, {"maintenance", s.runMaintenance}, {"quarantine", s.poison.run}, {"saves of the quarantine", s.poison.runSaves},
 	} {
 		tasks.Go(func() { s.runTask(task.name, func() { task.run(ctx) }) })
 	}
--- a/io/edge/flush.go
+++ b/io/edge/flush.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -118,6 +119,11 @@
 	if err != nil {
 		return nil, err
 	}
+	era := lc.ledgerEra(&st.cachedObject)
+	if _, recovering, err := f.w.s.rewinds.report(shard, ledger, era); err != nil || recovering {
+		st.known = false
+		return nil, cmp.Or(err, errRecovering)
+	}
 	now := f.w.s.deps.VMClock.Now().Uptime
 	f.w.s.accounts.ObserveLedger(shard, ledger, now)
 	holdersByVM := ledger.HoldersByVM()
@@ -134,9 +140,12 @@
 	for k, i := range claimIndexes {
 		grants[k], _ = f.w.s.accounts.ServeClaim(shard, division, f.items[i].claim)
 	}
-	if err := lc.writeObject(ctx, ledgerKey(shard), &st.cachedObject, ledger.Encode()); err != nil {
+	ledger.Stamp(era)
+	value := ledger.Encode()
+	if err := lc.writeObject(ctx, ledgerKey(shard), &st.cachedObject, value); err != nil {
 		return nil, err
 	}
+	f.w.s.rewinds.remember(shard, ledger, value, era)
 	st.cacheLedger(ledger)
 	return grants, nil
 }
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -75,6 +75,9 @@
 
 // syncGrants writes this router's rows of the ledgers that are due, and reports whether it called the store.
 func (lc *ledgerClient) syncGrants(ctx context.Context) (called bool, err error) {
+	if err := lc.reportAll(ctx); err != nil {
+		return true, err
+	}
 	for _, shard := range lc.s.accounts.Shards() {
 		if !lc.grantsDue(shard) {
 			continue
@@ -120,21 +123,31 @@
 		if attempt > 0 && !lc.s.sleep(ctx, rand.N(time.Duration(attempt)*conflictBackoff)) {
 			return ctx.Err()
 		}
+		if !st.known { // The version was of an earlier era.
+			return nil
+		}
 		ledger, err := st.decodeLedger()
 		if err != nil {
 			return err
 		}
+		era := lc.ledgerEra(&st.cachedObject)
+		if next, needed, err := lc.planReport(shard, ledger, era); err != nil || needed {
+			return lc.writeReport(ctx, shard, st, next, era, err)
+		}
 		st.predecessorsClosed, err = lc.closePredecessors(ctx, ledger, lc.selfAsSuccessor(), lc.readAllowances)
 		if err != nil {
 			return err
 		}
 		lc.s.accounts.PlanGrants(shard, ledger, lc.s.deps.VMClock.Now())
 		startedAt := lc.s.deps.Clock.Now()
-		err = lc.writeObject(ctx, ledgerKey(shard), &st.cachedObject, ledger.Encode())
+		ledger.Stamp(era)
+		value := ledger.Encode()
+		err = lc.writeObject(ctx, ledgerKey(shard), &st.cachedObject, value)
 		st.writtenAt = lc.s.deps.Clock.Now()
 		st.writeDuration = st.writtenAt.Sub(startedAt)
 		if err == nil {
 			lc.s.accounts.CommitGrants(shard)
+			lc.s.rewinds.remember(shard, ledger, value, era)
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
--- a/io/edge/join.go
+++ b/io/edge/join.go
@@ -36,6 +36,8 @@
 // can read the store is trusted as a router.
 type fleetSetup struct {
 	quota.Layout
+	// Era is the era of the store in which the fleet began.
+	Era       ident.Era `json:"era,omitempty"`
 	Authority authority `json:"peer_authority"`
 }
 
@@ -64,6 +66,7 @@
 			lc.s.accounts.SetRouterCount(len(fleet.members))
 			lc.s.accounts.SetLayout(fleet.setup.Layout)
 			lc.s.accounts.SetStartVersion(lc.startVersion)
+			lc.s.rewinds.setFleet(fleet)
 			lc.s.deps.Log.Info("router joined the fleet", "routers", len(fleet.members), "shards", fleet.setup.Shards)
 			return fleet, true
 		}
@@ -99,19 +102,25 @@
 
 // registerVM stores the entry of this VM and remembers its version as the start of this process.
 func (lc *ledgerClient) registerVM(ctx context.Context) error {
+	o, err := lc.putMember(ctx)
+	if err == nil {
+		lc.startVersion = o.Version
+	}
+	return err
+}
+
+// putMember stores the entry of this VM.
+func (lc *ledgerClient) putMember(ctx context.Context) (store.Object, error) {
 	key := object.Key{Kind: platform.KindMember, Name: lc.s.cfg.VM}
 	value, err := json.Marshal(memberEntry{lc.s.selfMember(), lc.s.self})
 	if err != nil {
-		return fmt.Errorf("encode member: %w", err)
+		return store.Object{}, fmt.Errorf("encode member: %w", err)
 	}
 	o, err := lc.s.deps.Store.Create(ctx, key, value)
 	if exists := errors.Is(err, store.ErrConflict) && o.Version != 0; exists {
 		o, err = lc.s.deps.Store.Replace(ctx, key, o.Version, value)
 	}
-	if err == nil {
-		lc.startVersion = o.Version
-	}
-	return err
+	return o, err
 }
 
 // selfMember returns this router as a member of the fleet.
@@ -175,7 +184,7 @@
 	if routers > lc.s.deps.DirectFleet {
 		layout = quota.NewLargeLayout()
 	}
-	value, err := json.Marshal(fleetSetup{layout, authority{string(ca.Cert), string(ca.Key)}})
+	value, err := json.Marshal(fleetSetup{layout, lc.s.deps.Store.Era(), authority{string(ca.Cert), string(ca.Key)}})
 	return value, trace.Wrap(err)
 }
 
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -70,10 +70,15 @@
 		if ledger.Holders[lc.s.self] == nil && lc.s.claims == nil {
 			return nil
 		}
+		era := lc.ledgerEra(&st.cachedObject)
+		if next, needed, err := lc.planReport(shard, ledger, era); err != nil || needed {
+			return lc.writeReport(ctx, shard, st, next, era, err)
+		}
 		ledger.CloseDeparted(departure)
 		if lc.s.claims != nil {
 			ledger.PutTombstone(departure)
 		}
+		ledger.Stamp(era)
 		err = lc.writeObject(ctx, ledgerKey(shard), &st.cachedObject, ledger.Encode())
 		if !errors.Is(err, store.ErrConflict) {
 			return err
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -29,6 +29,8 @@
 	losses          *prometheus.CounterVec
 	quarantined     prometheus.Gauge
 	panics          prometheus.Counter
+	rewinds         prometheus.Counter
+	storeEra        prometheus.Gauge
 	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
 }
@@ -57,13 +59,17 @@
 		notices:         counter("target_notices_total", "Answers in which targets say that they leave or want no requests, by service.", "service", "notice"),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "quarantined_parts", Help: "Parts of prompts whose requests are refused because they crash targets."}),
+		rewinds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "store_rewinds_total", Help: "Returns of the store from an older copy."}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "store_era", Help: "Era of the store since its latest return from an older copy, zero without one."}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "panics_total", Help: "Panics of requests, messages and background tasks."}),
 		shutdownGrace: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.rewinds, m.storeEra)
 	return m
 }
 
@@ -134,6 +140,12 @@
 	m.notices.WithLabelValues(string(service), notice).Inc()
 }
 
+// recordRewind counts a rewind of the store.
+func (m *Metrics) recordRewind(era ident.Era) {
+	m.rewinds.Inc()
+	m.storeEra.Set(float64(era))
+}
+
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
