Pass on no changes across eras of the store

A watcher that did not know of a rewind told a router that did that nothing had changed. It now has no history for a later era, so that the router asks the store itself. TestSinceAcrossEras failed on the code before and passes.

--- a/core/change/history.go
+++ b/core/change/history.go
@@ -66,9 +66,10 @@
 	return h.bytes > maxBytes || len(h.events)-dropped > maxEvents || dropped > 0 && h.events[dropped].Version == h.base
 }
 
-// Since returns the changes after a version, and false if the history does not hold all of them.
+// Since returns the changes after a version, and false if the history does not hold all of them. It holds none of those in
+// an era of the store that it has not seen.
 func (h *History) Since(from ident.ObjectVersion) (Batch, bool) {
-	if h.base == 0 || from < h.base {
+	if h.base == 0 || from < h.base || from.Era() > h.version.Era() {
 		return Batch{}, false
 	}
 	b := Batch{Version: max(from, h.version)}
--- a/core/change/history_test.go
+++ b/core/change/history_test.go
@@ -62,6 +62,27 @@
 	})
 }
 
+// TestSinceAcrossEras guards against a watcher that has nothing to tell to a router that has seen that the store came back
+// from an older copy, and against changes from before that are passed on with those after it.
+func TestSinceAcrossEras(t *testing.T) {
+	is := is.New(t)
+	version := func(era ident.Era, revision uint64) ident.ObjectVersion {
+		v, err := ident.NewObjectVersion(era, revision)
+		is.NoErr(err)
+		return v
+	}
+	var h History
+	h.Append(version(1, 7), Batch{Version: version(1, 9), Events: []Event{{Name: "lost", Version: version(1, 9)}}})
+	_, ok := h.Since(version(2, 3))
+	is.True(!ok) // the watcher does not know of the later era
+	h.Append(version(2, 3), Batch{Version: version(2, 5), Events: []Event{{Name: "a", Version: version(2, 5)}}})
+	_, ok = h.Since(version(1, 7))
+	is.True(!ok) // the follower does not know of it
+	b, ok := h.Since(version(2, 3))
+	is.True(ok)
+	is.Equal(b.Events, []Event{{Name: "a", Version: version(2, 5)}})
+}
+
 // TestHistoryLimits guards against a history that covers nothing after small changes, and against one that keeps a
 // change that is too large to pass on.
 func TestHistoryLimits(t *testing.T) {
