Keep ended targets aside after a rewind of the store

The older copy lists targets that have left since, and requests would reach them. TestOlderEntryOfRemovedTarget passes.

--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -35,6 +35,7 @@
 	pools            map[ident.ServiceID][]*member // sorted by ID
 	failuresByDomain map[ident.DomainID]*domainFailures
 	notices          map[startKey]*notice
+	removals         map[startKey]removal
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
 	storeUnreachable bool
 	storeBackAt      time.Time
@@ -48,6 +49,7 @@
 		pools:            make(map[ident.ServiceID][]*member),
 		failuresByDomain: make(map[ident.DomainID]*domainFailures),
 		notices:          make(map[startKey]*notice),
+		removals:         make(map[startKey]removal),
 	}
 }
 
@@ -98,6 +100,7 @@
 		m.removeAt = deadline
 		return
 	}
+	f.recordRemoval(m, now)
 	f.remove(m)
 }
 
@@ -146,6 +149,7 @@
 			deadline = afterOutage
 		}
 		if !now.Before(deadline) {
+			f.recordRemoval(m, now)
 			f.remove(m)
 		}
 	}
--- a/io/edge/rewind.go
+++ b/io/edge/rewind.go
@@ -89,7 +89,7 @@
 	// Targets whose entries are lost write them again, as after an outage.
 	s.targets.SetStoreUnreachable(true, s.deps.Clock.Now())
 	s.targets.SetStoreUnreachable(s.storeMonitor.isUnreachable(), s.deps.Clock.Now())
-	s.targets.KeepLeaving(s.deps.Clock.Now())
+	s.targets.RecordRewind(s.deps.Clock.Now())
 	s.watchRestart.wakeAll()
 	trigger(r.detected)
 	trigger(s.grantsNow)
@@ -193,6 +193,14 @@
 	r.memoryOf(shard).Remember(value, era, len(l.PendingVMs()) == 0)
 }
 
+// isRecent reports whether the store has come back from an older copy so recently that other routers may not have written
+// again what they know.
+func (r *rewinds) isRecent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era != 0 && r.s.deps.VMClock.Now().Uptime-r.since < recoveryWait
+}
+
 func (r *rewinds) memoryOf(shard quota.Shard) *quota.Memory {
 	m := r.memories[shard]
 	if m == nil {
