Let the first outcome of a release outlive a rewind

A router that had not seen the outcome could decide otherwise after the store lost it, although the platform had acted on it. A final outcome that was confirmed or seen is now stored again and replaces another one of a later era.

--- a/core/quota/rewind_test.go
+++ b/core/quota/rewind_test.go
@@ -136,6 +136,43 @@
 	}
 }
 
+// claim sends a claim of a router to another one, which writes it. The claimant may not know of the latest rewind. Both
+// writes and the answer may be lost.
+func (f *rewindFleet) claim(v, writer *testVM) {
+	if v == writer || writer.router.cut {
+		return
+	}
+	r, w := v.router, writer.router
+	c := r.accounts.PlanClaim(r.started, v.now(f.clock))
+	l := f.readLedger()
+	from := f.store.versions["ledger"]
+	w.accounts.SetEra(f.era)
+	if f.safe.report && l.NeedsReport(writer.id, f.reportOf(w)) {
+		r.accounts.AbortClaim()
+		return
+	}
+	f.closePredecessors(v, l)
+	now := writer.now(f.clock).Uptime
+	w.accounts.ObserveLedger(0, l, now)
+	grants, _ := w.accounts.ServeClaim(0, w.accounts.Divide(l, now), c)
+	l.Stamp(f.era)
+	value := l.Encode()
+	out := &Outcome{}
+	if ok, _ := f.write("ledger", from, value); ok {
+		out.Grants = grants
+		f.memoryOf(w.id).Remember(value, f.era, true)
+	}
+	name := "allowances/" + string(r.id)
+	bounded := c.BoundedAllowances(out.Grants)
+	stored, refused := f.write(name, f.store.versions[name], bounded.Encode())
+	if out.AllowancesStored, out.AllowancesUnsent = stored, refused; stored {
+		out.Allowances = bounded.Rows
+	}
+	if rapid.IntRange(0, 4).Draw(f.t, "answer") > 0 {
+		r.accounts.CommitClaim(c, out, v.now(f.clock).Uptime)
+	}
+}
+
 func (f *rewindFleet) request(v *testVM) {
 	n := rapid.SampledFrom([]ident.Tokens{100, 300, 900}).Draw(f.t, "tokens")
 	if v.router.accounts.Hold(testOrg, n, v.now(f.clock).Uptime).Verdict != Held {
@@ -157,10 +194,11 @@
 	actions := f.actions()
 	actions["request"] = func() { f.request(f.vm()) }
 	actions["grants"] = func() { f.syncGrants(f.vm()) }
+	actions["claim"] = func() { f.claim(f.vm(), f.vm()) }
 	actions["rewind"] = f.rewind
 	var names []string
 	for name, weight := range map[string]int{"request": 14, "grants": 8, "allowances": 5, "time": 3, "settle": 3, "late": 1,
-		"cut": 1, "kill": 1, "rewind": 1} {
+		"cut": 1, "kill": 1, "rewind": 1, "claim": 5} {
 		names = append(names, slices.Repeat([]string{name}, weight)...)
 	}
 	slices.Sort(names)
--- a/io/edge/release.go
+++ b/io/edge/release.go
@@ -25,6 +25,31 @@
 	revision ident.ObjectVersion
 	trial    *trial.Release
 	evidence cachedObject
+	// final is the first final outcome that the store has shown or confirmed, and finalEra the era in which it did. The
+	// platform has acted on it, so that it stays although the store may lose it.
+	final    platform.Outcome
+	finalEra ident.Era
+}
+
+// recordOutcome ends the release with an outcome that was stored in an era. Of two outcomes the one of the earlier era holds.
+func (rel *release) recordOutcome(outcome platform.Outcome, era ident.Era) {
+	state, isFinal := finalStates[outcome]
+	if !isFinal || rel.final != "" && rel.finalEra < era {
+		return
+	}
+	rel.final, rel.finalEra = outcome, era
+	rel.trial.RecordOutcome(state)
+}
+
+// isRunning reports whether the store shows no final outcome, or another than the one that holds.
+func (rel *release) isRunning() bool {
+	_, isFinal := finalStates[rel.order.Outcome]
+	return !isFinal || rel.final != rel.order.Outcome
+}
+
+var finalStates = map[platform.Outcome]trial.State{
+	platform.OutcomeCompleted:  trial.Completed,
+	platform.OutcomeRolledBack: trial.RolledBack,
 }
 
 // releases holds the newest release of each service. It determines which versions may serve each request.
@@ -48,12 +73,7 @@
 		r.byService[order.Service] = rel
 	}
 	rel.order, rel.key, rel.revision = order, o.Key, o.Version
-	switch order.Outcome {
-	case platform.OutcomeCompleted:
-		rel.trial.RecordOutcome(trial.Completed)
-	case platform.OutcomeRolledBack:
-		rel.trial.RecordOutcome(trial.RolledBack)
-	}
+	rel.recordOutcome(order.Outcome, o.Version.Era())
 	return isNew
 }
 
@@ -88,7 +108,7 @@
 	defer r.mu.Unlock()
 	var list []*release
 	for _, rel := range r.byService {
-		if rel.order.Outcome == "" || rel.order.Outcome == platform.OutcomeRunning {
+		if rel.isRunning() {
 			list = append(list, rel)
 		}
 	}
@@ -145,15 +165,24 @@
 	}
 	s.releases.mu.Lock()
 	decision := rel.trial.Decide(s.deps.Clock.Now(), s.hasDrainedOldTargets(rel.order))
-	order, key, revision := rel.order, rel.key, rel.revision
+	order, key, revision, final := rel.order, rel.key, rel.revision, rel.final
 	s.releases.mu.Unlock()
 	outcome := outcomes[decision.State]
 	if outcome == order.Outcome {
 		return nil
 	}
+	if final == "" && decision.State != trial.Running && s.rewinds.isRecent() {
+		// Another router may know an outcome that the store has lost and stores it again.
+		return nil
+	}
 	s.deps.Log.Info("outcome of the release decided", "service", order.Service, "version", order.Version,
 		"outcome", outcome, "reason", decision.Reason, "share", decision.Share)
-	_, err := s.deps.Store.SetStatus(ctx, key, revision, platform.EncodeOutcome(order.Version, outcome))
+	o, err := s.deps.Store.SetStatus(ctx, key, revision, platform.EncodeOutcome(order.Version, outcome))
+	if err == nil {
+		s.releases.mu.Lock()
+		rel.recordOutcome(outcome, o.Version.Era())
+		s.releases.mu.Unlock()
+	}
 	if errors.Is(err, store.ErrConflict) {
 		// Another router has stored an outcome first, which this router learns from the watch.
 		return nil
--- a/io/edge/rewind_test.go
+++ b/io/edge/rewind_test.go
@@ -302,3 +302,43 @@
 	})
 	is.True(f.ledger().Granted("org1") <= rewindPrepaid)
 }
+
+// TestOutcomeOutlivesRewind guards against a release that is decided anew after the store has lost its outcome, and against
+// an outcome of a router that knew nothing of it and that replaces the first one.
+func TestOutcomeOutlivesRewind(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	env := newTestEnv(t)
+	env.store.SetEra(1)
+	e, err := fakes.NewEngine("desk-2")
+	is.NoErr(err)
+	t.Cleanup(e.Close)
+	e.Version = "v2"
+	e.SetMode(fakes.Fail)
+	env.store.Put("rollouts", "desk", `{"service":"desk","target":"v2","duration_s":2}`)
+	env.waitFor("the order", func() bool { return len(env.server.releases.running()) == 1 })
+	env.store.Put("servers", "desk-2", e.RegistryEntry("desk", "a", "ready"))
+	isRolledBack := func() bool {
+		_, status, _ := env.store.Get("rollouts", "desk")
+		return status == `{"state":"rolled_back","target":"v2"}`
+	}
+	env.waitFor("the outcome", func() bool {
+		env.do(book)
+		return isRolledBack()
+	})
+	e.SetMode(fakes.Serve)
+	is.True(env.store.Rewind(time.Minute) > 0)
+	is.True(!isRolledBack())
+	env.putConfig(1, 20_000, 1_000_000)
+	env.store.Put("servers", "desk-1", env.targets["desk-1"].RegistryEntry("desk", "a", "ready"))
+	env.store.Put("servers", "desk-2", e.RegistryEntry("desk", "a", "ready"))
+	env.store.Put("rollouts", "desk", `{"service":"desk","target":"v2","duration_s":2}`)
+	env.waitFor("the outcome again", isRolledBack)
+
+	revision, err := ident.NewObjectVersion(9, 1)
+	is.NoErr(err)
+	order := platform.Release{Service: "desk", Version: "v2", Outcome: platform.OutcomeCompleted}
+	env.server.releases.putOrder(order, store.Object{Version: revision}, time.Now())
+	is.Equal(len(env.server.releases.running()), 1) // The outcome in the store is to be corrected.
+	is.Equal(env.server.releases.pickVersions("desk", time.Now()).Not, ident.VersionID("v2"))
+}
