Add rewinds of the store to the soak

With -rewinds the store goes away for up to 0.5 s and comes back from a copy that is 1 to 10 s old, once or twice in a row, beside the other faults.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,8 @@
 	Starts   bool
 	Partial  int
 	MemoryMB int
+	// Rewinds adds returns of the store from an older copy to the faults.
+	Rewinds bool
 	// Herd replaces the faults by one loss of power of all routers.
 	Herd bool
 	// Stop ends the run early, if it is set.
@@ -76,6 +78,7 @@
 	flag.BoolVar(&cfg.Starts, "starts", false, "only faults at the starts and stops of routers, beside partial requests")
 	flag.IntVar(&cfg.Partial, "partial", 400, "number of connections with partial requests at each router, with -starts")
 	flag.BoolVar(&cfg.Herd, "herd", false, "start all routers at once, before and after a loss of power of all of them")
+	flag.BoolVar(&cfg.Rewinds, "rewinds", false, "the store also comes back from copies that are up to 10 s old")
 	flag.StringVar(&cfg.Dir, "dir", "", "directory for settings and logs; by default, a new one for each seed")
 	flag.Parse()
 	if cfg.Starts || cfg.Herd {
--- a/cmd/soak/run.go
+++ b/cmd/soak/run.go
@@ -31,7 +31,10 @@
 	engines       []*fakes.Engine
 	engineProxies []*proxy // one in front of each engine
 	configVersion int
-	background    sync.WaitGroup
+	// config is the current configuration, and entries holds the registry entries of the targets.
+	config     string
+	entries    map[string]string
+	background sync.WaitGroup
 
 	mu         sync.Mutex
 	faults     map[string]int
@@ -50,6 +53,9 @@
 		cfg.Dir = dir
 	}
 	env := &testEnv{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), store: fakes.NewStore(5), faults: make(map[string]int), stopping: make(map[*router]bool)}
+	if cfg.Rewinds {
+		env.store.SetEra(1)
+	}
 	storeServer := httptest.NewServer(env.store)
 	defer storeServer.Close()
 	defer env.store.Close()
@@ -160,7 +166,8 @@
 func (env *testEnv) putConfigWithIdleTimeout(timeoutMS int) {
 	env.configVersion++
 	config := fakes.Config(env.configVersion, 4000, env.prepaid())
-	env.store.Put("config", "main", fakes.WithIdleTimeout(config, timeoutMS))
+	env.config = fakes.WithIdleTimeout(config, timeoutMS)
+	env.store.Put("config", "main", env.config)
 }
 
 // prepaid returns what organisation org1 has prepaid. Planned work is to be seen beside running requests, so that its
@@ -192,7 +199,11 @@
 	env.engines = append(env.engines, e)
 	env.engineProxies = append(env.engineProxies, p)
 	entry := e.RegistryEntry(service, "a", "ready")
-	env.store.Put("servers", id, strings.Replace(entry, e.Addr(), p.addr(), 1))
+	if env.entries == nil {
+		env.entries = make(map[string]string)
+	}
+	env.entries[id] = strings.Replace(entry, e.Addr(), p.addr(), 1)
+	env.store.Put("servers", id, env.entries[id])
 	return nil
 }
 
@@ -221,6 +232,9 @@
 		if env.stopped() {
 			return errStopped
 		}
+		if env.cfg.Rewinds && env.rng.IntN(rewindShare) == 0 {
+			env.injectRewind()
+		}
 		undo = append(undo, inject())
 		time.Sleep(time.Duration(100+env.rng.IntN(700)) * time.Millisecond)
 		for len(undo) > 0 && (len(undo) > 3 || env.rng.IntN(2) == 0) {
