Let unused routers report after a rewind

A router of a large fleet without tokens sends no claims, and so did not report and counted as lost: all unallotted tokens were reserved. TestRewindOfUnusedRouter failed with one lost VM and passes. Reports of small fleets read each ledger at most twice a second now, and not twice in a round.

--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -150,7 +150,7 @@
 		if cs.s.table.Load() != nil && !cs.s.accounts.Unused() {
 			left = untilClaim(cs.s.accounts.ClaimUrgency(), cs.sentAt, cs.s.deps.Clock.Now())
 		}
-		if left <= 0 {
+		if left <= 0 || cs.s.rewinds.awaitsReports() {
 			return true
 		}
 		select {
--- a/io/edge/grants.go
+++ b/io/edge/grants.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -75,11 +76,12 @@
 
 // syncGrants writes this router's rows of the ledgers that are due, and reports whether it called the store.
 func (lc *ledgerClient) syncGrants(ctx context.Context) (called bool, err error) {
-	if err := lc.reportAll(ctx); err != nil {
+	awaiting, err := lc.reportAll(ctx)
+	if err != nil {
 		return true, err
 	}
 	for _, shard := range lc.s.accounts.Shards() {
-		if !lc.grantsDue(shard) {
+		if slices.Contains(awaiting, shard) || !lc.grantsDue(shard) {
 			continue
 		}
 		lacking := lc.s.accounts.GrantUrgency(shard) == quota.TokensLacking
--- a/io/edge/ledger.go
+++ b/io/edge/ledger.go
@@ -50,6 +50,8 @@
 	startVersion ident.ObjectVersion
 	shards       map[quota.Shard]*shardState
 	allowances   cachedObject
+	// reportedAt is when the last round of reports after a rewind of the store ended.
+	reportedAt time.Time
 }
 
 func newLedgerClient(s *Server) *ledgerClient {
--- a/io/edge/rewind.go
+++ b/io/edge/rewind.go
@@ -22,8 +22,7 @@
 	// each router over which they are spread.
 	recoveryWaitPerRouter = 40 * time.Millisecond
 	reportSpread          = 10 * time.Millisecond
-	// reportInterval is the interval between reports of a router that sends claims, and between its checks of whether the
-	// ledgers have recovered.
+	// reportInterval is the interval between the checks of a router whether the ledgers have recovered.
 	reportInterval = 500 * time.Millisecond
 	// maxCopyAge is longer than the store goes back. A process that is older knows all grants of its VM that can be lost: those
 	// of the processes before it are in the copy.
@@ -240,6 +239,9 @@
 	return left
 }
 
+// awaitsReports reports whether a rewind of the store has left ledgers from which this process has not seen grants yet.
+func (r *rewinds) awaitsReports() bool { return len(r.unreported()) > 0 }
+
 // ledgerEra returns the era in which a cached ledger was read.
 func (lc *ledgerClient) ledgerEra(cached *cachedObject) ident.Era {
 	if cached.object.Version == 0 {
@@ -332,26 +334,32 @@
 	return err
 }
 
-// reportAll writes this router's reports into all ledgers that may need them. A ledger that awaits others is no error.
-func (lc *ledgerClient) reportAll(ctx context.Context) error {
-	for _, shard := range lc.s.rewinds.unreported() {
+// reportAll writes this router's reports into all ledgers that may need them, if the last round is long enough ago, and
+// returns the ledgers that still await others.
+func (lc *ledgerClient) reportAll(ctx context.Context) ([]quota.Shard, error) {
+	unreported := lc.s.rewinds.unreported()
+	if len(unreported) == 0 || lc.s.deps.Clock.Since(lc.reportedAt) < reportInterval {
+		return unreported, nil
+	}
+	for _, shard := range unreported {
 		if err := lc.reportLedger(ctx, shard); err != nil && !errors.Is(err, errRecovering) && !errors.Is(err, store.ErrConflict) {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	lc.reportedAt = lc.s.deps.Clock.Now()
+	return lc.s.rewinds.unreported(), nil
 }
 
 // reportBeforeClaims writes this router's reports after a rewind, before it sends claims again. It returns false once all
 // ledgers have recovered.
 func (cs *claimSender) reportBeforeClaims(ctx context.Context) (bool, error) {
-	if len(cs.s.rewinds.unreported()) == 0 {
+	if !cs.s.rewinds.awaitsReports() {
 		return false, nil
 	}
 	if !cs.s.sleep(ctx, cs.s.rewinds.spread()) {
 		return true, ctx.Err()
 	}
-	err := cs.ledgers.reportAll(ctx)
+	_, err := cs.ledgers.reportAll(ctx)
 	cs.s.storeMonitor.observe(err)
 	if err == nil {
 		cs.s.sleep(ctx, reportInterval)
--- a/io/edge/rewind_test.go
+++ b/io/edge/rewind_test.go
@@ -305,6 +305,43 @@
 	is.True(f.ledger().Granted("org1") <= rewindPrepaid)
 }
 
+// TestRewindOfUnusedRouter guards against a router of a large fleet without tokens of its own that does not report, and so
+// counts as lost.
+func TestRewindOfUnusedRouter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	envs := newDomainFleet(t, 138, 6, func(int, *platform.Settings, *Deps) {})
+	for _, env := range envs {
+		env.waitFor("the first answer", func() bool { return env.do(chat).status == http.StatusOK })
+		env.server.rewinds.startedAt -= maxCopyAge // The routers have run for long.
+	}
+	unused := func() (n int) {
+		for _, env := range envs {
+			if env.server.accounts.Unused() {
+				n++
+			}
+		}
+		return n
+	}
+	envs[0].waitFor("routers without tokens", func() bool { return unused() > 0 })
+	f := &rewindFleet{t: t, store: envs[0].store, envs: envs}
+	f.store.SetEra(1)
+	envs[0].waitFor("the era", func() bool {
+		for _, env := range envs {
+			if env.server.deps.Store.Era() == 0 {
+				return false
+			}
+		}
+		return f.ledger().Era == 1
+	})
+	f.store.Rewind(time.Millisecond)
+	envs[0].waitFor("the recovery", func() bool {
+		l := f.ledger()
+		return l.Recovery != nil && l.Recovery.Settled
+	})
+	is.Equal(len(f.ledger().LostVMs()), 0)
+}
+
 // TestOutcomeOutlivesRewind guards against a release that is decided anew after the store has lost its outcome, and against
 // an outcome of a router that knew nothing of it and that replaces the first one.
 func TestOutcomeOutlivesRewind(t *testing.T) {
