--- a/core/place/fleet.go
+++ b/core/place/fleet.go
@@ -57,7 +57,8 @@
 	ramping bool
 	regions map[ident.DomainID]ident.RegionID
 	// cold limits the requests to cold targets.
-	cold *cold.Limiter
+	cold     *cold.Limiter
+	removals map[startKey]removal
 	// storeUnreachable says whether the store is unreachable now, and storeBackAt when its last outage ended.
 	storeUnreachable bool
 	storeBackAt      time.Time
@@ -76,6 +77,7 @@
 		notices:          make(map[startKey]*notice),
 		domains:          make(map[ident.DomainID]*domainState),
 		cold:             cold.New(cfg.VM),
+		removals:         make(map[startKey]removal),
 	}
 }
 
@@ -156,6 +158,7 @@
 		m.removeAt = deadline
 		return
 	}
+	f.recordRemoval(m, now)
 	f.remove(m)
 }
 
@@ -204,6 +207,7 @@
 			deadline = afterOutage
 		}
 		if !now.Before(deadline) {
+			f.recordRemoval(m, now)
 			f.remove(m)
 		}
 	}
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -152,7 +152,7 @@
 		if cs.s.table.Load() != nil && !cs.s.accounts.Unused() {
 			left = untilClaim(cs.s.accounts.ClaimUrgency(), cs.sentAt, cs.s.deps.Clock.Now())
 		}
-		if left <= 0 {
+		if left <= 0 || cs.s.rewinds.awaitsReports() {
 			return true
 		}
 		select {
@@ -180,6 +180,9 @@
 
 // runRound offers a claim to the writers in turn, and writes directly when none has served for some rounds.
 func (cs *claimSender) runRound(ctx context.Context) error {
+	if reported, err := cs.reportBeforeClaims(ctx); reported {
+		return err
+	}
 	cs.checkStore(ctx)
 	err := cs.offerInTurn(ctx)
 	if err == nil {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -30,6 +30,8 @@
 	losses          *prometheus.CounterVec
 	quarantined     prometheus.Gauge
 	panics          prometheus.Counter
+	rewinds         prometheus.Counter
+	storeEra        prometheus.Gauge
 	shutdownGrace   prometheus.Gauge
 	notices         *prometheus.CounterVec
 	coldSends       *prometheus.CounterVec
@@ -69,13 +71,17 @@
 		coldSends: counter("cold_sends_total", "Requests for which a target was chosen that is or may be cold, by service.", "service"),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "evacuated_domains", Help: "Failure domains whose targets get no requests, because the operator evacuates them."}),
+		rewinds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "store_rewinds_total", Help: "Returns of the store from an older copy."}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
+			Name: "store_era", Help: "Era of the store since its latest return from an older copy, zero without one."}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "panics_total", Help: "Panics of requests, messages and background tasks."}),
 		shutdownGrace: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem,
 			Name: "shutdown_grace_seconds", Help: "Shutdown grace of the settings in force, which SIGHUP reloads."}),
 	}
 	m.registry.MustRegister(m.requests, m.requestTime, m.timeToFirstByte, m.sends, m.billedTokens, m.storeCalls, m.holds, m.changesCalls,
-		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.coldSends, m.evacuated, m.choices, m.room)
+		m.losses, m.quarantined, m.panics, m.notices, m.shutdownGrace, m.coldSends, m.evacuated, m.choices, m.room, m.rewinds, m.storeEra)
 	m.reports = report.NewMetrics(m.registry, namespace, subsystem)
 	return m
 }
@@ -169,6 +175,12 @@
 	m.choices.WithLabelValues(string(service), domain, strconv.FormatBool(owner)).Inc()
 }
 
+// recordRewind counts a rewind of the store.
+func (m *Metrics) recordRewind(era ident.Era) {
+	m.rewinds.Inc()
+	m.storeEra.Set(float64(era))
+}
+
 // setQuarantined sets the number of quarantined parts.
 func (m *Metrics) setQuarantined(n int) { m.quarantined.Set(float64(n)) }
 
