Take the least delayed clocks into allowances

After a loss of power the age of allowances comes from the clocks of other VMs. A router that begins to write for others knows some only from ledger rows that were old when it read them, and the first nine by name were taken.

Clocks are sorted by the bound of their delay now; late ones are taken only if there are too few. A report keeps the least delayed value of 10 s, as an observation does. TestAgeAfterChangeOfWriter failed before.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -117,10 +117,11 @@
 	startVersion ident.ObjectVersion
 }
 
-// clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, as known at an uptime.
+// clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, from the least delayed of the recent
+// reports. offsetAt is the uptime of that report, and at that of the last one.
 type clockOffset struct {
-	offset int64
-	at     time.Duration
+	offset       int64
+	offsetAt, at time.Duration
 }
 
 // bounds limit what a router may spend of an organisation's tokens.
@@ -139,9 +140,10 @@
 	at, notBefore  time.Duration
 	notBeforeKnown bool
 	// offset is the time of day minus this VM's uptime in milliseconds, from the least delayed of the recent observations.
-	// offsetAt is the uptime of that observation.
-	offset   int64
-	offsetAt time.Duration
+	// offsetAt is the uptime of that observation, and offsetDelay bounds how late it was made. It is unboundedDelay if
+	// nothing is known of that.
+	offset                int64
+	offsetAt, offsetDelay time.Duration
 }
 
 // NewAccounts returns accounts without tokens.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -195,7 +195,7 @@
 		acc.claimedTotal = acc.total
 	}
 	for vm, wall := range out.Clocks {
-		a.reportedClocks[vm] = clockOffset{offset: wall - now.Milliseconds(), at: now}
+		a.recordReport(vm, wall, now)
 	}
 	if out.AllowancesUnsent {
 		a.restoreAllowances()
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -477,3 +477,36 @@
 	is.True(!vm.accounts.Hold(claimOrg, 500, s.now+unallottedFreshness).NextWriteMayCover)
 	is.True(vm.accounts.Hold(claimOrg, 500, s.now+unallottedFreshness+1).NextWriteMayCover)
 }
+
+// TestAgeAfterChangeOfWriter guards against the clocks of a router that writes for others for the first time: it knows
+// some only from rows that were old when it first read the ledger, which makes allowances look older than they are.
+func TestAgeAfterChangeOfWriter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newClaimSimulation(t, 1, 1_000_000, 12)
+	for _, vm := range s.vms {
+		s.claim(vm, s.vms[0], succeeds, succeeds, succeeds)
+	}
+	s.now += 12 * time.Second // the store is away
+	writer := s.vms[11]
+	for range 3 {
+		for _, vm := range s.vms[8:] {
+			s.now += 200 * time.Millisecond
+			s.claim(vm, writer, succeeds, succeeds, succeeds)
+		}
+	}
+	lost, sent := s.vms[10], s.now-200*time.Millisecond
+	s.now += 1500 * time.Millisecond
+	start := s.now
+	started := Moment{Boot: "another boot", Uptime: 7 * time.Hour, Wall: s.now.Milliseconds()}
+	for range 2 {
+		for _, vm := range s.vms[:10] {
+			s.now += 50 * time.Millisecond
+			s.claim(vm, writer, succeeds, succeeds, succeeds)
+		}
+	}
+	age, ok := s.batch.Routers[lost.accounts.cfg.Self].age(lost.id, started, writer.accounts.ClockUpperBounds(start))
+	is.True(ok)
+	is.True(age >= start-sent)
+	is.True(age <= start-sent+2*time.Second)
+}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -15,6 +16,13 @@
 	// clockOffsetWindow is how long the least delayed observation of another clock is kept, and so the longest time for
 	// which a clock that jumps is misread.
 	clockOffsetWindow = 10 * time.Second
+	// maxClocks bounds the clocks in allowances and answers. More of them don't make the median safer.
+	maxClocks = 9
+	// enoughClocks is the number of clocks beyond which none is taken that may have been observed later than
+	// maxClockDelay. unboundedDelay stands for an observation that may be late by any time.
+	enoughClocks   = 5
+	maxClockDelay  = time.Second
+	unboundedDelay = time.Duration(math.MaxInt64)
 	// reserveShare is the fraction of an organisation's remaining tokens that stays unallotted, for single requests and
 	// for routers that start.
 	reserveShare = 0.15
@@ -207,13 +215,36 @@
 	if ok && s.writes <= old.writes {
 		return
 	}
-	s.offset, s.offsetAt = s.wall-s.at.Milliseconds(), s.at
+	s.offset, s.offsetAt, s.offsetDelay = s.wall-s.at.Milliseconds(), s.at, unboundedDelay
+	if s.notBeforeKnown {
+		s.offsetDelay = s.at - s.notBefore
+	}
 	if ok && old.offset > s.offset && s.at-old.offsetAt < clockOffsetWindow {
-		s.offset, s.offsetAt = old.offset, old.offsetAt
+		s.offset, s.offsetAt, s.offsetDelay = old.offset, old.offsetAt, old.offsetDelay
 	}
 	a.observations[id] = s
 }
 
+// recordReport records the clock of a VM as an answer to a claim or a probe states it.
+func (a *Accounts) recordReport(vm ident.VMID, wall int64, now time.Duration) {
+	c := clockOffset{offset: wall - now.Milliseconds(), offsetAt: now, at: now}
+	old, ok := a.reportedClocks[vm]
+	if ok && old.offset > c.offset && now-old.offsetAt < clockOffsetWindow {
+		c.offset, c.offsetAt = old.offset, old.offsetAt
+	}
+	a.reportedClocks[vm] = c
+}
+
+// RecordClocks records the clocks of VMs that the answer to a probe states, so that the first claim of a process
+// carries some.
+func (a *Accounts) RecordClocks(clocks map[ident.VMID]int64, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for vm, wall := range clocks {
+		a.recordReport(vm, wall, now)
+	}
+}
+
 // ClockUpperBounds returns upper bounds of the clocks of other VMs at an earlier uptime. Only the clocks of holders
 // that have written since this router first read their ledger or answered their claim are known.
 func (a *Accounts) ClockUpperBounds(at time.Duration) []ClockReading {
@@ -238,25 +269,45 @@
 	return clocks
 }
 
-// clocks returns the times of day of up to maxClocks other VMs, extrapolated from their last observations or from the
-// clocks in the answers to claims.
+// knownClock is a lower bound of another VM's time of day in Unix milliseconds. delay bounds how late it was observed.
+type knownClock struct {
+	vm    ident.VMID
+	wall  int64
+	delay time.Duration
+}
+
+// clocks returns lower bounds of the times of day of up to maxClocks other VMs, extrapolated from their last
+// observations or from the clocks in the answers to claims. A late observation would make allowances look older than
+// they are, so the least delayed ones are taken, and others only if there are too few.
 func (a *Accounts) clocks(now time.Duration) map[ident.VMID]int64 {
-	const maxClocks = 9 // more clocks do not make the median safer
 	out := make(map[ident.VMID]int64)
+	for _, c := range a.knownClocks(now) {
+		if len(out) == maxClocks || len(out) >= enoughClocks && c.delay > maxClockDelay {
+			break
+		}
+		out[c.vm] = c.wall
+	}
+	return out
+}
+
+// knownClocks returns the clocks of the VMs that were heard of within Config.LivenessTimeout, the least delayed first.
+func (a *Accounts) knownClocks(now time.Duration) []knownClock {
+	byVM := make(map[ident.VMID]knownClock)
 	for _, id := range slices.Sorted(maps.Keys(a.observations)) {
 		s := a.observations[id]
-		if now-s.at < a.cfg.LivenessTimeout && len(out) < maxClocks {
+		if now-s.at < a.cfg.LivenessTimeout {
 			// Adds the uptime that has passed since the observation.
-			out[s.vm] = s.offset + now.Milliseconds()
+			byVM[s.vm] = knownClock{s.vm, s.offset + now.Milliseconds(), s.offsetDelay}
 		}
 	}
-	for _, vm := range slices.Sorted(maps.Keys(a.reportedClocks)) {
-		c := a.reportedClocks[vm]
-		if _, seen := out[vm]; !seen && now-c.at < a.cfg.LivenessTimeout && len(out) < maxClocks {
-			out[vm] = c.offset + now.Milliseconds()
+	for vm, c := range a.reportedClocks {
+		if seen, ok := byVM[vm]; (!ok || seen.delay > maxClockDelay) && now-c.at < a.cfg.LivenessTimeout {
+			byVM[vm] = knownClock{vm, c.offset + now.Milliseconds(), maxClockDelay}
 		}
 	}
-	return out
+	return slices.SortedFunc(maps.Values(byVM), func(x, y knownClock) int {
+		return cmp.Or(cmp.Compare(x.delay, y.delay), cmp.Compare(x.vm, y.vm))
+	})
 }
 
 // updateRates updates the average demand of each organisation.
