--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -268,12 +268,14 @@
 func (cs *claimSender) probeWriter(ctx context.Context, writer elect.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := cs.s.sendClaim(ctx, writer, &quota.Claim{Router: cs.s.self, Probe: true})
+	answer, err := cs.s.sendClaim(ctx, writer, &quota.Claim{Router: cs.s.self, Probe: true})
 	if err != nil {
 		delete(cs.lastAnswer, writer.VM)
 		return err
 	}
-	cs.lastAnswer[writer.VM] = cs.s.deps.VMClock.Now().Uptime
+	now := cs.s.deps.VMClock.Now().Uptime
+	cs.lastAnswer[writer.VM] = now
+	cs.s.accounts.RecordClocks(answer.Clocks, now)
 	return nil
 }
 
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -86,7 +86,7 @@
 // the claim has had no effect and never will.
 func (w *claimWriter) submit(ctx context.Context, claim *quota.Claim) (*quota.Outcome, error) {
 	if claim.Probe {
-		return &quota.Outcome{}, w.answerProbe(ctx, claim.Router)
+		return w.answerProbe(ctx, claim.Router)
 	}
 	item, err := w.enqueue(claim)
 	if err != nil {
@@ -117,15 +117,17 @@
 	return false
 }
 
-// answerProbe answers a router that asks whether its claims would be served.
-func (w *claimWriter) answerProbe(ctx context.Context, from ident.RouterID) error {
+// answerProbe answers a router that asks whether its claims would be served. The answer states the clocks of some VMs:
+// without them the allowances of a process that ends after its first claim would have no age.
+func (w *claimWriter) answerProbe(ctx context.Context, from ident.RouterID) (*quota.Outcome, error) {
 	if err := w.checkStore(ctx); err != nil {
-		return err
+		return nil, err
 	}
+	now := w.s.deps.VMClock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastAnswer[from] = w.s.deps.VMClock.Now().Uptime
-	return nil
+	w.lastAnswer[from] = now.Uptime
+	return &quota.Outcome{Clocks: w.s.accounts.ClockLowerBounds(now)}, nil
 }
 
 // checkStore returns errRefused if this router is not ready to write claims or the store does not answer. Concurrent
