Refuse for good only what is proved to be spent

402 ends a caller's request. It was also said of tokens that only count as spent: those that a crashed router may have spent, and those of holds that nobody settled.

The ledger and its rows now carry how much of what counts as spent may not have been; a request that only this part stands against gets 503 with a Retry-After. Programs without the field ignore it.

--- a/core/lend/lend.go
+++ b/core/lend/lend.go
@@ -40,6 +40,8 @@
 type Settlement struct {
 	Hold
 	Used ident.Tokens
+	// Unknown says that nobody has told what the request has used, so that Used is all of it.
+	Unknown bool
 }
 
 // Book records the holds that a holder keeps for borrowers. It is not safe for concurrent use.
@@ -104,6 +106,7 @@
 	for id, h := range b.holds {
 		if now >= h.Until {
 			s, _ := b.Settle(id, h.Tokens, now)
+			s.Unknown = true
 			out = append(out, s)
 		}
 	}
@@ -120,7 +123,7 @@
 	var out []Settlement
 	for id, h := range b.holds {
 		delete(b.holds, id)
-		out = append(out, Settlement{Hold: h, Used: h.Tokens})
+		out = append(out, Settlement{Hold: h, Used: h.Tokens, Unknown: true})
 	}
 	return out
 }
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -22,7 +22,7 @@
 	Held Verdict = iota
 	// Insufficient means that this router may not spend the tokens yet.
 	Insufficient
-	// Exhausted means that too few of the organisation's tokens are left in the whole fleet.
+	// Exhausted means that the ledger proves that too few of the organisation's tokens are left in the whole fleet.
 	Exhausted
 )
 
@@ -76,6 +76,8 @@
 	// nobody.
 	// asOf is the uptime at which both were known.
 	spentByOthers, unallotted ident.Tokens
+	// presumedByOthers is the part of spentByOthers that may not have been spent, and assumed that of spent.
+	presumedByOthers, assumed ident.Tokens
 	asOf                      time.Duration
 	// demand is the last known demand of all routers in tokens per second.
 	demand float64
@@ -204,7 +206,7 @@
 		acc.held += n
 		acc.newDemand += n
 		return HoldResult{Verdict: Held}
-	case acc.spent+acc.spentByOthers+n > acc.total:
+	case acc.provenSpent()+n > acc.total:
 		return HoldResult{Verdict: Exhausted}
 	}
 	return HoldResult{
@@ -215,6 +217,12 @@
 	}
 }
 
+// provenSpent returns what all routers have certainly spent. Tokens that only count as spent may still be returned, or
+// were never used, so that a request that they would cover is not refused for good.
+func (acc *account) provenSpent() ident.Tokens {
+	return acc.spent - acc.assumed + acc.spentByOthers - acc.presumedByOthers
+}
+
 // recordRequestSize updates the moving average of the request size.
 func (acc *account) recordRequestSize(n ident.Tokens) {
 	const weight = 0.1 // weight of the latest request in the average
@@ -264,6 +272,14 @@
 	acc.newDemand -= held - min(max(used, 0), held)
 }
 
+// SettleUnknown ends a hold of which nobody knows what it has used. All of it counts as spent.
+func (a *Accounts) SettleUnknown(org ident.OrgID, held ident.Tokens) {
+	a.Settle(org, held, held)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.accountFor(org).assumed += held
+}
+
 // SetStartVersion sets the version that orders this process among those of its VM. It must be called before the first
 // plan.
 func (a *Accounts) SetStartVersion(v ident.ObjectVersion) {
@@ -310,6 +326,8 @@
 // Balance is a snapshot of what a router knows of one organisation's tokens.
 type Balance struct {
 	Total, Spent, Held, Granted, Limit, Growth, SpentByOthers, Unallotted ident.Tokens
+	// Presumed is the part of Spent and SpentByOthers that may not have been spent.
+	Presumed ident.Tokens
 }
 
 // Balance returns the current balance of an organisation.
@@ -318,7 +336,8 @@
 	defer a.mu.Unlock()
 	acc := a.accountFor(org)
 	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted,
-		Limit: acc.allowance.Limit, Growth: acc.allowance.Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted}
+		Limit: acc.allowance.Limit, Growth: acc.allowance.Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted,
+		Presumed: acc.presumedByOthers + acc.assumed}
 }
 
 // Leave makes the accounts refuse all further holds. It returns the final report once nothing is held, and false until
@@ -327,15 +346,26 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.stopped = true
-	spent := make(map[ident.OrgID]ident.Tokens, len(a.orgs))
+	departure := Departure{Router: a.cfg.Self, VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes + 1,
+		Spent: make(map[ident.OrgID]ident.Tokens, len(a.orgs)), Assumed: make(map[ident.OrgID]ident.Tokens)}
 	for id, acc := range a.orgs {
 		if acc.held > 0 {
 			return Departure{}, false
 		}
-		spent[id] = acc.spent
+		departure.Spent[id] = acc.spent
+		setPositive(departure.Assumed, id, acc.assumed)
 	}
 	a.writes++
-	return Departure{Router: a.cfg.Self, VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Spent: spent}, true
+	return departure, true
+}
+
+// setPositive sets the tokens of an organisation, or removes its entry if there are none.
+func setPositive(m map[ident.OrgID]ident.Tokens, id ident.OrgID, n ident.Tokens) {
+	if n > 0 {
+		m[id] = n
+		return
+	}
+	delete(m, id)
 }
 
 // orgIDs returns the sorted IDs of the known organisations.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -42,6 +43,8 @@
 	// Rate is the demand in tokens per second, and Size the average request in tokens.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
 	Size float64 `cbor:"6,keyasint,omitempty"`
+	// Assumed is the part of Spent that is only assumed to be spent.
+	Assumed ident.Tokens `cbor:"8,keyasint,omitempty"`
 	// Holders is the number of routers that hold the organisation's tokens, zero if all do, or negative if the claimant
 	// isn't one of them.
 	Holders int `cbor:"7,keyasint,omitempty"`
@@ -70,6 +73,8 @@
 	Unallotted    ident.Tokens `cbor:"4,keyasint,omitempty"`
 	// Demand is the demand of all routers in tokens per second.
 	Demand float64 `cbor:"5,keyasint,omitempty"`
+	// Presumed is the part of SpentByOthers that may not have been spent.
+	Presumed ident.Tokens `cbor:"6,keyasint,omitempty"`
 }
 
 // rateChange is the relative change of demand above which a router reports it.
@@ -124,7 +129,7 @@
 		if acc.needsReport() {
 			acc.granted = acc.floor()
 			c.Needs[id] = Need{Floor: acc.granted, Used: acc.spent + acc.held, Spent: acc.spent, Want: acc.want,
-				Rate: acc.rate, Size: acc.requestSize, Holders: acc.holders}
+				Rate: acc.rate, Size: acc.requestSize, Holders: acc.holders, Assumed: acc.assumed}
 		}
 		wanted := a.wantedAllowance(acc)
 		bound := wanted.clamp(acc.granted, acc.spent+acc.held)
@@ -177,7 +182,7 @@
 	c := &Claim{Router: departure.Router, VM: departure.VM, Writes: departure.Writes, StartVersion: departure.StartVersion, Started: started, Leaves: true,
 		Needs: make(map[ident.OrgID]Need), Allowances: &Allowances{Format: Format, Sent: at}}
 	for id, n := range departure.Spent {
-		c.Needs[id] = Need{Spent: n, Used: n}
+		c.Needs[id] = Need{Spent: n, Used: n, Assumed: departure.Assumed[id]}
 	}
 	return c
 }
@@ -190,7 +195,7 @@
 		acc := a.accountFor(id)
 		acc.rowKnown = true
 		acc.row, acc.granted, acc.entitlement = g.Row, g.Row.Granted, g.Entitlement
-		acc.spentByOthers, acc.unallotted, acc.demand = g.SpentByOthers, g.Unallotted, g.Demand
+		acc.spentByOthers, acc.presumedByOthers, acc.unallotted, acc.demand = g.SpentByOthers, g.Presumed, g.Unallotted, g.Demand
 		acc.asOf = now
 		acc.claimedTotal = acc.total
 	}
@@ -253,14 +258,14 @@
 		return nil, false
 	}
 	if c.Leaves {
-		a.closeClaimant(shard, d, c)
+		a.closeClaimant(d, c)
 		return nil, true
 	}
-	next := &Holder{VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Wall: c.Allowances.Sent.Wall, Rows: make(map[ident.OrgID]Row)}
+	next := &Holder{VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Wall: c.Allowances.Sent.Wall,
+		Rows: make(map[ident.OrgID]Row), Assumed: make(map[ident.OrgID]ident.Tokens)}
 	if h != nil {
-		for id, row := range h.Rows {
-			next.Rows[id] = row
-		}
+		maps.Copy(next.Rows, h.Rows)
+		maps.Copy(next.Assumed, h.Assumed)
 	}
 	grants := make(map[ident.OrgID]Grant)
 	for id, n := range c.Needs {
@@ -272,6 +277,8 @@
 				delete(next.Rows, id)
 			}
 			d.replaceRow(c.Router, id, oldRow, grants[id].Row)
+			d.sumsFor(id).presumed += n.Assumed - next.Assumed[id]
+			setPositive(next.Assumed, id, n.Assumed)
 			l.Holders[c.Router] = next
 		}
 	}
@@ -289,27 +296,35 @@
 		SpentByOthers: d.sumsFor(id).spent - oldRow.Spent,
 		Unallotted:    total - d.sumsFor(id).granted + oldRow.Granted - row.Granted,
 		Demand:        demand,
+		Presumed:      d.sumsFor(id).presumed - d.assumedBy(holder, id),
 	}
 }
 
 // closeClaimant closes the rows of a claimant that stops and leaves a tombstone.
-func (a *Accounts) closeClaimant(shard Shard, d *Division, c *Claim) {
-	spent := make(map[ident.OrgID]ident.Tokens, len(c.Needs))
-	for id, n := range c.Needs {
-		if a.layout.ShardOf(id) == shard {
-			spent[id] = n.Spent
-		}
-	}
-	departure := Departure{Router: c.Router, VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Spent: spent}
+func (a *Accounts) closeClaimant(d *Division, c *Claim) {
+	departure := c.departure()
 	if h := d.ledger.Holders[c.Router]; h != nil {
 		for id, row := range h.Rows {
-			d.replaceRow(c.Router, id, row, Row{Granted: spent[id], Spent: spent[id]})
+			spent := departure.Spent[id]
+			d.replaceRow(c.Router, id, row, Row{Granted: spent, Spent: spent})
+			d.sumsFor(id).presumed += departure.Assumed[id] - h.Assumed[id]
 		}
 	}
 	d.ledger.CloseDeparted(departure)
 	d.ledger.PutTombstone(departure)
 }
 
+// departure returns the final report that a claim of a router that leaves carries.
+func (c *Claim) departure() Departure {
+	departure := Departure{Router: c.Router, VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes,
+		Spent: make(map[ident.OrgID]ident.Tokens, len(c.Needs)), Assumed: make(map[ident.OrgID]ident.Tokens)}
+	for id, n := range c.Needs {
+		departure.Spent[id] = n.Spent
+		setPositive(departure.Assumed, id, n.Assumed)
+	}
+	return departure
+}
+
 // ClaimChangesShard reports whether a claim changes the ledger of a shard.
 func (a *Accounts) ClaimChangesShard(shard Shard, c *Claim) bool {
 	a.mu.Lock()
--- a/core/quota/divide.go
+++ b/core/quota/divide.go
@@ -21,7 +21,9 @@
 // orgSums are the totals of one organisation. rate and want cover only the holders that are alive.
 type orgSums struct {
 	granted, spent, want ident.Tokens
-	rate                 float64
+	// presumed is the part of spent that may not have been spent.
+	presumed ident.Tokens
+	rate     float64
 }
 
 // Divide sums up a ledger that was read at the uptime now.
@@ -45,11 +47,17 @@
 		d.sumsFor(org).granted += n
 		d.sumsFor(org).spent += n
 	}
+	for org, n := range l.Presumed {
+		d.sumsFor(org).presumed += n
+	}
 	for id, h := range l.Holders {
 		d.latestStartVersion[h.VM] = max(d.latestStartVersion[h.VM], h.StartVersion)
 		for org, row := range h.Rows {
 			d.replaceRow(id, org, Row{}, row)
 		}
+		for org, n := range h.Assumed {
+			d.sumsFor(org).presumed += n
+		}
 	}
 	return d
 }
@@ -63,6 +71,14 @@
 	return s
 }
 
+// assumedBy returns what the holder has stored as only assumed to be spent.
+func (d *Division) assumedBy(holder ident.RouterID, id ident.OrgID) ident.Tokens {
+	if h := d.ledger.Holders[holder]; h != nil {
+		return h.Assumed[id]
+	}
+	return 0
+}
+
 // replaceRow replaces a holder's row in the sums.
 func (d *Division) replaceRow(holder ident.RouterID, id ident.OrgID, oldRow, row Row) {
 	s := d.sumsFor(id)
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -84,6 +84,8 @@
 	// Wall is the VM's time of day at the last write in Unix milliseconds.
 	Wall int64               `json:"wall_ms"`
 	Rows map[ident.OrgID]Row `json:"rows,omitempty"`
+	// Assumed is the part of Row.Spent that is only assumed to be spent, because nobody settled a hold.
+	Assumed map[ident.OrgID]ident.Tokens `json:"assumed,omitempty"`
 }
 
 // Ledger is the stored object that holds the grants of one shard's organisations.
@@ -92,14 +94,18 @@
 	Holders map[ident.RouterID]*Holder `json:"holders"`
 	// Closed is what is counted as spent by holders that have ended.
 	Closed map[ident.OrgID]ident.Tokens `json:"closed,omitempty"`
+	// Presumed is the part of Closed that may not have been spent: what the holders had not reported as spent, or had
+	// only assumed to be.
+	Presumed map[ident.OrgID]ident.Tokens `json:"presumed,omitempty"`
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
-		Format:  Format,
-		Holders: make(map[ident.RouterID]*Holder),
-		Closed:  make(map[ident.OrgID]ident.Tokens),
+		Format:   Format,
+		Holders:  make(map[ident.RouterID]*Holder),
+		Closed:   make(map[ident.OrgID]ident.Tokens),
+		Presumed: make(map[ident.OrgID]ident.Tokens),
 	}
 }
 
@@ -118,6 +124,9 @@
 	if l.Closed == nil {
 		l.Closed = make(map[ident.OrgID]ident.Tokens)
 	}
+	if l.Presumed == nil {
+		l.Presumed = make(map[ident.OrgID]ident.Tokens)
+	}
 	for id, h := range l.Holders {
 		if h == nil {
 			return nil, fmt.Errorf("decode ledger: holder %q is null", id)
@@ -202,11 +211,19 @@
 		if used > 0 {
 			l.Closed[org] += used
 		}
+		l.presume(org, used-row.Spent+l.Holders[id].Assumed[org])
 	}
 	delete(l.Holders, id)
 	return closure
 }
 
+// presume records that n of the tokens that count as closed may not have been spent.
+func (l *Ledger) presume(org ident.OrgID, n ident.Tokens) {
+	if n > 0 {
+		l.Presumed[org] += n
+	}
+}
+
 // CloseDeparted removes the holder of a process that stops with no requests running. For each of its rows it counts
 // what the process has spent as closed and returns the rest of the grant.
 func (l *Ledger) CloseDeparted(departure Departure) {
@@ -214,6 +231,7 @@
 		for org := range h.Rows {
 			if n := departure.Spent[org]; n > 0 {
 				l.Closed[org] += n
+				l.presume(org, departure.Assumed[org])
 			}
 		}
 	}
@@ -233,4 +251,6 @@
 	StartVersion ident.ObjectVersion
 	Writes       uint64
 	Spent        map[ident.OrgID]ident.Tokens
+	// Assumed is the part of Spent that is only assumed to be spent.
+	Assumed map[ident.OrgID]ident.Tokens
 }
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -63,7 +63,8 @@
 	a.observeLedger(shard, l, now)
 	a.updateRates(now)
 	a.writes++
-	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
+	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row),
+		Assumed: make(map[ident.OrgID]ident.Tokens)}
 	oldHolder := l.Holders[a.cfg.Self]
 	d := a.divide(l, now)
 	for _, id := range a.orgIDs() {
@@ -79,12 +80,13 @@
 		row, acc.demand = a.planRow(d, id, a.cfg.Self, acc.need(), oldRow)
 		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
-		acc.spentByOthers = d.sumsFor(id).spent - oldRow.Spent
+		acc.spentByOthers, acc.presumedByOthers = d.sumsFor(id).spent-oldRow.Spent, d.sumsFor(id).presumed-d.assumedBy(a.cfg.Self, id)
 		acc.unallotted = acc.total - d.sumsFor(id).granted + oldRow.Granted - row.Granted
 		acc.asOf = now
 		if row != (Row{}) {
 			h.Rows[id] = row
 		}
+		setPositive(h.Assumed, id, acc.assumed)
 	}
 	l.Holders[a.cfg.Self] = h
 }
--- a/io/edge/lending.go
+++ b/io/edge/lending.go
@@ -257,4 +257,10 @@
 	}
 }
 
-func (l *lending) applySettlement(s lend.Settlement) { l.s.accounts.Settle(s.Org, s.Tokens, s.Used) }
+func (l *lending) applySettlement(s lend.Settlement) {
+	if s.Unknown {
+		l.s.accounts.SettleUnknown(s.Org, s.Tokens)
+		return
+	}
+	l.s.accounts.Settle(s.Org, s.Tokens, s.Used)
+}
--- a/io/edge/tokens.go
+++ b/io/edge/tokens.go
@@ -182,7 +182,7 @@
 		"need", need, "verdict", held.Result.Verdict, "near", held.Result.NextWriteMayCover,
 		"grows_ms", held.Result.GrowthDelay.Milliseconds(),
 		"total", balance.Total, "spent", balance.Spent, "held", balance.Held, "granted", balance.Granted,
-		"limit", balance.Limit, "growth", balance.Growth, "elsewhere", balance.SpentByOthers, "free", balance.Unallotted,
+		"limit", balance.Limit, "growth", balance.Growth, "elsewhere", balance.SpentByOthers, "presumed", balance.Presumed, "free", balance.Unallotted,
 		"allowance_age_ms", x.s.accounts.Age(x.s.deps.VMClock.Now().Uptime).Milliseconds(),
 		"store_away", held.StoreUnreachable)
 }
