Let a request wait at the holder that has its tokens

A request that no holder served at once waited at the first that answered, also when another one had the tokens granted and needed only a write of its allowances. Routers that were asked once in a holder's place kept a grant of eight requests that nobody asked them for.

The one with the best prospect is asked to wait, and a router that is no holder is granted what it needs and no more.

--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -416,8 +416,11 @@
 
 // minGrant returns what a router is granted for an organisation without steady demand: the tokens of
 // minGrantedRequests average requests. All routers together take at most scarceShare of the remaining tokens for this,
-// except that each may take one average request.
+// except that each may take one average request. A router that is no holder gets none, because few requests ask it.
 func (a *Accounts) minGrant(n holderNeed, remaining ident.Tokens) ident.Tokens {
+	if n.holders == notHolder {
+		return 0
+	}
 	part := scarceShare * float64(remaining) / float64(a.holderCount(n.holders))
 	return ident.Tokens(max(min(minGrantedRequests*n.size, part), n.size))
 }
--- a/io/edge/tokens.go
+++ b/io/edge/tokens.go
@@ -57,11 +57,11 @@
 	return tokenShortage(result, x.s.lending.Load() != nil), false
 }
 
-// borrowTokens asks the holders of the organisation's tokens in turn. If none has them at hand, the first that answered
-// is asked again and may wait for them.
+// borrowTokens asks the holders of the organisation's tokens in turn. If none has them at hand, the one that expects them
+// soonest is asked again and may wait for them.
 func (x *exchange) borrowTokens(l *lending, need ident.Tokens, wait time.Duration) peer.TokenHeld {
 	end := x.s.deps.Clock.Now().Add(wait)
-	var first *elect.Member
+	var waits *elect.Member
 	best := peer.TokenHeld{Result: quota.HoldResult{Verdict: quota.Insufficient}, StoreUnreachable: x.s.storeMonitor.isUnreachable()}
 	for _, m := range l.candidates(x.org.ID) {
 		if x.ctx.Err() != nil || !x.s.deps.Clock.Now().Before(end) {
@@ -74,21 +74,33 @@
 		if held.Result.Verdict != quota.Insufficient {
 			return held
 		}
-		if first == nil {
-			first, best = &m, held
+		if waits == nil || prospect(held.Result) > prospect(best.Result) {
+			waits, best = &m, held
 		}
 	}
 	left := end.Sub(x.s.deps.Clock.Now())
-	if first == nil || left <= 0 || x.ctx.Err() != nil {
+	if waits == nil || left <= 0 || x.ctx.Err() != nil {
 		return best
 	}
-	held, err := x.holdAt(l, *first, need, left)
+	held, err := x.holdAt(l, *waits, need, left)
 	if err != nil {
 		return best
 	}
 	return held
 }
 
+// prospect ranks how soon a holder that lacks tokens may have them: first one that needs only a write of its
+// allowances, then one whose next write of the ledger may bring them.
+func prospect(r quota.HoldResult) int {
+	switch {
+	case r.Granted:
+		return 2
+	case r.NextWriteMayCover:
+		return 1
+	}
+	return 0
+}
+
 // holdAt asks one holder, which may be this router, for the tokens of the request. A holder with an older configuration
 // cannot know that the tokens are exhausted.
 func (x *exchange) holdAt(l *lending, m elect.Member, need ident.Tokens, wait time.Duration) (peer.TokenHeld, error) {
