Give the final report of a router that stops to other routers

The report now also goes to six routers that write for others, and closing the rows of a process uses it.

--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -28,6 +28,8 @@
 	SinceAnswer time.Duration `cbor:"10,keyasint,omitempty"`
 	// Leaves says that the claimant stops and has no requests running.
 	Leaves bool `cbor:"7,keyasint,omitempty"`
+	// Keep says that the claim of a router that leaves is to be kept until its rows are closed, because it cannot be written.
+	Keep bool `cbor:"11,keyasint,omitempty"`
 	// Probe says that the claim only asks whether the writer would serve a claim.
 	Probe bool `cbor:"8,keyasint,omitempty"`
 }
@@ -302,7 +304,7 @@
 
 // closeClaimant closes the rows of a claimant that stops and leaves a tombstone.
 func (a *Accounts) closeClaimant(d *Division, c *Claim) {
-	departure := c.departure()
+	departure := c.Departure()
 	if h := d.ledger.Holders[c.Router]; h != nil {
 		for id, row := range h.Rows {
 			spent := departure.Spent[id]
@@ -314,8 +316,8 @@
 	d.ledger.PutTombstone(departure)
 }
 
-// departure returns the final report that a claim of a router that leaves carries.
-func (c *Claim) departure() Departure {
+// Departure returns the final report that the claim of a router that leaves carries.
+func (c *Claim) Departure() Departure {
 	departure := Departure{Router: c.Router, VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes,
 		Spent: make(map[ident.OrgID]ident.Tokens, len(c.Needs)), Assumed: make(map[ident.OrgID]ident.Tokens)}
 	for id, n := range c.Needs {
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -30,6 +30,8 @@
 	ended map[ident.RouterID]ident.Tokens
 	// spent is what all processes, including ended ones, have actually spent.
 	spent ident.Tokens
+	// returnedSpent counts the closed holders of which tokens were returned that they had spent.
+	returnedSpent int
 }
 
 // pendingWrite is a write that takes effect only if the ledger still has the encoding base.
@@ -46,6 +48,8 @@
 	held     []ident.Tokens
 	spent    ident.Tokens
 	answered map[ident.RouterID]time.Duration
+	// departures are what this process keeps of others.
+	departures *Departures
 }
 
 const claimOrg ident.OrgID = "org"
@@ -71,6 +75,7 @@
 	vm.started = s.moment()
 	vm.held, vm.spent = nil, 0
 	vm.answered = make(map[ident.RouterID]time.Duration)
+	vm.departures = NewDepartures()
 	vm.accounts = NewAccounts(Config{
 		Self: ident.NewRouterID(string(vm.id), vm.starts), VM: vm.id, HoldOff: 1300 * time.Millisecond,
 		SpareHorizon: 800 * time.Millisecond, GrantHorizon: 25 * time.Second, LowHorizon: 10 * time.Second, IdleShare: 0.4, LivenessTimeout: 15 * time.Second,
@@ -130,6 +135,10 @@
 	l := s.clone()
 	writer.accounts.ObserveLedger(0, l, s.now)
 	for _, id := range l.Predecessors(c.VM, c.Router, c.StartVersion) {
+		if departure, ok := writer.departures.Of(id); ok {
+			s.closeDeparted(l, departure)
+			continue
+		}
 		e := l.CloseHolder(id, s.batch.Routers[id], c.Started, writer.accounts.ClockUpperBounds(c.Started.Uptime))
 		if spent, ended := s.ended[id]; ended && e.Used < spent {
 			s.t.Fatalf("%d tokens of %s are counted as spent, but it spent %d", e.Used, id, spent)
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -69,7 +69,7 @@
 		return
 	}
 	s.claims = &claimSender{
-		s: s, ledgers: lc, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
+		s: s, ledgers: lc, members: fleet.members, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
 	s.startLending(fleet.members)
 	s.changes.Store(newChangeFeed(s, fleet.members))
@@ -102,6 +102,7 @@
 	s *Server
 	// ledgers writes directly to the store when no writer serves.
 	ledgers  *ledgerClient
+	members  []elect.Member
 	selector *elect.Selector
 	// sentAt is when the last round began.
 	sentAt time.Time
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
 )
@@ -13,6 +17,10 @@
 // end of the last request and the end of the grace period.
 const leaveTimeout = 280 * time.Millisecond
 
+// maxDepartureKeepers is the number of routers that keep the final report of one that cannot write it. The first ones
+// are in different failure domains.
+const maxDepartureKeepers = 6
+
 // returnTokens returns the unspent tokens when the process stops.
 func (s *Server) returnTokens() {
 	departure, ok := s.accounts.Leave()
@@ -26,6 +34,12 @@
 			return
 		}
 		s.deps.Log.Info("no writer returned the unspent tokens; writing the ledgers directly", "error", err)
+		kept := make(chan struct{})
+		go func() {
+			defer close(kept)
+			s.runTask("departure", func() { s.keepDepartureAtPeers(departure) })
+		}()
+		defer func() { <-kept }()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
@@ -41,6 +55,43 @@
 	return s.claims.sendLeave(ctx, quota.PlanLeave(departure, s.claims.ledgers.startedAt, s.deps.VMClock.Now()))
 }
 
+// keepDepartureAtPeers gives the final report to the routers that most likely close this router's rows. Without it, what
+// the allowances permitted until the start of the next process counts as spent, which is much while the store is away.
+func (s *Server) keepDepartureAtPeers(departure quota.Departure) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	claim := quota.PlanLeave(departure, s.claims.ledgers.startedAt, s.deps.VMClock.Now())
+	claim.Keep = true
+	var kept atomic.Int32
+	var wg sync.WaitGroup
+	for _, m := range s.departureKeepers() {
+		wg.Go(func() {
+			if _, err := s.sendClaim(ctx, m, claim); err == nil {
+				kept.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	s.deps.Log.Info("final report of the unspent tokens given to other routers", "routers", kept.Load())
+}
+
+// departureKeepers returns the routers that are most preferred as writers, whether they served lately or not.
+func (s *Server) departureKeepers() []elect.Member {
+	now := s.deps.Clock.Now()
+	selector := elect.New(s.claims.members)
+	selector.RecordFailure(s.selfMember().VM, now)
+	var keepers []elect.Member
+	for range maxDepartureKeepers {
+		m, ok := selector.Pick(now)
+		if !ok || slices.Contains(keepers, m) {
+			break
+		}
+		keepers = append(keepers, m)
+		selector.RecordFailure(m.VM, now)
+	}
+	return keepers
+}
+
 // returnDirectly returns the unspent tokens by direct writes of the ledgers.
 func (s *Server) returnDirectly(ctx context.Context, departure quota.Departure) error {
 	lc := newLedgerClient(s)
--- a/io/edge/predecessors.go
+++ b/io/edge/predecessors.go
@@ -46,6 +46,11 @@
 			ledger.CloseHolder(id, nil, succ.startedAt, nil) // it has returned its unspent tokens
 			continue
 		}
+		if departure, ok := lc.s.writer.departureOf(id); ok {
+			ledger.CloseDeparted(departure)
+			lc.s.deps.Log.Info("closing the ledger rows of an earlier process of the VM by its final report", "router", id)
+			continue
+		}
 		allowances, err := allowancesOf(ctx, id)
 		if err != nil {
 			return false, err
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -50,6 +50,7 @@
 	waiting   map[ident.RouterID]*waitingClaim
 	// lastAnswer holds the uptime at the last answer to each router.
 	lastAnswer map[ident.RouterID]time.Duration
+	departures *quota.Departures
 
 	// checkMu guards the time and the result of the last store check. It is held during the check, so that concurrent
 	// callers share one call.
@@ -78,7 +79,8 @@
 	return &claimWriter{
 		s: s, ledgers: newLedgerClient(s),
 		waiting: make(map[ident.RouterID]*waitingClaim), lastAnswer: make(map[ident.RouterID]time.Duration),
-		arrived: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		departures: quota.NewDepartures(),
+		arrived:    make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
 
@@ -88,6 +90,9 @@
 	if claim.Probe {
 		return w.answerProbe(ctx, claim.Router)
 	}
+	if claim.Keep {
+		return w.keepDeparture(claim)
+	}
 	item, err := w.enqueue(claim)
 	if err != nil {
 		return nil, err
@@ -130,6 +135,24 @@
 	return &quota.Outcome{Clocks: w.s.accounts.ClockLowerBounds(now)}, nil
 }
 
+// keepDeparture keeps the final report of a router that stops and cannot write it.
+func (w *claimWriter) keepDeparture(claim *quota.Claim) (*quota.Outcome, error) {
+	now := w.s.deps.VMClock.Now().Uptime
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !claim.Leaves || !w.departures.Keep(claim.Departure(), now) {
+		return nil, errRefused
+	}
+	return &quota.Outcome{}, nil
+}
+
+// departureOf returns the final report of a router, if one is kept here.
+func (w *claimWriter) departureOf(id ident.RouterID) (quota.Departure, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.departures.Of(id)
+}
+
 // checkStore returns errRefused if this router is not ready to write claims or the store does not answer. Concurrent
 // callers share one call of the store. After an outage this call is also the first to show that the store is reachable
 // again.
