Let allowances grow beside an unanswered write

Each write that got no answer, a claim too, began the hold-off time of the allowances anew and took the smaller of the old and the new limit, so that a router that lost the store or its writer could spend nothing for 1.3 s after each attempt.

What is in the store is either the confirmed allowance, dated by its own sending, or one sent since. Both bound the spending now, each with its own age. A request that waits for a write also tries again when growth covers it.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -58,9 +58,11 @@
 	total ident.Tokens
 	spent ident.Tokens
 	held  ident.Tokens
-	// granted and allowance bound the spending whichever of the pending writes take effect.
-	granted   ident.Tokens
-	allowance Allowance
+	// granted bounds the spending whichever of the pending writes of the ledger take effect.
+	granted ident.Tokens
+	// allowance is as last confirmed, and unconfirmed permits what all allowances permit that were sent since. Both bound
+	// the spending.
+	allowance, unconfirmed Allowance
 	// row is the stored row as last confirmed.
 	row Row
 	// rowKnown reports that the stored row has been confirmed at least once. entitlement is the grant that the division
@@ -99,18 +101,14 @@
 type Accounts struct {
 	cfg Config
 
-	mu                sync.Mutex
-	orgs              map[ident.OrgID]*account
-	configuredRouters int
-	writes            uint64
-	// sent is the uptime at which the last allowances that may have taken effect were sent, and previousSent that of the
-	// allowances before them.
-	sent         time.Duration
-	previousSent time.Duration
-	everSent     bool
-	ratesUpdated time.Duration
-	stopped      bool
-	observations map[ident.RouterID]observation
+	mu                       sync.Mutex
+	orgs                     map[ident.OrgID]*account
+	configuredRouters        int
+	writes                   uint64
+	sendings, sendingsBefore sendings
+	ratesUpdated             time.Duration
+	stopped                  bool
+	observations             map[ident.RouterID]observation
 	// reportedClocks holds the clocks of VMs as reported in the answers to claims.
 	reportedClocks map[ident.VMID]clockOffset
 	// ledgerReadAt is the uptime at which each ledger was last read.
@@ -119,6 +117,13 @@
 	startVersion ident.ObjectVersion
 }
 
+// sendings holds the uptimes at which allowances were sent: the confirmed ones, and the last of those that may take
+// effect without having been confirmed, if anyUnconfirmed is set.
+type sendings struct {
+	confirmed, unconfirmed       time.Duration
+	anyConfirmed, anyUnconfirmed bool
+}
+
 // clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, from the least delayed of the recent
 // reports. offsetAt is the uptime of that report, and at that of the last one.
 type clockOffset struct {
@@ -128,8 +133,8 @@
 
 // bounds limit what a router may spend of an organisation's tokens.
 type bounds struct {
-	granted   ident.Tokens
-	allowance Allowance
+	granted     ident.Tokens
+	unconfirmed Allowance
 }
 
 // observation is what is known of another holder's last write.
@@ -235,15 +240,48 @@
 
 // bound returns the total that the router may have spent and reserved now.
 func (a *Accounts) bound(acc *account, now time.Duration) ident.Tokens {
-	return min(acc.allowance.bound(a.age(now), a.cfg.HoldOff), acc.granted)
+	bound := min(acc.granted, acc.allowance.bound(a.sendings.confirmedAge(now), a.cfg.HoldOff))
+	if a.sendings.anyUnconfirmed {
+		bound = min(bound, acc.unconfirmed.bound(now-a.sendings.unconfirmed, a.cfg.HoldOff))
+	}
+	return bound
+}
+
+// confirmedAge returns the time since the sending of the confirmed allowances, or zero if there are none.
+func (s sendings) confirmedAge(now time.Duration) time.Duration {
+	if !s.anyConfirmed {
+		return 0
+	}
+	return now - s.confirmed
+}
+
+// expectAllowance records an allowance that is sent. Until it is confirmed or refused, it bounds the spending like the one
+// that is in force.
+func (a *Accounts) expectAllowance(acc *account, allowance Allowance) {
+	if !a.sendings.anyUnconfirmed {
+		acc.unconfirmed = allowance
+		return
+	}
+	acc.unconfirmed.Limit = min(acc.unconfirmed.Limit, allowance.Limit)
+	acc.unconfirmed.Growth = min(acc.unconfirmed.Growth, allowance.Growth)
+}
+
+// recordSending records that the expected allowances of all accounts are sent.
+func (a *Accounts) recordSending(now time.Duration) {
+	a.sendings.unconfirmed, a.sendings.anyUnconfirmed = now, true
+}
+
+// recordConfirmation records that the last allowances are in force, so that no earlier ones can take effect.
+func (a *Accounts) recordConfirmation() {
+	a.sendings = sendings{confirmed: a.sendings.unconfirmed, anyConfirmed: true}
 }
 
 // age returns the time since the sending of the last allowances that may have taken effect, or zero if none were sent.
 func (a *Accounts) age(now time.Duration) time.Duration {
-	if !a.everSent {
-		return 0
+	if a.sendings.anyUnconfirmed {
+		return now - a.sendings.unconfirmed
 	}
-	return now - a.sent
+	return a.sendings.confirmedAge(now)
 }
 
 // Age returns the time since the sending of the last allowances that may have taken effect, or zero if none were sent.
@@ -255,11 +293,15 @@
 
 // growthDelay returns the time without a write after which the bound reaches a total, or zero if it never does.
 func (a *Accounts) growthDelay(acc *account, total ident.Tokens, now time.Duration) time.Duration {
-	if total > acc.granted || acc.allowance.Growth <= 0 {
+	delay, ok := acc.allowance.growthDelay(total, a.sendings.confirmedAge(now), a.cfg.HoldOff)
+	if a.sendings.anyUnconfirmed {
+		later, grows := acc.unconfirmed.growthDelay(total, now-a.sendings.unconfirmed, a.cfg.HoldOff)
+		delay, ok = max(delay, later), ok && grows
+	}
+	if !ok || total > acc.granted {
 		return 0
 	}
-	seconds := float64(total-acc.allowance.Limit) / float64(acc.allowance.Growth)
-	return max(a.cfg.HoldOff+growthTime(seconds)-a.age(now), time.Millisecond)
+	return max(delay, time.Millisecond)
 }
 
 // Settle ends a hold and counts used tokens of it as spent, at most those held.
@@ -336,7 +378,7 @@
 	defer a.mu.Unlock()
 	acc := a.accountFor(org)
 	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted,
-		Limit: acc.allowance.Limit, Growth: acc.allowance.Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted,
+		Limit: a.limits(acc).Limit, Growth: a.limits(acc).Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted,
 		Presumed: acc.presumedByOthers + acc.assumed}
 }
 
@@ -359,6 +401,14 @@
 	return departure, true
 }
 
+// limits returns the allowance that is in force whichever of those that were sent take effect.
+func (a *Accounts) limits(acc *account) Allowance {
+	if !a.sendings.anyUnconfirmed {
+		return acc.allowance
+	}
+	return Allowance{Limit: min(acc.allowance.Limit, acc.unconfirmed.Limit), Growth: min(acc.allowance.Growth, acc.unconfirmed.Growth)}
+}
+
 // setPositive sets the tokens of an organisation, or removes its entry if there are none.
 func setPositive(m map[ident.OrgID]ident.Tokens, id ident.OrgID, n ident.Tokens) {
 	if n > 0 {
--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -56,6 +56,17 @@
 	return a.Limit + ident.Tokens(float64(a.Growth)*growthSeconds(age-holdOff))
 }
 
+// growthDelay returns the time after which the allowance of the given age permits a total, and false if it never does.
+func (a Allowance) growthDelay(total ident.Tokens, age, holdOff time.Duration) (time.Duration, bool) {
+	if total <= a.Limit {
+		return 0, true
+	}
+	if a.Growth <= 0 {
+		return 0, false
+	}
+	return max(holdOff+growthTime(float64(total-a.Limit)/float64(a.Growth))-age, 0), true
+}
+
 // growthSeconds returns by how many seconds of Growth an allowance has grown at a time after the hold-off time. Growth
 // starts slowly, because most crashed routers are back within the first second, and then runs at twice the rate for
 // routers that are cut off from the store.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -101,7 +101,7 @@
 		return TokensLacking
 	case acc.toppedUp(),
 		acc.floor() < acc.granted, // other routers wait for the difference
-		acc.allowance.Limit-used < spare && acc.allowance.Limit < acc.granted,
+		a.limits(acc).Limit-used < spare && a.limits(acc).Limit < acc.granted,
 		acc.unallotted > 0 && acc.granted-used < tokensFor(acc.rate, a.cfg.LowHorizon)/2:
 		return TokensLow
 	case !acc.rowKnown || acc.spent != acc.row.Spent:
@@ -125,9 +125,10 @@
 			Rows: make(map[ident.OrgID]Allowance),
 		},
 	}
+	a.sendingsBefore = a.sendings
 	for _, id := range a.orgIDs() {
 		acc := a.orgs[id]
-		acc.beforeClaim = bounds{acc.granted, acc.allowance}
+		acc.beforeClaim = bounds{acc.granted, acc.unconfirmed}
 		if acc.needsReport() {
 			acc.granted = acc.floor()
 			c.Needs[id] = Need{Floor: acc.granted, Used: acc.spent + acc.held, Spent: acc.spent, Want: acc.want,
@@ -135,8 +136,7 @@
 		}
 		wanted := a.wantedAllowance(acc)
 		bound := wanted.clamp(acc.granted, acc.spent+acc.held)
-		acc.allowance.Limit = min(acc.allowance.Limit, bound.Limit)
-		acc.allowance.Growth = min(acc.allowance.Growth, bound.Growth)
+		a.expectAllowance(acc, bound)
 		if _, reported := c.Needs[id]; !reported {
 			wanted = bound
 		}
@@ -144,8 +144,7 @@
 			c.Allowances.Rows[id] = wanted
 		}
 	}
-	a.previousSent, a.sent = a.sent, at.Uptime
-	a.everSent = true
+	a.recordSending(at.Uptime)
 	return c
 }
 
@@ -210,10 +209,9 @@
 	if !out.AllowancesStored {
 		return
 	}
+	a.recordConfirmation()
 	for id, acc := range a.orgs {
-		if _, sent := c.Allowances.Rows[id]; sent {
-			acc.allowance = out.Allowances[id]
-		}
+		acc.allowance = out.Allowances[id]
 		acc.want = 0
 	}
 }
@@ -231,9 +229,9 @@
 
 // restoreAllowances restores the allowances from before the last claim and the time at which they were sent.
 func (a *Accounts) restoreAllowances() {
-	a.sent = a.previousSent
+	a.sendings = a.sendingsBefore
 	for _, acc := range a.orgs {
-		acc.allowance = acc.beforeClaim.allowance
+		acc.unconfirmed = acc.beforeClaim.unconfirmed
 	}
 }
 
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -156,32 +156,31 @@
 		Format: Format, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
 		Rows: make(map[ident.OrgID]Allowance),
 	}
+	a.sendingsBefore = a.sendings
 	for _, id := range a.orgIDs() {
 		acc := a.orgs[id]
-		acc.nextAllowance = a.planAllowance(acc)
-		acc.allowance.Limit = min(acc.allowance.Limit, acc.nextAllowance.Limit)
-		acc.allowance.Growth = min(acc.allowance.Growth, acc.nextAllowance.Growth)
+		acc.nextAllowance, acc.beforeClaim.unconfirmed = a.planAllowance(acc), acc.unconfirmed
+		a.expectAllowance(acc, acc.nextAllowance)
 		if acc.nextAllowance != (Allowance{}) {
 			allowances.Rows[id] = acc.nextAllowance
 		}
 	}
-	a.previousSent, a.sent = a.sent, now.Uptime
-	a.everSent = true
+	a.recordSending(now.Uptime)
 	return allowances
 }
 
-// AbortAllowances records that the store has refused the planned allowances, so that they do not count as sent. The
-// bounds that they lowered stay lowered until a later write of allowances is confirmed.
+// AbortAllowances records that the store has refused the planned allowances, so that they do not count as sent.
 func (a *Accounts) AbortAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.sent = a.previousSent
+	a.restoreAllowances()
 }
 
 // CommitAllowances applies the planned allowances after their write was confirmed.
 func (a *Accounts) CommitAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.recordConfirmation()
 	for _, acc := range a.orgs {
 		acc.allowance = acc.nextAllowance
 		acc.want = 0
--- a/io/edge/tokens.go
+++ b/io/edge/tokens.go
@@ -168,7 +168,11 @@
 func (s *Server) tokenWait(result quota.HoldResult, end time.Time) (time.Duration, bool) {
 	remaining := end.Sub(s.deps.Clock.Now())
 	if !s.storeMonitor.isUnreachable() {
-		return remaining, remaining > 0 && (result.NextWriteMayCover || result.Granted)
+		pause := remaining
+		if result.GrowthDelay > 0 {
+			pause = min(pause, result.GrowthDelay) // the write may fail
+		}
+		return pause, remaining > 0 && (result.NextWriteMayCover || result.Granted)
 	}
 	return result.GrowthDelay, result.GrowthDelay > 0 && result.GrowthDelay <= remaining
 }
