Shrink allowances once crashes have made tokens unusable

The fraction of the spare tokens and of the growth now falls to a fifth while 3 of 100 tokens count as spent without proof, the part that users expect to be usable; growth also falls when few tokens remain, as the spare tokens do already. Requests wait for a write instead.

--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -39,6 +39,9 @@
 	unallottedSteps = 16
 	// minSpareFactor is the least fraction of the usual spare tokens that an allowance includes. See account.spareFactor.
 	minSpareFactor = 0.2
+	// presumedShare is the fraction of an organisation's tokens that may only be presumed spent before its allowances shrink
+	// to minSpareFactor of the usual ones.
+	presumedShare = 0.03
 	// spareShare is the fraction of an organisation's remaining tokens that all routers together may spend without a
 	// write, where that lasts longer than Config.SpareHorizon. A crash of all routers makes no more than this unusable.
 	spareShare = 0.05
@@ -337,7 +340,7 @@
 	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize), acc.idleSpare()))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
 	idle := float64(a.idleGrant(acc.total, acc.holders)) / idleGrowthTime.Seconds()
-	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle)
+	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle) * acc.spareFactor()
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
 
@@ -362,12 +365,14 @@
 	return max(shareTime, a.cfg.SpareHorizon)
 }
 
-// spareFactor returns, from minSpareFactor to 1, the fraction of the usual spare tokens that an allowance
-// includes. When few of an organisation's tokens remain, a crash must not make many of them unusable, and requests wait
-// for a write instead.
+// spareFactor returns, from minSpareFactor to 1, the fraction of the usual spare tokens and growth that an allowance
+// includes. When few of an organisation's tokens remain, or crashes have made many of them unusable, the next crash must
+// not make many more unusable, and requests wait for a write instead.
 func (acc *account) spareFactor() float64 {
-	remaining := float64(acc.total - acc.spent - acc.spentByOthers)
-	return min(max(remaining/(scarceShare*float64(max(acc.total, 1))), minSpareFactor), 1)
+	total := float64(max(acc.total, 1))
+	remaining := float64(acc.total-acc.spent-acc.spentByOthers) / (scarceShare * total)
+	unspoilt := 1 - float64(acc.presumedByOthers)/(presumedShare*total)
+	return min(max(min(remaining, unspoilt), minSpareFactor), 1)
 }
 
 // holderNeed is what determines the grant of a holder for one organisation.
