Ask the routers of a small fleet for their clocks

A small fleet knew other clocks only from rows of the ledgers, seen up to 5 s late.

Each router now asks another one for its clock each second, some at its start; the answer is exact to the time of a call.

--- a/core/quota/account_test.go
+++ b/core/quota/account_test.go
@@ -187,3 +187,19 @@
 		is.True(growthSeconds(after-10*time.Microsecond) <= seconds)
 	}
 }
+
+// TestReportedClocks guards against an age that counts the time between a write of another router and its being seen, when
+// that router has told its clock itself.
+func TestReportedClocks(t *testing.T) {
+	is := is.New(t)
+	a := testAccounts()
+	l := NewLedger()
+	l.Holders["other.1"] = &Holder{VM: "other", Writes: 1, Wall: 1000}
+	a.ObserveLedger(0, l, 4*time.Second) // its clock shows 4000 already
+	is.Equal(a.ClockLowerBounds(at(5 * time.Second))["other"], int64(2000))
+	a.RecordClocks(map[ident.VMID]int64{"other": 5000}, 5*time.Second)
+	is.Equal(a.ClockLowerBounds(at(7 * time.Second))["other"], int64(7000))
+	// A later report that was longer under way does not loosen it.
+	a.RecordClocks(map[ident.VMID]int64{"other": 6500}, 7*time.Second)
+	is.Equal(a.ClockLowerBounds(at(7 * time.Second))["other"], int64(7000))
+}
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -30,6 +30,8 @@
 	Leaves bool `cbor:"7,keyasint,omitempty"`
 	// Keep says that the claim of a router that leaves is to be kept until its rows are closed, because it cannot be written.
 	Keep bool `cbor:"11,keyasint,omitempty"`
+	// AsksClock says that the claim only asks for the router's clock. Probe is set too.
+	AsksClock bool `cbor:"12,keyasint,omitempty"`
 	// Probe says that the claim only asks whether the writer would serve a claim.
 	Probe bool `cbor:"8,keyasint,omitempty"`
 }
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"geraniumsaddle/core/elect"
@@ -65,7 +66,10 @@
 	s.peerTransport = transport
 	s.startGossip(fleet.members)
 	if len(fleet.members) <= s.deps.DirectFleet {
+		var clocks sync.WaitGroup
+		clocks.Go(func() { s.runTask("clocks", func() { s.runClockReports(ctx, fleet.members) }) })
 		s.runDirectWrites(ctx, lc)
+		clocks.Wait()
 		return
 	}
 	s.claims = &claimSender{
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -87,6 +87,9 @@
 // submit queues a claim and waits until it is written. A probe is answered without queueing. The error is errRefused if
 // the claim has had no effect and never will.
 func (w *claimWriter) submit(ctx context.Context, claim *quota.Claim) (*quota.Outcome, error) {
+	if claim.AsksClock {
+		return w.s.clockAnswer(), nil
+	}
 	if claim.Probe {
 		return w.answerProbe(ctx, claim.Router)
 	}
