--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -22,7 +22,7 @@
 	Held Verdict = iota
 	// Insufficient means that this router may not spend the tokens yet.
 	Insufficient
-	// Exhausted means that too few of the organisation's tokens are left in the whole fleet.
+	// Exhausted means that the ledger proves that too few of the organisation's tokens are left in the whole fleet.
 	Exhausted
 )
 
@@ -58,9 +58,11 @@
 	total ident.Tokens
 	spent ident.Tokens
 	held  ident.Tokens
-	// granted and allowance bound the spending whichever of the pending writes take effect.
-	granted   ident.Tokens
-	allowance Allowance
+	// granted bounds the spending whichever of the pending writes of the ledger take effect.
+	granted ident.Tokens
+	// allowance is as last confirmed, and unconfirmed permits what all allowances permit that were sent since. Both bound
+	// the spending.
+	allowance, unconfirmed Allowance
 	// row is the stored row as last confirmed.
 	row Row
 	// rowKnown reports that the stored row has been confirmed at least once. entitlement is the grant that the division
@@ -76,6 +78,8 @@
 	// nobody.
 	// asOf is the uptime at which both were known.
 	spentByOthers, unallotted ident.Tokens
+	// presumedByOthers is the part of spentByOthers that may not have been spent, and assumed that of spent.
+	presumedByOthers, assumed ident.Tokens
 	asOf                      time.Duration
 	// demand is the last known demand of all routers in tokens per second.
 	demand float64
@@ -97,18 +101,14 @@
 type Accounts struct {
 	cfg Config
 
-	mu                sync.Mutex
-	orgs              map[ident.OrgID]*account
-	configuredRouters int
-	writes            uint64
-	// sent is the uptime at which the last allowances that may have taken effect were sent, and previousSent that of the
-	// allowances before them.
-	sent         time.Duration
-	previousSent time.Duration
-	everSent     bool
-	ratesUpdated time.Duration
-	stopped      bool
-	observations map[ident.RouterID]observation
+	mu                       sync.Mutex
+	orgs                     map[ident.OrgID]*account
+	configuredRouters        int
+	writes                   uint64
+	sendings, sendingsBefore sendings
+	ratesUpdated             time.Duration
+	stopped                  bool
+	observations             map[ident.RouterID]observation
 	// reportedClocks holds the clocks of VMs as reported in the answers to claims.
 	reportedClocks map[ident.VMID]clockOffset
 	// ledgerReadAt is the uptime at which each ledger was last read.
@@ -119,16 +119,24 @@
 	era ident.Era
 }
 
-// clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, as known at an uptime.
+// sendings holds the uptimes at which allowances were sent: the confirmed ones, and the last of those that may take
+// effect without having been confirmed, if anyUnconfirmed is set.
+type sendings struct {
+	confirmed, unconfirmed       time.Duration
+	anyConfirmed, anyUnconfirmed bool
+}
+
+// clockOffset is another VM's time of day minus this VM's uptime, in milliseconds, from the least delayed of the recent
+// reports. offsetAt is the uptime of that report, and at that of the last one.
 type clockOffset struct {
-	offset int64
-	at     time.Duration
+	offset       int64
+	offsetAt, at time.Duration
 }
 
 // bounds limit what a router may spend of an organisation's tokens.
 type bounds struct {
-	granted   ident.Tokens
-	allowance Allowance
+	granted     ident.Tokens
+	unconfirmed Allowance
 }
 
 // observation is what is known of another holder's last write.
@@ -141,9 +149,10 @@
 	at, notBefore  time.Duration
 	notBeforeKnown bool
 	// offset is the time of day minus this VM's uptime in milliseconds, from the least delayed of the recent observations.
-	// offsetAt is the uptime of that observation.
-	offset   int64
-	offsetAt time.Duration
+	// offsetAt is the uptime of that observation, and offsetDelay bounds how late it was made. It is unboundedDelay if
+	// nothing is known of that.
+	offset                int64
+	offsetAt, offsetDelay time.Duration
 }
 
 // NewAccounts returns accounts without tokens.
@@ -204,7 +213,7 @@
 		acc.held += n
 		acc.newDemand += n
 		return HoldResult{Verdict: Held}
-	case acc.spent+acc.spentByOthers+n > acc.total:
+	case acc.provenSpent()+n > acc.total:
 		return HoldResult{Verdict: Exhausted}
 	}
 	return HoldResult{
@@ -215,6 +224,12 @@
 	}
 }
 
+// provenSpent returns what all routers have certainly spent. Tokens that only count as spent may still be returned, or
+// were never used, so that a request that they would cover is not refused for good.
+func (acc *account) provenSpent() ident.Tokens {
+	return acc.spent - acc.assumed + acc.spentByOthers - acc.presumedByOthers
+}
+
 // recordRequestSize updates the moving average of the request size.
 func (acc *account) recordRequestSize(n ident.Tokens) {
 	const weight = 0.1 // weight of the latest request in the average
@@ -227,15 +242,48 @@
 
 // bound returns the total that the router may have spent and reserved now.
 func (a *Accounts) bound(acc *account, now time.Duration) ident.Tokens {
-	return min(acc.allowance.bound(a.age(now), a.cfg.HoldOff), acc.granted)
+	bound := min(acc.granted, acc.allowance.bound(a.sendings.confirmedAge(now), a.cfg.HoldOff))
+	if a.sendings.anyUnconfirmed {
+		bound = min(bound, acc.unconfirmed.bound(now-a.sendings.unconfirmed, a.cfg.HoldOff))
+	}
+	return bound
+}
+
+// confirmedAge returns the time since the sending of the confirmed allowances, or zero if there are none.
+func (s sendings) confirmedAge(now time.Duration) time.Duration {
+	if !s.anyConfirmed {
+		return 0
+	}
+	return now - s.confirmed
+}
+
+// expectAllowance records an allowance that is sent. Until it is confirmed or refused, it bounds the spending like the one
+// that is in force.
+func (a *Accounts) expectAllowance(acc *account, allowance Allowance) {
+	if !a.sendings.anyUnconfirmed {
+		acc.unconfirmed = allowance
+		return
+	}
+	acc.unconfirmed.Limit = min(acc.unconfirmed.Limit, allowance.Limit)
+	acc.unconfirmed.Growth = min(acc.unconfirmed.Growth, allowance.Growth)
+}
+
+// recordSending records that the expected allowances of all accounts are sent.
+func (a *Accounts) recordSending(now time.Duration) {
+	a.sendings.unconfirmed, a.sendings.anyUnconfirmed = now, true
+}
+
+// recordConfirmation records that the last allowances are in force, so that no earlier ones can take effect.
+func (a *Accounts) recordConfirmation() {
+	a.sendings = sendings{confirmed: a.sendings.unconfirmed, anyConfirmed: true}
 }
 
 // age returns the time since the sending of the last allowances that may have taken effect, or zero if none were sent.
 func (a *Accounts) age(now time.Duration) time.Duration {
-	if !a.everSent {
-		return 0
+	if a.sendings.anyUnconfirmed {
+		return now - a.sendings.unconfirmed
 	}
-	return now - a.sent
+	return a.sendings.confirmedAge(now)
 }
 
 // Age returns the time since the sending of the last allowances that may have taken effect, or zero if none were sent.
@@ -247,11 +295,15 @@
 
 // growthDelay returns the time without a write after which the bound reaches a total, or zero if it never does.
 func (a *Accounts) growthDelay(acc *account, total ident.Tokens, now time.Duration) time.Duration {
-	if total > acc.granted || acc.allowance.Growth <= 0 {
+	delay, ok := acc.allowance.growthDelay(total, a.sendings.confirmedAge(now), a.cfg.HoldOff)
+	if a.sendings.anyUnconfirmed {
+		later, grows := acc.unconfirmed.growthDelay(total, now-a.sendings.unconfirmed, a.cfg.HoldOff)
+		delay, ok = max(delay, later), ok && grows
+	}
+	if !ok || total > acc.granted {
 		return 0
 	}
-	seconds := float64(total-acc.allowance.Limit) / float64(acc.allowance.Growth)
-	return max(a.cfg.HoldOff+growthTime(seconds)-a.age(now), time.Millisecond)
+	return max(delay, time.Millisecond)
 }
 
 // Settle ends a hold and counts used tokens of it as spent, at most those held.
@@ -264,6 +316,14 @@
 	acc.newDemand -= held - min(max(used, 0), held)
 }
 
+// SettleUnknown ends a hold of which nobody knows what it has used. All of it counts as spent.
+func (a *Accounts) SettleUnknown(org ident.OrgID, held ident.Tokens) {
+	a.Settle(org, held, held)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.accountFor(org).assumed += held
+}
+
 // SetStartVersion sets the version that orders this process among those of its VM. It must be called before the first
 // plan.
 func (a *Accounts) SetStartVersion(v ident.ObjectVersion) {
@@ -310,6 +370,8 @@
 // Balance is a snapshot of what a router knows of one organisation's tokens.
 type Balance struct {
 	Total, Spent, Held, Granted, Limit, Growth, SpentByOthers, Unallotted ident.Tokens
+	// Presumed is the part of Spent and SpentByOthers that may not have been spent.
+	Presumed ident.Tokens
 }
 
 // Balance returns the current balance of an organisation.
@@ -318,7 +380,8 @@
 	defer a.mu.Unlock()
 	acc := a.accountFor(org)
 	return Balance{Total: acc.total, Spent: acc.spent, Held: acc.held, Granted: acc.granted,
-		Limit: acc.allowance.Limit, Growth: acc.allowance.Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted}
+		Limit: a.limits(acc).Limit, Growth: a.limits(acc).Growth, SpentByOthers: acc.spentByOthers, Unallotted: acc.unallotted,
+		Presumed: acc.presumedByOthers + acc.assumed}
 }
 
 // Leave makes the accounts refuse all further holds. It returns the final report once nothing is held, and false until
@@ -327,15 +390,34 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.stopped = true
-	spent := make(map[ident.OrgID]ident.Tokens, len(a.orgs))
+	departure := Departure{Router: a.cfg.Self, VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes + 1,
+		Spent: make(map[ident.OrgID]ident.Tokens, len(a.orgs)), Assumed: make(map[ident.OrgID]ident.Tokens)}
 	for id, acc := range a.orgs {
 		if acc.held > 0 {
 			return Departure{}, false
 		}
-		spent[id] = acc.spent
+		departure.Spent[id] = acc.spent
+		setPositive(departure.Assumed, id, acc.assumed)
 	}
 	a.writes++
-	return Departure{Router: a.cfg.Self, VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Spent: spent}, true
+	return departure, true
+}
+
+// limits returns the allowance that is in force whichever of those that were sent take effect.
+func (a *Accounts) limits(acc *account) Allowance {
+	if !a.sendings.anyUnconfirmed {
+		return acc.allowance
+	}
+	return Allowance{Limit: min(acc.allowance.Limit, acc.unconfirmed.Limit), Growth: min(acc.allowance.Growth, acc.unconfirmed.Growth)}
+}
+
+// setPositive sets the tokens of an organisation, or removes its entry if there are none.
+func setPositive(m map[ident.OrgID]ident.Tokens, id ident.OrgID, n ident.Tokens) {
+	if n > 0 {
+		m[id] = n
+		return
+	}
+	delete(m, id)
 }
 
 // orgIDs returns the sorted IDs of the known organisations.
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -27,6 +28,10 @@
 	SinceAnswer time.Duration `cbor:"10,keyasint,omitempty"`
 	// Leaves says that the claimant stops and has no requests running.
 	Leaves bool `cbor:"7,keyasint,omitempty"`
+	// Keep says that the claim of a router that leaves is to be kept until its rows are closed, because it cannot be written.
+	Keep bool `cbor:"11,keyasint,omitempty"`
+	// AsksClock says that the claim only asks for the router's clock. Probe is set too.
+	AsksClock bool `cbor:"12,keyasint,omitempty"`
 	// Probe says that the claim only asks whether the writer would serve a claim.
 	Probe bool `cbor:"8,keyasint,omitempty"`
 }
@@ -42,6 +47,8 @@
 	// Rate is the demand in tokens per second, and Size the average request in tokens.
 	Rate float64 `cbor:"5,keyasint,omitempty"`
 	Size float64 `cbor:"6,keyasint,omitempty"`
+	// Assumed is the part of Spent that is only assumed to be spent.
+	Assumed ident.Tokens `cbor:"8,keyasint,omitempty"`
 	// Holders is the number of routers that hold the organisation's tokens, zero if all do, or negative if the claimant
 	// isn't one of them.
 	Holders int `cbor:"7,keyasint,omitempty"`
@@ -70,6 +77,8 @@
 	Unallotted    ident.Tokens `cbor:"4,keyasint,omitempty"`
 	// Demand is the demand of all routers in tokens per second.
 	Demand float64 `cbor:"5,keyasint,omitempty"`
+	// Presumed is the part of SpentByOthers that may not have been spent.
+	Presumed ident.Tokens `cbor:"6,keyasint,omitempty"`
 }
 
 // rateChange is the relative change of demand above which a router reports it.
@@ -94,7 +103,7 @@
 		return TokensLacking
 	case acc.toppedUp(),
 		acc.floor() < acc.granted, // other routers wait for the difference
-		acc.allowance.Limit-used < spare && acc.allowance.Limit < acc.granted,
+		a.limits(acc).Limit-used < spare && a.limits(acc).Limit < acc.granted,
 		acc.unallotted > 0 && acc.granted-used < tokensFor(acc.rate, a.cfg.LowHorizon)/2:
 		return TokensLow
 	case !acc.rowKnown || acc.spent != acc.row.Spent:
@@ -118,18 +127,18 @@
 			Rows: make(map[ident.OrgID]Allowance),
 		},
 	}
+	a.sendingsBefore = a.sendings
 	for _, id := range a.orgIDs() {
 		acc := a.orgs[id]
-		acc.beforeClaim = bounds{acc.granted, acc.allowance}
+		acc.beforeClaim = bounds{acc.granted, acc.unconfirmed}
 		if acc.needsReport() {
 			acc.granted = acc.floor()
 			c.Needs[id] = Need{Floor: acc.granted, Used: acc.spent + acc.held, Spent: acc.spent, Want: acc.want,
-				Rate: acc.rate, Size: acc.requestSize, Holders: acc.holders}
+				Rate: acc.rate, Size: acc.requestSize, Holders: acc.holders, Assumed: acc.assumed}
 		}
 		wanted := a.wantedAllowance(acc)
 		bound := wanted.clamp(acc.granted, acc.spent+acc.held)
-		acc.allowance.Limit = min(acc.allowance.Limit, bound.Limit)
-		acc.allowance.Growth = min(acc.allowance.Growth, bound.Growth)
+		a.expectAllowance(acc, bound)
 		if _, reported := c.Needs[id]; !reported {
 			wanted = bound
 		}
@@ -137,8 +146,7 @@
 			c.Allowances.Rows[id] = wanted
 		}
 	}
-	a.previousSent, a.sent = a.sent, at.Uptime
-	a.everSent = true
+	a.recordSending(at.Uptime)
 	return c
 }
 
@@ -177,7 +185,7 @@
 	c := &Claim{Router: departure.Router, VM: departure.VM, Writes: departure.Writes, StartVersion: departure.StartVersion, Started: started, Leaves: true,
 		Needs: make(map[ident.OrgID]Need), Allowances: &Allowances{Format: Format, Sent: at}}
 	for id, n := range departure.Spent {
-		c.Needs[id] = Need{Spent: n, Used: n}
+		c.Needs[id] = Need{Spent: n, Used: n, Assumed: departure.Assumed[id]}
 	}
 	return c
 }
@@ -190,12 +198,12 @@
 		acc := a.accountFor(id)
 		acc.rowKnown = true
 		acc.row, acc.granted, acc.entitlement = g.Row, g.Row.Granted, g.Entitlement
-		acc.spentByOthers, acc.unallotted, acc.demand = g.SpentByOthers, g.Unallotted, g.Demand
+		acc.spentByOthers, acc.presumedByOthers, acc.unallotted, acc.demand = g.SpentByOthers, g.Presumed, g.Unallotted, g.Demand
 		acc.asOf = now
 		acc.claimedTotal = acc.total
 	}
 	for vm, wall := range out.Clocks {
-		a.reportedClocks[vm] = clockOffset{offset: wall - now.Milliseconds(), at: now}
+		a.recordReport(vm, wall, now)
 	}
 	if out.AllowancesUnsent {
 		a.restoreAllowances()
@@ -203,10 +211,9 @@
 	if !out.AllowancesStored {
 		return
 	}
+	a.recordConfirmation()
 	for id, acc := range a.orgs {
-		if _, sent := c.Allowances.Rows[id]; sent {
-			acc.allowance = out.Allowances[id]
-		}
+		acc.allowance = out.Allowances[id]
 		acc.want = 0
 	}
 }
@@ -224,9 +231,9 @@
 
 // restoreAllowances restores the allowances from before the last claim and the time at which they were sent.
 func (a *Accounts) restoreAllowances() {
-	a.sent = a.previousSent
+	a.sendings = a.sendingsBefore
 	for _, acc := range a.orgs {
-		acc.allowance = acc.beforeClaim.allowance
+		acc.unconfirmed = acc.beforeClaim.unconfirmed
 	}
 }
 
@@ -253,14 +260,14 @@
 		return nil, false
 	}
 	if c.Leaves {
-		a.closeClaimant(shard, d, c)
+		a.closeClaimant(d, c)
 		return nil, true
 	}
-	next := &Holder{VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Wall: c.Allowances.Sent.Wall, Rows: make(map[ident.OrgID]Row)}
+	next := &Holder{VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Wall: c.Allowances.Sent.Wall,
+		Rows: make(map[ident.OrgID]Row), Assumed: make(map[ident.OrgID]ident.Tokens)}
 	if h != nil {
-		for id, row := range h.Rows {
-			next.Rows[id] = row
-		}
+		maps.Copy(next.Rows, h.Rows)
+		maps.Copy(next.Assumed, h.Assumed)
 	}
 	grants := make(map[ident.OrgID]Grant)
 	for id, n := range c.Needs {
@@ -272,6 +279,8 @@
 				delete(next.Rows, id)
 			}
 			d.replaceRow(c.Router, id, oldRow, grants[id].Row)
+			d.sumsFor(id).presumed += n.Assumed - next.Assumed[id]
+			setPositive(next.Assumed, id, n.Assumed)
 			l.Holders[c.Router] = next
 		}
 	}
@@ -289,27 +298,35 @@
 		SpentByOthers: d.sumsFor(id).spent - oldRow.Spent,
 		Unallotted:    total - d.sumsFor(id).granted + oldRow.Granted - row.Granted,
 		Demand:        demand,
+		Presumed:      d.sumsFor(id).presumed - d.assumedBy(holder, id),
 	}
 }
 
 // closeClaimant closes the rows of a claimant that stops and leaves a tombstone.
-func (a *Accounts) closeClaimant(shard Shard, d *Division, c *Claim) {
-	spent := make(map[ident.OrgID]ident.Tokens, len(c.Needs))
-	for id, n := range c.Needs {
-		if a.layout.ShardOf(id) == shard {
-			spent[id] = n.Spent
-		}
-	}
-	departure := Departure{Router: c.Router, VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes, Spent: spent}
+func (a *Accounts) closeClaimant(d *Division, c *Claim) {
+	departure := c.Departure()
 	if h := d.ledger.Holders[c.Router]; h != nil {
 		for id, row := range h.Rows {
-			d.replaceRow(c.Router, id, row, Row{Granted: spent[id], Spent: spent[id]})
+			spent := departure.Spent[id]
+			d.replaceRow(c.Router, id, row, Row{Granted: spent, Spent: spent})
+			d.sumsFor(id).presumed += departure.Assumed[id] - h.Assumed[id]
 		}
 	}
 	d.ledger.CloseDeparted(departure)
 	d.ledger.PutTombstone(departure)
 }
 
+// Departure returns the final report that the claim of a router that leaves carries.
+func (c *Claim) Departure() Departure {
+	departure := Departure{Router: c.Router, VM: c.VM, StartVersion: c.StartVersion, Writes: c.Writes,
+		Spent: make(map[ident.OrgID]ident.Tokens, len(c.Needs)), Assumed: make(map[ident.OrgID]ident.Tokens)}
+	for id, n := range c.Needs {
+		departure.Spent[id] = n.Spent
+		setPositive(departure.Assumed, id, n.Assumed)
+	}
+	return departure
+}
+
 // ClaimChangesShard reports whether a claim changes the ledger of a shard.
 func (a *Accounts) ClaimChangesShard(shard Shard, c *Claim) bool {
 	a.mu.Lock()
--- a/core/quota/claim_test.go
+++ b/core/quota/claim_test.go
@@ -30,6 +30,8 @@
 	ended map[ident.RouterID]ident.Tokens
 	// spent is what all processes, including ended ones, have actually spent.
 	spent ident.Tokens
+	// returnedSpent counts the closed holders of which tokens were returned that they had spent.
+	returnedSpent int
 }
 
 // pendingWrite is a write that takes effect only if the ledger still has the encoding base.
@@ -46,6 +48,8 @@
 	held     []ident.Tokens
 	spent    ident.Tokens
 	answered map[ident.RouterID]time.Duration
+	// departures are what this process keeps of others.
+	departures *Departures
 }
 
 const claimOrg ident.OrgID = "org"
@@ -71,6 +75,7 @@
 	vm.started = s.moment()
 	vm.held, vm.spent = nil, 0
 	vm.answered = make(map[ident.RouterID]time.Duration)
+	vm.departures = NewDepartures()
 	vm.accounts = NewAccounts(Config{
 		Self: ident.NewRouterID(string(vm.id), vm.starts), VM: vm.id, HoldOff: 1300 * time.Millisecond,
 		SpareHorizon: 800 * time.Millisecond, GrantHorizon: 25 * time.Second, LowHorizon: 10 * time.Second, IdleShare: 0.4, LivenessTimeout: 15 * time.Second,
@@ -130,6 +135,10 @@
 	l := s.clone()
 	writer.accounts.ObserveLedger(0, l, s.now)
 	for _, id := range l.Predecessors(c.VM, c.Router, c.StartVersion) {
+		if departure, ok := writer.departures.Of(id); ok {
+			s.closeDeparted(l, departure)
+			continue
+		}
 		e := l.CloseHolder(id, s.batch.Routers[id], c.Started, writer.accounts.ClockUpperBounds(c.Started.Uptime))
 		if spent, ended := s.ended[id]; ended && e.Used < spent {
 			s.t.Fatalf("%d tokens of %s are counted as spent, but it spent %d", e.Used, id, spent)
@@ -477,3 +486,36 @@
 	is.True(!vm.accounts.Hold(claimOrg, 500, s.now+unallottedFreshness).NextWriteMayCover)
 	is.True(vm.accounts.Hold(claimOrg, 500, s.now+unallottedFreshness+1).NextWriteMayCover)
 }
+
+// TestAgeAfterChangeOfWriter guards against the clocks of a router that writes for others for the first time: it knows
+// some only from rows that were old when it first read the ledger, which makes allowances look older than they are.
+func TestAgeAfterChangeOfWriter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newClaimSimulation(t, 1, 1_000_000, 12)
+	for _, vm := range s.vms {
+		s.claim(vm, s.vms[0], succeeds, succeeds, succeeds)
+	}
+	s.now += 12 * time.Second // the store is away
+	writer := s.vms[11]
+	for range 3 {
+		for _, vm := range s.vms[8:] {
+			s.now += 200 * time.Millisecond
+			s.claim(vm, writer, succeeds, succeeds, succeeds)
+		}
+	}
+	lost, sent := s.vms[10], s.now-200*time.Millisecond
+	s.now += 1500 * time.Millisecond
+	start := s.now
+	started := Moment{Boot: "another boot", Uptime: 7 * time.Hour, Wall: s.now.Milliseconds()}
+	for range 2 {
+		for _, vm := range s.vms[:10] {
+			s.now += 50 * time.Millisecond
+			s.claim(vm, writer, succeeds, succeeds, succeeds)
+		}
+	}
+	age, ok := s.batch.Routers[lost.accounts.cfg.Self].age(lost.id, started, writer.accounts.ClockUpperBounds(start))
+	is.True(ok)
+	is.True(age >= start-sent)
+	is.True(age <= start-sent+2*time.Second)
+}
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -15,6 +16,13 @@
 	// clockOffsetWindow is how long the least delayed observation of another clock is kept, and so the longest time for
 	// which a clock that jumps is misread.
 	clockOffsetWindow = 10 * time.Second
+	// maxClocks bounds the clocks in allowances and answers. More of them don't make the median safer.
+	maxClocks = 9
+	// enoughClocks is the number of clocks beyond which none is taken that may have been observed later than
+	// maxClockDelay. unboundedDelay stands for an observation that may be late by any time.
+	enoughClocks   = 5
+	maxClockDelay  = time.Second
+	unboundedDelay = time.Duration(math.MaxInt64)
 	// reserveShare is the fraction of an organisation's remaining tokens that stays unallotted, for single requests and
 	// for routers that start.
 	reserveShare = 0.15
@@ -31,6 +39,9 @@
 	unallottedSteps = 16
 	// minSpareFactor is the least fraction of the usual spare tokens that an allowance includes. See account.spareFactor.
 	minSpareFactor = 0.2
+	// presumedShare is the fraction of an organisation's tokens that may only be presumed spent before its allowances shrink
+	// to minSpareFactor of the usual ones.
+	presumedShare = 0.03
 	// spareShare is the fraction of an organisation's remaining tokens that all routers together may spend without a
 	// write, where that lasts longer than Config.SpareHorizon. A crash of all routers makes no more than this unusable.
 	spareShare = 0.05
@@ -44,6 +55,9 @@
 	// idleGrowthTime is the time of growth, as counted by growthSeconds, in which the allowance of a router without demand
 	// grows by its idle grant, which serves the first requests of an outage of the store.
 	idleGrowthTime = 5 * time.Second
+	// idleGrowthRates bounds that growth, where the size of requests is known, to so many times the demand and the tokens
+	// of minGrantedRequests a second.
+	idleGrowthRates = 2
 )
 
 // PlanGrants puts this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router
@@ -55,7 +69,8 @@
 	a.observeLedger(shard, l, now)
 	a.updateRates(now)
 	a.writes++
-	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
+	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row),
+		Assumed: make(map[ident.OrgID]ident.Tokens)}
 	oldHolder := l.Holders[a.cfg.Self]
 	d := a.divide(l, now)
 	for _, id := range a.orgIDs() {
@@ -71,12 +86,13 @@
 		row, acc.demand = a.planRow(d, id, a.cfg.Self, acc.need(), oldRow)
 		acc.nextRow = row
 		acc.granted = min(acc.granted, row.Granted)
-		acc.spentByOthers = d.sumsFor(id).spent - oldRow.Spent
+		acc.spentByOthers, acc.presumedByOthers = d.sumsFor(id).spent-oldRow.Spent, d.sumsFor(id).presumed-d.assumedBy(a.cfg.Self, id)
 		acc.unallotted = acc.total - d.sumsFor(id).granted + oldRow.Granted - row.Granted
 		acc.asOf = now
 		if row != (Row{}) {
 			h.Rows[id] = row
 		}
+		setPositive(h.Assumed, id, acc.assumed)
 	}
 	l.Holders[a.cfg.Self] = h
 }
@@ -146,32 +162,31 @@
 		Format: Format, Era: a.era, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
 		Rows: make(map[ident.OrgID]Allowance),
 	}
+	a.sendingsBefore = a.sendings
 	for _, id := range a.orgIDs() {
 		acc := a.orgs[id]
-		acc.nextAllowance = a.planAllowance(acc)
-		acc.allowance.Limit = min(acc.allowance.Limit, acc.nextAllowance.Limit)
-		acc.allowance.Growth = min(acc.allowance.Growth, acc.nextAllowance.Growth)
+		acc.nextAllowance, acc.beforeClaim.unconfirmed = a.planAllowance(acc), acc.unconfirmed
+		a.expectAllowance(acc, acc.nextAllowance)
 		if acc.nextAllowance != (Allowance{}) {
 			allowances.Rows[id] = acc.nextAllowance
 		}
 	}
-	a.previousSent, a.sent = a.sent, now.Uptime
-	a.everSent = true
+	a.recordSending(now.Uptime)
 	return allowances
 }
 
-// AbortAllowances records that the store has refused the planned allowances, so that they do not count as sent. The
-// bounds that they lowered stay lowered until a later write of allowances is confirmed.
+// AbortAllowances records that the store has refused the planned allowances, so that they do not count as sent.
 func (a *Accounts) AbortAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.sent = a.previousSent
+	a.restoreAllowances()
 }
 
 // CommitAllowances applies the planned allowances after their write was confirmed.
 func (a *Accounts) CommitAllowances() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.recordConfirmation()
 	for _, acc := range a.orgs {
 		acc.allowance = acc.nextAllowance
 		acc.want = 0
@@ -207,13 +222,36 @@
 	if ok && s.writes <= old.writes {
 		return
 	}
-	s.offset, s.offsetAt = s.wall-s.at.Milliseconds(), s.at
+	s.offset, s.offsetAt, s.offsetDelay = s.wall-s.at.Milliseconds(), s.at, unboundedDelay
+	if s.notBeforeKnown {
+		s.offsetDelay = s.at - s.notBefore
+	}
 	if ok && old.offset > s.offset && s.at-old.offsetAt < clockOffsetWindow {
-		s.offset, s.offsetAt = old.offset, old.offsetAt
+		s.offset, s.offsetAt, s.offsetDelay = old.offset, old.offsetAt, old.offsetDelay
 	}
 	a.observations[id] = s
 }
 
+// recordReport records the clock of a VM as an answer to a claim or a probe states it.
+func (a *Accounts) recordReport(vm ident.VMID, wall int64, now time.Duration) {
+	c := clockOffset{offset: wall - now.Milliseconds(), offsetAt: now, at: now}
+	old, ok := a.reportedClocks[vm]
+	if ok && old.offset > c.offset && now-old.offsetAt < clockOffsetWindow {
+		c.offset, c.offsetAt = old.offset, old.offsetAt
+	}
+	a.reportedClocks[vm] = c
+}
+
+// RecordClocks records the clocks of VMs that the answer to a probe states, so that the first claim of a process
+// carries some.
+func (a *Accounts) RecordClocks(clocks map[ident.VMID]int64, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for vm, wall := range clocks {
+		a.recordReport(vm, wall, now)
+	}
+}
+
 // ClockUpperBounds returns upper bounds of the clocks of other VMs at an earlier uptime. Only the clocks of holders
 // that have written since this router first read their ledger or answered their claim are known.
 func (a *Accounts) ClockUpperBounds(at time.Duration) []ClockReading {
@@ -238,25 +276,45 @@
 	return clocks
 }
 
-// clocks returns the times of day of up to maxClocks other VMs, extrapolated from their last observations or from the
-// clocks in the answers to claims.
+// knownClock is a lower bound of another VM's time of day in Unix milliseconds. delay bounds how late it was observed.
+type knownClock struct {
+	vm    ident.VMID
+	wall  int64
+	delay time.Duration
+}
+
+// clocks returns lower bounds of the times of day of up to maxClocks other VMs, extrapolated from their last
+// observations or from the clocks in the answers to claims. A late observation would make allowances look older than
+// they are, so the least delayed ones are taken, and others only if there are too few.
 func (a *Accounts) clocks(now time.Duration) map[ident.VMID]int64 {
-	const maxClocks = 9 // more clocks do not make the median safer
 	out := make(map[ident.VMID]int64)
+	for _, c := range a.knownClocks(now) {
+		if len(out) == maxClocks || len(out) >= enoughClocks && c.delay > maxClockDelay {
+			break
+		}
+		out[c.vm] = c.wall
+	}
+	return out
+}
+
+// knownClocks returns the clocks of the VMs that were heard of within Config.LivenessTimeout, the least delayed first.
+func (a *Accounts) knownClocks(now time.Duration) []knownClock {
+	byVM := make(map[ident.VMID]knownClock)
 	for _, id := range slices.Sorted(maps.Keys(a.observations)) {
 		s := a.observations[id]
-		if now-s.at < a.cfg.LivenessTimeout && len(out) < maxClocks {
+		if now-s.at < a.cfg.LivenessTimeout {
 			// Adds the uptime that has passed since the observation.
-			out[s.vm] = s.offset + now.Milliseconds()
+			byVM[s.vm] = knownClock{s.vm, s.offset + now.Milliseconds(), s.offsetDelay}
 		}
 	}
-	for _, vm := range slices.Sorted(maps.Keys(a.reportedClocks)) {
-		c := a.reportedClocks[vm]
-		if _, seen := out[vm]; !seen && now-c.at < a.cfg.LivenessTimeout && len(out) < maxClocks {
-			out[vm] = c.offset + now.Milliseconds()
+	for vm, c := range a.reportedClocks {
+		if seen, ok := byVM[vm]; (!ok || seen.delay > maxClockDelay) && now-c.at < a.cfg.LivenessTimeout {
+			byVM[vm] = knownClock{vm, c.offset + now.Milliseconds(), maxClockDelay}
 		}
 	}
-	return out
+	return slices.SortedFunc(maps.Values(byVM), func(x, y knownClock) int {
+		return cmp.Or(cmp.Compare(x.delay, y.delay), cmp.Compare(x.vm, y.vm))
+	})
 }
 
 // updateRates updates the average demand of each organisation.
@@ -285,7 +343,10 @@
 	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize), acc.idleSpare()))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
 	idle := float64(a.idleGrant(acc.total, acc.holders)) / idleGrowthTime.Seconds()
-	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle)
+	if acc.requestSize > 0 {
+		idle = min(idle, idleGrowthRates*acc.rate+minGrantedRequests*acc.requestSize)
+	}
+	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle) * acc.spareFactor()
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
 
@@ -310,12 +371,14 @@
 	return max(shareTime, a.cfg.SpareHorizon)
 }
 
-// spareFactor returns, from minSpareFactor to 1, the fraction of the usual spare tokens that an allowance
-// includes. When few of an organisation's tokens remain, a crash must not make many of them unusable, and requests wait
-// for a write instead.
+// spareFactor returns, from minSpareFactor to 1, the fraction of the usual spare tokens and growth that an allowance
+// includes. When few of an organisation's tokens remain, or crashes have made many of them unusable, the next crash must
+// not make many more unusable, and requests wait for a write instead.
 func (acc *account) spareFactor() float64 {
-	remaining := float64(acc.total - acc.spent - acc.spentByOthers)
-	return min(max(remaining/(scarceShare*float64(max(acc.total, 1))), minSpareFactor), 1)
+	total := float64(max(acc.total, 1))
+	remaining := float64(acc.total-acc.spent-acc.spentByOthers) / (scarceShare * total)
+	unspoilt := 1 - float64(acc.presumedByOthers)/(presumedShare*total)
+	return min(max(min(remaining, unspoilt), minSpareFactor), 1)
 }
 
 // holderNeed is what determines the grant of a holder for one organisation.
@@ -363,8 +426,11 @@
 
 // minGrant returns what a router is granted for an organisation without steady demand: the tokens of
 // minGrantedRequests average requests. All routers together take at most scarceShare of the remaining tokens for this,
-// except that each may take one average request.
+// except that each may take one average request. A router that is no holder gets none, because few requests ask it.
 func (a *Accounts) minGrant(n holderNeed, remaining ident.Tokens) ident.Tokens {
+	if n.holders == notHolder {
+		return 0
+	}
 	part := scarceShare * float64(remaining) / float64(a.holderCount(n.holders))
 	return ident.Tokens(max(min(minGrantedRequests*n.size, part), n.size))
 }
--- a/core/quota/rewind.go
+++ b/core/quota/rewind.go
@@ -260,6 +260,9 @@
 	for org, n := range older.Closed {
 		l.Closed[org] = max(l.Closed[org], n)
 	}
+	for org, n := range older.Presumed {
+		setPositive(l.Presumed, org, max(l.Presumed[org], n))
+	}
 }
 
 func (h *Holder) join(other *Holder) {
@@ -272,17 +275,23 @@
 		}
 		h.Rows[org] = own
 	}
+	for org, n := range other.Assumed {
+		if h.Assumed == nil {
+			h.Assumed = make(map[ident.OrgID]ident.Tokens)
+		}
+		h.Assumed[org] = max(h.Assumed[org], n)
+	}
 }
 
 func (h *Holder) clone() *Holder {
 	out := *h
-	out.Rows = maps.Clone(h.Rows)
+	out.Rows, out.Assumed = maps.Clone(h.Rows), maps.Clone(h.Assumed)
 	return &out
 }
 
 func (l *Ledger) clone() *Ledger {
 	out := *l
-	out.Closed = maps.Clone(l.Closed)
+	out.Closed, out.Presumed = maps.Clone(l.Closed), maps.Clone(l.Presumed)
 	out.Holders = make(map[ident.RouterID]*Holder, len(l.Holders))
 	for id, h := range l.Holders {
 		out.Holders[id] = h.clone()
@@ -297,6 +306,7 @@
 	}
 	for org, n := range l.Recovery.Reserve {
 		l.Closed[org] += n
+		l.presume(org, n)
 	}
 }
 
@@ -381,7 +391,8 @@
 // it, the row grows out of the reserve.
 func (a *Accounts) putOwnRows(shard Shard, l *Ledger, at Moment) {
 	a.writes++
-	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row)}
+	h := &Holder{VM: a.cfg.VM, StartVersion: a.startVersion, Writes: a.writes, Wall: at.Wall, Rows: make(map[ident.OrgID]Row),
+		Assumed: make(map[ident.OrgID]ident.Tokens)}
 	old, wasUnheard := l.Holders[a.cfg.Self], l.isUnheard(a.cfg.Self)
 	for _, id := range a.orgIDs() {
 		if a.layout.ShardOf(id) != shard {
@@ -403,6 +414,7 @@
 		if row != (Row{}) {
 			h.Rows[id] = row
 		}
+		setPositive(h.Assumed, id, acc.assumed)
 	}
 	l.Holders[a.cfg.Self] = h
 }
@@ -413,6 +425,7 @@
 	switch r := l.Recovery; {
 	case !r.Settled:
 		l.Closed[id] += n
+		l.presume(id, n)
 	case r.Reserve != nil:
 		r.Reserve[id] += n
 	}
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"geraniumsaddle/core/elect"
@@ -65,11 +66,14 @@
 	s.peerTransport = transport
 	s.startGossip(fleet.members)
 	if len(fleet.members) <= s.deps.DirectFleet {
+		var clocks sync.WaitGroup
+		clocks.Go(func() { s.runTask("clocks", func() { s.runClockReports(ctx, fleet.members) }) })
 		s.runDirectWrites(ctx, lc)
+		clocks.Wait()
 		return
 	}
 	s.claims = &claimSender{
-		s: s, ledgers: lc, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
+		s: s, ledgers: lc, members: fleet.members, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
 	s.startLending(fleet.members)
 	stopReports := s.startReports(ctx, fleet.members)
@@ -104,6 +108,7 @@
 	s *Server
 	// ledgers writes directly to the store when no writer serves.
 	ledgers  *ledgerClient
+	members  []elect.Member
 	selector *elect.Selector
 	// sentAt is when the last round began.
 	sentAt time.Time
@@ -273,12 +278,14 @@
 func (cs *claimSender) probeWriter(ctx context.Context, writer elect.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := cs.s.sendClaim(ctx, writer, &quota.Claim{Router: cs.s.self, Probe: true})
+	answer, err := cs.s.sendClaim(ctx, writer, &quota.Claim{Router: cs.s.self, Probe: true})
 	if err != nil {
 		delete(cs.lastAnswer, writer.VM)
 		return err
 	}
-	cs.lastAnswer[writer.VM] = cs.s.deps.VMClock.Now().Uptime
+	now := cs.s.deps.VMClock.Now().Uptime
+	cs.lastAnswer[writer.VM] = now
+	cs.s.accounts.RecordClocks(answer.Clocks, now)
 	return nil
 }
 
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -50,6 +50,7 @@
 	waiting   map[ident.RouterID]*waitingClaim
 	// lastAnswer holds the uptime at the last answer to each router.
 	lastAnswer map[ident.RouterID]time.Duration
+	departures *quota.Departures
 
 	// checkMu guards the time and the result of the last store check. It is held during the check, so that concurrent
 	// callers share one call.
@@ -78,15 +79,22 @@
 	return &claimWriter{
 		s: s, ledgers: newLedgerClient(s),
 		waiting: make(map[ident.RouterID]*waitingClaim), lastAnswer: make(map[ident.RouterID]time.Duration),
-		arrived: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+		departures: quota.NewDepartures(),
+		arrived:    make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 }
 
 // submit queues a claim and waits until it is written. A probe is answered without queueing. The error is errRefused if
 // the claim has had no effect and never will.
 func (w *claimWriter) submit(ctx context.Context, claim *quota.Claim) (*quota.Outcome, error) {
+	if claim.AsksClock {
+		return w.s.clockAnswer(), nil
+	}
 	if claim.Probe {
-		return &quota.Outcome{}, w.answerProbe(ctx, claim.Router)
+		return w.answerProbe(ctx, claim.Router)
+	}
+	if claim.Keep {
+		return w.keepDeparture(claim)
 	}
 	item, err := w.enqueue(claim)
 	if err != nil {
@@ -117,15 +125,35 @@
 	return false
 }
 
-// answerProbe answers a router that asks whether its claims would be served.
-func (w *claimWriter) answerProbe(ctx context.Context, from ident.RouterID) error {
+// answerProbe answers a router that asks whether its claims would be served. The answer states the clocks of some VMs:
+// without them the allowances of a process that ends after its first claim would have no age.
+func (w *claimWriter) answerProbe(ctx context.Context, from ident.RouterID) (*quota.Outcome, error) {
 	if err := w.checkStore(ctx); err != nil {
-		return err
+		return nil, err
 	}
+	now := w.s.deps.VMClock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastAnswer[from] = w.s.deps.VMClock.Now().Uptime
-	return nil
+	w.lastAnswer[from] = now.Uptime
+	return &quota.Outcome{Clocks: w.s.accounts.ClockLowerBounds(now)}, nil
+}
+
+// keepDeparture keeps the final report of a router that stops and cannot write it.
+func (w *claimWriter) keepDeparture(claim *quota.Claim) (*quota.Outcome, error) {
+	now := w.s.deps.VMClock.Now().Uptime
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !claim.Leaves || !w.departures.Keep(claim.Departure(), now) {
+		return nil, errRefused
+	}
+	return &quota.Outcome{}, nil
+}
+
+// departureOf returns the final report of a router, if one is kept here.
+func (w *claimWriter) departureOf(id ident.RouterID) (quota.Departure, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.departures.Of(id)
 }
 
 // checkStore returns errRefused if this router is not ready to write claims or the store does not answer. Concurrent
