--- a/Makefile
+++ b/Makefile
@@ -33,13 +33,16 @@
 soak:
 	go test -count 1 -timeout 60m $(PROPERTIES) -rapid.checks=$(CHECKS)
 
-# Runs real routers under faults, under planned work alone, and under faults at starts and stops; SEED is the first of SEEDS.
+# Runs real routers under faults, also with returns of the store from older copies, under planned work alone, and under faults
+# at starts and stops; SEED is the first of SEEDS.
 SEED := 1
 SEEDS := 10
 
 faults:
 	go build -o bench/ ./cmd/geraniumsaddle ./cmd/soak
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS)
+	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -rewinds
+	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -rewinds -claims
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -planned -callers 24
 	bench/soak -binary bench/geraniumsaddle -seed $(SEED) -seeds $(SEEDS) -starts -routers 4
 
--- a/core/quota/rewind_test.go
+++ b/core/quota/rewind_test.go
@@ -228,19 +228,24 @@
 	const maxSeeds = 3000
 	for _, tc := range []struct {
 		name string
+		// seed is one that has noticed the loss. It is tried first, because the search takes long.
+		seed int
 		off  func(*rewindSafeguards)
 	}{
-		{"report", func(s *rewindSafeguards) { s.report = false }},
-		{"known", func(s *rewindSafeguards) { s.known = false }},
-		{"freeze", func(s *rewindSafeguards) { s.freeze = false }},
-		{"reserve", func(s *rewindSafeguards) { s.reserve = false }},
-		{"lost VMs", func(s *rewindSafeguards) { s.lostVMs = false }},
-		{"era of allowances", func(s *rewindSafeguards) { s.eraOfAllowances = false }},
+		{"report", 236, func(s *rewindSafeguards) { s.report = false }},
+		{"known", 995, func(s *rewindSafeguards) { s.known = false }},
+		{"freeze", 649, func(s *rewindSafeguards) { s.freeze = false }},
+		{"reserve", 129, func(s *rewindSafeguards) { s.reserve = false }},
+		{"lost VMs", 129, func(s *rewindSafeguards) { s.lostVMs = false }},
+		{"era of allowances", 236, func(s *rewindSafeguards) { s.eraOfAllowances = false }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			safe := allRewindSafeguards
 			tc.off(&safe)
 			play := rapid.Custom(func(t *rapid.T) bool { return newRewindFleet(t, safe).play(200) })
+			if play.Example(tc.seed) {
+				return
+			}
 			for seed := range maxSeeds {
 				if play.Example(seed) {
 					t.Logf("noticed with seed %d", seed)
