Bound the growth of idle allowances by the size of requests

An allowance without demand grew by a share of all prepaid tokens a second, which a loss of power makes unusable.

--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -55,6 +55,9 @@
 	// idleGrowthTime is the time of growth, as counted by growthSeconds, in which the allowance of a router without demand
 	// grows by its idle grant, which serves the first requests of an outage of the store.
 	idleGrowthTime = 5 * time.Second
+	// idleGrowthRates bounds that growth, where the size of requests is known, to so many times the demand and the tokens
+	// of minGrantedRequests a second.
+	idleGrowthRates = 2
 )
 
 // PlanGrants puts this router's next rows into the ledger of a shard that was just read. Until CommitGrants the router
@@ -340,6 +343,9 @@
 	spare := float64(max(tokensFor(acc.rate, a.spareTime(acc)), ident.Tokens(acc.requestSize), acc.idleSpare()))
 	limit := acc.spent + acc.held + acc.want + ident.Tokens(spare*acc.spareFactor())
 	idle := float64(a.idleGrant(acc.total, acc.holders)) / idleGrowthTime.Seconds()
+	if acc.requestSize > 0 {
+		idle = min(idle, idleGrowthRates*acc.rate+minGrantedRequests*acc.requestSize)
+	}
 	growth := max(acc.rate, acc.requestSize/requestGrowthTime.Seconds(), idle) * acc.spareFactor()
 	return Allowance{Limit: limit, Growth: ident.Tokens(growth)}
 }
