--- a/core/quota/holders_test.go
+++ b/core/quota/holders_test.go
@@ -88,3 +88,20 @@
 		is.Equal(s.vms[1].accounts.TryHold(claimOrg, size, s.now).Verdict, Held)
 	}
 }
+
+// TestStandInWithoutRequests guards against tokens that stay with a router that is no holder and was asked once in a
+// holder's place: few requests ask it again.
+func TestStandInWithoutRequests(t *testing.T) {
+	is := is.New(t)
+	const size = 500
+	s := newClaimSimulation(t, 1, 600_000, 3)
+	vm, writer := s.vms[0], s.vms[1]
+	vm.accounts.SetHolders(claimOrg, 3, false)
+	is.Equal(vm.accounts.TryHold(claimOrg, size, s.now).Verdict, Insufficient)
+	s.claim(vm, writer, succeeds, succeeds, succeeds)
+	is.Equal(vm.accounts.Balance(claimOrg).Granted, ident.Tokens(0))
+	// A request that waits for tokens gets them.
+	is.Equal(vm.accounts.Hold(claimOrg, size, s.now).Verdict, Insufficient)
+	s.claim(vm, writer, succeeds, succeeds, succeeds)
+	is.Equal(vm.accounts.Hold(claimOrg, size, s.now).Verdict, Held)
+}
