Compare pools of up to 32 targets whole, and count later owners as caching in large domains only

A pool of 18 counted as large, and an owner's successors as caching a part in pools that don't spread it.

--- a/core/place/bench_test.go
+++ b/core/place/bench_test.go
@@ -7,7 +7,7 @@
 
 // BenchmarkChoose measures the time to choose one of n engines.
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{18, 140, 3000} {
+	for _, n := range []int{18, 32, 140, 3000} {
 		b.Run(fmt.Sprint(n, "engines"), func(b *testing.B) {
 			f := newTestFleet()
 			for i := range n {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -11,7 +11,7 @@
 const (
 	// smallPool is the number of targets up to which all targets of a service are compared. Among more, a choice compares the
 	// owners of the prompt and a few targets at random: the minimum over all of them would be the same for all routers.
-	smallPool = 16
+	smallPool = 32
 	// randomTargets is the number of targets of the router's subset that a choice compares. If none of these and of the owners
 	// is good enough, it compares widerTargets more of the failure domain and farTargets of others.
 	randomTargets = 2
--- a/core/place/load_failures_test.go
+++ b/core/place/load_failures_test.go
@@ -143,7 +143,7 @@
 func TestRequestsStayInDomain(t *testing.T) {
 	is := is.New(t)
 	f := New(Config{Domain: "a", RemovalGrace: time.Second, VM: "vm"})
-	for i := range 30 {
+	for i := range 60 {
 		target := testEngine(fmt.Sprint(i))
 		if i >= 10 {
 			target.Domain = "b"
--- a/core/place/owners.go
+++ b/core/place/owners.go
@@ -46,8 +46,8 @@
 }
 
 // caches reports whether an engine probably has the shared part of a request in its cache. The first owner reads it for all
-// routers, and each next one once those before it are loaded beyond their bound. Of other engines a router knows only what
-// it has sent there itself. The caller holds Fleet.mu.
+// routers, and in a self-sufficient failure domain each next one once those before it are loaded beyond their bound. Of other
+// engines a router knows only what it has sent there itself. The caller holds Fleet.mu.
 func (f *Fleet) caches(p *pool, m *member, d *demand, now time.Time) bool {
 	if d.shared == 0 {
 		return false
@@ -56,7 +56,7 @@
 		if o == m {
 			return true
 		}
-		if o == nil || f.requestsAt(o, now) <= p.bound() {
+		if o == nil || !p.selfSufficient || f.requestsAt(o, now) <= p.bound() {
 			break
 		}
 	}
