Forget the owners of parts when a target comes or goes

An engine that restarted under its ID kept its old process in the remembered owners, because the hash of the set was the same: the choice named a process that no longer exists, and the send was then refused by Usable. TestRestartedOwner failed at both sizes of pool; passes now.

--- a/core/place/load_failures_test.go
+++ b/core/place/load_failures_test.go
@@ -102,6 +102,28 @@
 	is.Equal(next.EstimatedRequests, 0.0)
 }
 
+// TestRestartedOwner guards against a choice of the old process of an engine that has restarted under its ID and owns the
+// shared part of a prompt.
+func TestRestartedOwner(t *testing.T) {
+	for _, engines := range []int{4, 40} { // a pool that is compared whole, and a larger one
+		is := is.New(t)
+		f := newTestFleet()
+		for i := range engines {
+			f.Put(testEngine(fmt.Sprint(i)))
+		}
+		c, err := f.Choose(testRequest(testPrompt("p")))
+		is.NoErr(err)
+		is.True(c.PrefixOwner)
+		restarted := c.Target
+		restarted.Born = 5
+		f.Put(restarted)
+		c, err = f.Choose(testRequest(testPrompt("p")))
+		is.NoErr(err)
+		is.Equal(c.Target, restarted)
+		is.True(c.PrefixOwner)
+	}
+}
+
 // TestOneLiarCannotFillTarget guards against a router that alone makes the others believe that a target is full, by a large
 // number or by a target that it lists many times.
 func TestOneLiarCannotFillTarget(t *testing.T) {
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -52,13 +52,19 @@
 func (p *pool) add(m *member) {
 	p.members = append(p.members, m)
 	slices.SortFunc(p.members, func(a, b *member) int { return compareIDs(a.ID, b.ID) })
-	p.changed = true
+	p.forgetView()
 }
 
 func (p *pool) remove(m *member) {
 	p.members = slices.DeleteFunc(p.members, func(o *member) bool { return o == m })
 	m.home = false
+	p.forgetView()
+}
+
+// forgetView drops what refers to targets that may have gone.
+func (p *pool) forgetView() {
 	p.changed = true
+	clear(p.ownerMap)
 }
 
 // meanRequests returns the estimated number of requests at the mean target of home.
