--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,8 @@
 	Starts   bool
 	Partial  int
 	MemoryMB int
+	// MaxFDs is the number of file descriptors of a router's VM (0 for no limit).
+	MaxFDs int
 	// Herd replaces the faults by one loss of power of all routers.
 	Herd bool
 	// Stop ends the run early, if it is set.
--- a/cmd/soak/router.go
+++ b/cmd/soak/router.go
@@ -32,6 +32,7 @@
 	settingsFile string
 	peerAddr     string
 	memoryMB     int
+	maxFDs       int
 	// exitSlack is how long an end may take beyond the grace period, as starts and stops of many processes load the
 	// machine.
 	exitSlack time.Duration
@@ -78,7 +79,7 @@
 		return nil, err
 	}
 	r.settingsFile = filepath.Join(cfg.Dir, r.name+".json")
-	r.peerAddr, r.memoryMB = routerAddr(index, peerPort), cfg.MemoryMB
+	r.peerAddr, r.memoryMB, r.maxFDs = routerAddr(index, peerPort), cfg.MemoryMB, cfg.MaxFDs
 	if cfg.Starts || cfg.Herd {
 		r.exitSlack = graceSeconds * time.Second
 	}
@@ -93,6 +94,9 @@
 	if r.memoryMB > 0 {
 		settings = fakes.WithMemory(settings, r.memoryMB)
 	}
+	if r.maxFDs > 0 {
+		settings = fakes.WithDescriptors(settings, r.maxFDs)
+	}
 	next := r.settingsFile + ".next"
 	if err := os.WriteFile(next, []byte(settings), 0o600); err != nil {
 		return err
