Keep readiness checks going beside clients that misbehave

Cause: at most 128 connections were kept at the readiness address, each for up to 1 s without a head, 2 s without the rest of a body, and half a second after an answer whose request body wasn't read. 500 connections with bodies that never end held all of them, and their heads (1,200 short fields each) took 26 MB that nothing counted.

Change: the connections are a set of io/conns with a budget of 4 MB and 128 connections, so that those that have been silent for longest make room for new ones. A request with a body is cut off without an answer: neither the check nor the metrics have one.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -13,7 +13,6 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
-	"golang.org/x/net/netutil"
 
 	"geraniumsaddle/core/budget"
 	"geraniumsaddle/core/drain"
@@ -50,8 +49,10 @@
 	livenessTimeout = 15 * time.Second
 	// maxHeadTimeout limits how long a caller may take to send the head of a request. The configuration may set less.
 	maxHeadTimeout = 10 * time.Second
-	// maxReadyConns is the maximum number of connections for readiness checks and metrics.
-	maxReadyConns = 128
+	// maxReadyConns is the maximum number of connections for readiness checks and metrics, and readyMemory what they and
+	// their heads may hold, in bytes.
+	maxReadyConns             = 128
+	readyMemory   ident.Bytes = 4 << 20
 )
 
 // Deps holds the dependencies of a Server.
@@ -80,6 +81,8 @@
 	accounts *quota.Accounts
 	pool     *relay.Pool
 	callers  *conns.Set
+	// checkers holds the connections for readiness checks and metrics.
+	checkers *conns.Set
 	// memory limits what callers and targets can make the process hold, and buffers what one organisation's large bodies
 	// and answers can.
 	memory  *budget.Budget
@@ -162,6 +165,7 @@
 		Clock: deps.Clock, Meter: linkMeter, HeadTimeout: s.headTimeout, HeadLimit: s.headLimit, Memory: s.memory, Refusal: refusedHead,
 		MaxConns: maxConns,
 	})
+	s.checkers = conns.New(conns.Config{Clock: deps.Clock, Memory: budget.New(readyMemory), MaxConns: maxReadyConns})
 	deps.Metrics.observeMemory(s.memory, s.callers)
 	s.writer = newClaimWriter(s)
 	s.poison = newPoisonGuard(s)
@@ -220,9 +224,7 @@
 	readyServer := s.readyServer()
 	served, failed := make(chan error, 1), make(chan error, 1)
 	go func() { served <- server.Serve(s.callers.Listener(s.callerListener)) }()
-	go func() {
-		failed <- readyServer.Serve(netutil.LimitListener(conns.RetryAccept(s.readyListener), maxReadyConns))
-	}()
+	go func() { failed <- readyServer.Serve(s.checkers.Listener(s.readyListener)) }()
 	var tasks sync.WaitGroup
 	s.startTasks(taskCtx, &tasks)
 	var failure error
@@ -356,21 +358,36 @@
 }
 
 // readyServer returns the server of the readiness check and the metrics. Its connections hold little memory, and those that
-// send or read nothing end soon.
+// send or read nothing end soon, or at once if others need their place.
 func (s *Server) readyServer() *http.Server {
 	const (
 		maxHeader = 4 << 10 // bytes
 		timeout   = 2 * time.Second
 	)
 	server := &http.Server{
-		Handler: s.readyHandler(), MaxHeaderBytes: maxHeader,
+		Handler: alice.New(s.abortAtPanic, refuseBody).Then(s.readyHandler()), MaxHeaderBytes: maxHeader,
 		ReadHeaderTimeout: time.Second, ReadTimeout: timeout, WriteTimeout: timeout,
+		ConnState: s.checkers.TrackState, ConnContext: s.checkers.ConnContext,
+		ErrorLog: slog.NewLogLogger(s.deps.Log.Handler(), slog.LevelDebug),
 	}
 	// Idle connections would keep others waiting.
 	server.SetKeepAlivesEnabled(false)
 	return server
 }
 
+// refuseBody closes the connection of a request with a body, which neither the readiness check nor the metrics have. The
+// server would read the body before it answers, and hold the connection for half a second after that.
+func refuseBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// The server reads the rest of the body at a panic, too.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // readyHandler serves the readiness check and the metrics.
 func (s *Server) readyHandler() http.Handler {
 	mux := http.NewServeMux()
