Evict connections whose refused body is still read

Cause: a refusal without a route or a key, or of a body over the limit, is sent once the server has read up to 256 KB of the rest, for which it waits up to 2 s. Meanwhile the connection counted as serving and couldn't be evicted, so that callers with bodies that never end kept the memory for connections from ordinary callers.

Change: the connection may be evicted while the rest is read, like one with a partial body. The refusal is sent nevertheless.

Result: TestCrowds, chunked body over the limit at routes: no answer to the request with a body for 30 s before, served in the run of all cases after it.

--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/platform"
 )
 
@@ -61,14 +62,17 @@
 	}
 }
 
-// limitRefusal sets the deadlines of a refusal. The server reads the rest of a short body before it sends the answer.
+// limitRefusal sets the deadlines of a refusal. The server reads the rest of a short body before it sends the answer. The
+// connection may be evicted meanwhile, and the answer is sent nevertheless.
 func (x *exchange) limitRefusal() {
 	control := http.NewResponseController(x.w)
 	until := x.s.deps.Clock.Now().Add(refusalTime)
 	_ = control.SetWriteDeadline(until.Add(refusalTime))
-	switch {
-	case x.bodyRead:
-	case x.deadline.IsZero() || until.Before(x.deadline):
+	if x.bodyRead || x.r.ContentLength == 0 {
+		return
+	}
+	if x.deadline.IsZero() || until.Before(x.deadline) {
 		_ = control.SetReadDeadline(until)
 	}
+	conns.RequestOf(x.r.Context()).BodyBegins(0)
 }
