Evict callers that don't read their answers when the memory is used up

Cause: a connection whose request is served was never evicted. Callers that stop reading, or read a byte at a time, keep it until the deadline of the request, up to the route's timeout; 500 of them used up the memory and nobody else was served for that time.

Change: when the memory is used up and nothing else can be evicted, connections whose write has waited for the caller for 2 s are closed, the longest first. The request may have run, so a closed connection is all that such a caller gets, as at its deadline.

--- a/core/budget/victim.go
+++ b/core/budget/victim.go
@@ -19,25 +19,27 @@
 	ReadingBody
 	// Idle means that nothing of the next request has been read.
 	Idle
+	// Stalled means that the caller doesn't read its answer. The request may have run, so this comes last.
+	Stalled
 	// Serving means that the request is whole. Its connection is never evicted.
 	Serving
 	// Evicted means that the connection is being closed to make room.
 	Evicted
 )
 
-var stageNames = [...]string{"reading_head", "reading_body", "idle", "serving", "evicted"}
+var stageNames = [...]string{"reading_head", "reading_body", "idle", "stalled", "serving", "evicted"}
 
 func (s Stage) String() string { return stageNames[s] }
 
 // EvictableStages returns the stages whose connections may be evicted.
-func EvictableStages() []Stage { return []Stage{ReadingHead, ReadingBody, Idle} }
+func EvictableStages() []Stage { return []Stage{ReadingHead, ReadingBody, Idle, Stalled} }
 
 // Holder is an open connection.
 type Holder struct {
 	Stage Stage
 	// Held is what is released when the connection is closed.
 	Held ident.Bytes
-	// LastRead is when the connection last received bytes or became idle.
+	// LastRead is when the connection last received bytes or became idle. Of a Stalled one, it is when the write began.
 	LastRead time.Time
 }
 
@@ -52,7 +54,7 @@
 		case Evicted:
 			n -= h.Held
 			pending = true
-		case ReadingHead, ReadingBody, Idle:
+		case ReadingHead, ReadingBody, Idle, Stalled:
 			candidates = append(candidates, i)
 		case Serving:
 		}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -59,7 +59,9 @@
 
 // Write writes and counts the bytes.
 func (c *conn) Write(b []byte) (int, error) {
+	c.beginWrite()
 	n, err := c.Conn.Write(b)
+	c.endWrite()
 	c.count(link.Out, n)
 	return n, err
 }
--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -24,6 +24,8 @@
 	// A connection that is closed before it is read would be reset, and the caller would lose the refusal.
 	lingerTime = 500 * time.Millisecond
 	maxLinger  = 256 << 10
+	// writeStall is how long one write of an answer may wait for its caller before the connection may be evicted.
+	writeStall = 2 * time.Second
 	// lateReadTime is the time for reading a request that arrived while its idle connection was evicted.
 	lateReadTime = time.Millisecond
 )
@@ -64,6 +66,8 @@
 	tail ident.Bytes
 	// requestHeld is what the request holds beside its head.
 	requestHeld ident.Bytes
+	// writingSince is when the write began that is in progress, or zero.
+	writingSince time.Time
 }
 
 // received counts bytes that were read into a buffer of the given size. While a head is read, it applies the limits, and
@@ -208,7 +212,40 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &c.memory
-	return budget.Holder{Stage: m.stage, Held: c.set.connCost() + m.headHeld + m.requestHeld, LastRead: m.lastRead}
+	h := budget.Holder{Stage: m.stage, Held: c.set.connCost() + m.headHeld + m.requestHeld, LastRead: m.lastRead}
+	if m.stage == budget.Serving && c.stalled() {
+		h.Stage, h.LastRead = budget.Stalled, m.writingSince
+	}
+	return h
+}
+
+// stalled reports whether the caller has not read its answer for writeStall. The caller holds c.mu.
+func (c *conn) stalled() bool {
+	since := c.memory.writingSince
+	return !since.IsZero() && c.set.cfg.Clock.Since(since) >= writeStall
+}
+
+func (c *conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.writingSince = c.set.cfg.Clock.Now()
+}
+
+func (c *conn) endWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.writingSince = time.Time{}
+}
+
+// evictStalled lets the write that waits expire, if it is the one that the holder describes. The caller holds c.mu.
+func (c *conn) evictStalled(h budget.Holder) bool {
+	m := &c.memory
+	if m.stage != budget.Serving || !m.writingSince.Equal(h.LastRead) || m.closed {
+		return false
+	}
+	m.stage = budget.Evicted
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // Only a closed connection refuses it.
+	return true
 }
 
 // evict lets the read that waits expire, if the connection is still in the given stage and has read nothing since.
@@ -216,6 +253,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &c.memory
+	if h.Stage == budget.Stalled {
+		return c.evictStalled(h)
+	}
 	if m.stage != h.Stage || !m.lastRead.Equal(h.LastRead) || m.closed {
 		return false
 	}
