Let bodies that hardly arrive give up their share of the large bodies

Cause: large bodies and answers may take a quarter of the memory, and those of one organisation, or of all public routes, half of that. A body reserves its whole length when it begins. Callers that send a byte now and then kept the share until the route's timeout, and each other large body of the organisation was refused: their connections are evicted only if the other budget is used up.

Change: a request that finds the share used up evicts connections with such bodies that have brought less than 8 KB for a second, first those of its own organisation, and waits up to 250 ms for them. The connections are looked through at most every 10 ms. A body that is below 64 KB, arrives faster or meets a share with room is not concerned.

--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -24,6 +24,10 @@
 	// A connection that is closed before it is read would be reset, and the caller would lose the refusal.
 	lingerTime = 500 * time.Millisecond
 	maxLinger  = 256 << 10
+	// bodyStall is how long a body may take for each bodyStep bytes before its connection may be evicted to make room for
+	// other large bodies and answers.
+	bodyStall             = time.Second
+	bodyStep  ident.Bytes = 8 << 10
 	// writeStall is how long one write of an answer may wait for its caller before the connection may be evicted.
 	writeStall = 2 * time.Second
 	// lateReadTime is the time for reading a request that arrived while its idle connection was evicted.
@@ -66,6 +70,12 @@
 	tail ident.Bytes
 	// requestHeld is what the request holds beside its head.
 	requestHeld ident.Bytes
+	// share names whose share of the large bodies the request holds, if holdsShare is set.
+	share      ident.OrgID
+	holdsShare bool
+	// stepSize counts the bytes since stepSince, when the body began or last completed a step.
+	stepSize  ident.Bytes
+	stepSince time.Time
 	// writingSince is when the write began that is in progress, or zero.
 	writingSince time.Time
 }
@@ -80,6 +90,9 @@
 	lines := bytes.Count(b, []byte{'\n'})
 	c.recordTail(b, lines, bufferSize)
 	if c.state == http.StateActive {
+		if m.stepSize += ident.Bytes(len(b)); m.stepSize >= bodyStep {
+			m.stepSize, m.stepSince = 0, now
+		}
 		c.mu.Unlock()
 		return nil
 	}
@@ -185,6 +198,7 @@
 	m := &c.memory
 	m.stage, m.lastRead, m.lifted = budget.Idle, c.waitingSince, false
 	m.headSize, m.headLines = 0, 0
+	m.holdsShare = false
 	c.releaseHead()
 }
 
--- a/io/conns/request.go
+++ b/io/conns/request.go
@@ -44,6 +44,7 @@
 	defer r.c.mu.Unlock()
 	if m := &r.c.memory; m.stage == budget.Serving {
 		m.stage, m.requestHeld = budget.ReadingBody, n
+		m.stepSize, m.stepSince = 0, r.c.set.cfg.Clock.Now()
 	}
 }
 
@@ -56,7 +57,7 @@
 	defer r.c.mu.Unlock()
 	evicted := r.c.memory.stage == budget.Evicted
 	r.c.headComplete()
-	r.c.memory.requestHeld = 0
+	r.c.memory.requestHeld, r.c.memory.holdsShare = 0, false
 	if evicted {
 		_ = r.c.applyDeadline() // Only a closed connection refuses it.
 	}
@@ -71,3 +72,13 @@
 	defer r.c.mu.Unlock()
 	r.c.memory.requestHeld = n
 }
+
+// HoldShare records that the body holds a part of an organisation's share of large bodies and answers.
+func (r Request) HoldShare(org ident.OrgID) {
+	if r.c == nil {
+		return
+	}
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	r.c.memory.share, r.c.memory.holdsShare = org, true
+}
--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -69,6 +69,9 @@
 	// evicting is held while connections are chosen for eviction, and evictions counts them by stage.
 	evicting  sync.Mutex
 	evictions [budget.Evicted + 1]atomic.Uint64
+	// shareScan is when stalled bodies were last searched for, and shareFreed whether there were any. evicting guards them.
+	shareScan  time.Time
+	shareFreed bool
 	// rejected counts the connections that were closed at once.
 	rejected atomic.Uint64
 	// rejecting holds a value for each connection that is being refused.
--- a/io/edge/buffers.go
+++ b/io/edge/buffers.go
@@ -68,24 +68,34 @@
 	return nil
 }
 
-// growForOrg reserves what counts for the organisation. The error is a *stream.LimitError.
+// growForOrg reserves what counts for the organisation, if need be after bodies that hardly arrive have been evicted. The
+// error is a *stream.LimitError.
 func (b *buffer) growForOrg(size ident.Bytes) error {
 	more := size - freeBuffer - b.reserved
 	if more <= 0 {
 		return nil
 	}
 	// Reserving more than is needed now saves calls. Less is reserved only if there is no more.
-	step := max(more, freeBuffer)
 	limiter := b.x.s.buffers
-	err := limiter.Reserve(b.x.orgID(), step)
-	if err != nil && step > more {
-		step = more
-		err = limiter.Reserve(b.x.orgID(), step)
+	step := max(more, freeBuffer)
+	reserve := func() error {
+		err := limiter.Reserve(b.x.orgID(), step)
+		if err != nil && step > more {
+			step = more
+			err = limiter.Reserve(b.x.orgID(), step)
+		}
+		return err
 	}
-	if err == nil {
-		b.reserved += step
+	if err := reserve(); err != nil {
+		if err = b.x.s.callers.ReserveShare(b.x.r.Context(), b.x.orgID(), err, reserve); err != nil {
+			return err
+		}
 	}
-	return err
+	b.reserved += step
+	if b.class == budget.Bodies {
+		conns.RequestOf(b.x.r.Context()).HoldShare(b.x.orgID())
+	}
+	return nil
 }
 
 // release ends the reservation.
