Break up requests that wait for each other's memory

Cause: a request that was passed on waits for memory until its deadline and keeps what it holds. When many answers arrive at once, they can fill the memory together, each below the 64 KB from which the organisation's share counts, and then all of them wait for each other until the first deadline. Meanwhile nobody else is served.

Change: if no waiting request has got memory for 2 s, a quarter of those that have waited for as long give up, with 502 or a broken stream, as their outcome is unknown. The target isn't blamed for it.

--- a/io/conns/evict.go
+++ b/io/conns/evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -12,6 +13,10 @@
 const (
 	// roomWait is how long a connection or a request that isn't passed on waits for the memory of evicted connections.
 	roomWait = 250 * time.Millisecond
+	// stuckTime is how long no request that was passed on may get the memory that it waits for, before one in giveUpShare of
+	// them gives up. They may wait for each other, and hold what others need until their deadlines.
+	stuckTime   = 2 * time.Second
+	giveUpShare = 4
 	// evictionShare is the part of the limit, one in evictionShare, that an eviction frees at least, so that the
 	// connections aren't scanned for each request.
 	evictionShare = 16
@@ -22,22 +27,26 @@
 	rejectRead = 2 << 10
 )
 
-// Reserve reserves memory, and evicts connections if there is no room. Then it waits for up to the given time, or until the
-// context ends if that is zero. The error is ErrFull or that of the context. Without a budget it does nothing.
+// Reserve reserves memory, and evicts connections if there is no room. Then it waits for up to the given time. If that is
+// zero, it waits until the context ends, or gives up while those that wait get nothing for stuckTime. The error is ErrFull or
+// that of the context. Without a budget it does nothing.
 func (s *Set) Reserve(ctx context.Context, class budget.Class, n ident.Bytes, wait time.Duration) error {
 	b := s.cfg.Memory
 	if b == nil || b.Reserve(class, n) {
 		return nil
 	}
-	var expired <-chan time.Time
-	if wait > 0 {
-		t := s.cfg.Clock.NewTimer(wait)
-		defer t.Stop()
-		expired = t.Chan()
+	limit := wait
+	if wait == 0 {
+		limit = stuckTime
 	}
+	t := s.cfg.Clock.NewTimer(limit)
+	defer t.Stop()
 	for {
 		room := b.Room()
 		if b.Reserve(class, n) {
+			if wait == 0 {
+				s.lastGrant.Store(s.cfg.Clock.Now().UnixNano())
+			}
 			return nil
 		}
 		if !s.makeRoom(n) && wait > 0 {
@@ -45,14 +54,23 @@
 		}
 		select {
 		case <-room:
-		case <-expired:
-			return ErrFull
+		case <-t.Chan():
+			if wait > 0 || s.givesUp() {
+				return ErrFull
+			}
+			t.Reset(stuckTime)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// givesUp reports whether a request that has waited for stuckTime gives up.
+func (s *Set) givesUp() bool {
+	stuck := s.cfg.Clock.Now().UnixNano()-s.lastGrant.Load() >= int64(stuckTime)
+	return stuck && rand.IntN(giveUpShare) == 0
+}
+
 // Release ends a reservation.
 func (s *Set) Release(class budget.Class, n ident.Bytes) {
 	if s.cfg.Memory != nil && n > 0 {
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -38,6 +38,7 @@
 	refuseLinkFull       = refusal{http.StatusServiceUnavailable, "the link of this router is full", 300 * time.Millisecond}
 	refuseDeadlinePassed = refusal{http.StatusServiceUnavailable, "the deadline passed before the request was sent", 0}
 	refuseTargetFailed   = refusal{http.StatusBadGateway, "the target failed after the request was sent", 0}
+	refuseAnswerMemory   = refusal{http.StatusBadGateway, "the memory of this router is used up after the request was sent", 0}
 	// A router that shuts down refuses what it can't finish. Its caller is sent to another router.
 	refuseShuttingDown = refusal{http.StatusServiceUnavailable, "the router is shutting down", 100 * time.Millisecond}
 	refuseCutOff       = refusal{http.StatusGatewayTimeout, "the router shut down while the target worked", 0}
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -7,6 +7,7 @@
 
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/io/engine/send"
 	"geraniumsaddle/io/relay"
 	"geraniumsaddle/platform"
@@ -120,7 +121,7 @@
 func (x *exchange) failSend(c *place.Choice, err error) {
 	r := place.ResultFailed
 	switch {
-	case x.ctx.Err() != nil || errors.Is(err, errTargetLeaving) || errors.Is(err, errQuarantined):
+	case x.ctx.Err() != nil || errors.Is(err, errTargetLeaving) || errors.Is(err, errQuarantined) || errors.Is(err, conns.ErrFull):
 		r = place.ResultNeutral
 	case errors.Is(err, send.ErrNotSent):
 		r = place.ResultUnreachable
@@ -192,6 +193,8 @@
 		return refuseShuttingDown
 	case x.mayHaveRun && x.ctx.Err() != nil:
 		return refuseTimeout
+	case x.mayHaveRun && errors.Is(err, conns.ErrFull):
+		return refuseAnswerMemory
 	case x.mayHaveRun:
 		return refuseTargetFailed
 	case x.ctx.Err() != nil:
