Bound the log's queue in bytes

Cause: the queue held 1,024 lines of any length. A line holds the id of the request, which may be as long as a legal head, so that a stopped reader of the log and callers with long ids could take tens of megabytes that nothing counts.

Change: lines beyond 2 MB in the queue are counted and given up, like those beyond 1,024.

Result: TestLongLines, 1,024 lines of 64 KB: at most 2 MB stay in the queue.

--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -17,10 +17,15 @@
 // DefaultQueueSize is the default size of the queue in lines. A line has a few hundred bytes.
 const DefaultQueueSize = 1024
 
+// maxQueueBytes bounds the lines in the queue together. A line holds the id of a request, which may be as long as the head
+// of the request.
+const maxQueueBytes = 2 << 20
+
 // Writer queues log lines and writes them to an output. It is safe for concurrent use.
 type Writer struct {
 	out       io.Writer
 	lines     chan []byte
+	queued    atomic.Int64 // bytes
 	dropped   atomic.Uint64
 	lost      atomic.Uint64
 	done      chan struct{}
@@ -50,9 +55,16 @@
 
 // Write queues one line, or counts it as dropped if the queue is full. It never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
+	n := int64(len(line))
+	if w.queued.Add(n) > maxQueueBytes {
+		w.queued.Add(-n)
+		w.countLost()
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-n)
 		w.countLost()
 	}
 	return len(line), nil
@@ -105,6 +117,7 @@
 // writeLine first reports dropped lines, if there are any, and then writes a line. A line that cannot be written is
 // counted as dropped.
 func (w *Writer) writeLine(line []byte) {
+	defer w.queued.Add(-int64(len(line)))
 	if n := w.dropped.Swap(0); n > 0 {
 		if _, err := fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n); err != nil {
 			w.dropped.Add(n)
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -42,6 +43,26 @@
 	is.True(bytes.Count(got, []byte("\n")) < lines)
 }
 
+// TestLongLines guards against a queue whose long lines hold much memory while nothing reads the output.
+func TestLongLines(t *testing.T) {
+	is := is.New(t)
+	r, out, err := os.Pipe()
+	is.NoErr(err)
+	defer func() { _ = errors.Join(r.Close(), out.Close()) }()
+	w := New(out, DefaultQueueSize)
+	line := bytes.Repeat([]byte{'x'}, 64<<10)
+	for range DefaultQueueSize {
+		_, err := w.Write(line)
+		is.NoErr(err)
+	}
+	held := 0
+	for len(w.lines) > 0 {
+		held += len(<-w.lines)
+	}
+	is.True(held <= maxQueueBytes)
+	is.True(w.Lost() > 0)
+}
+
 // TestLinesInOrder guards against lines that are lost or reordered although the queue has room, and against lines below
 // the log level.
 func TestLinesInOrder(t *testing.T) {
