--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -37,6 +37,8 @@
 	MemoryMB int
 	// Rewinds adds returns of the store from an older copy to the faults.
 	Rewinds bool
+	// MaxFDs is the number of file descriptors of a router's VM (0 for no limit).
+	MaxFDs int
 	// Herd replaces the faults by one loss of power of all routers.
 	Herd bool
 	// Stop ends the run early, if it is set.
--- a/io/edge/refusal.go
+++ b/io/edge/refusal.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"geraniumsaddle/io/conns"
 	"geraniumsaddle/platform"
 )
 
@@ -38,6 +39,7 @@
 	refuseLinkFull       = refusal{http.StatusServiceUnavailable, "the link of this router is full", 300 * time.Millisecond}
 	refuseDeadlinePassed = refusal{http.StatusServiceUnavailable, "the deadline passed before the request was sent", 0}
 	refuseTargetFailed   = refusal{http.StatusBadGateway, "the target failed after the request was sent", 0}
+	refuseAnswerMemory   = refusal{http.StatusBadGateway, "the memory of this router is used up after the request was sent", 0}
 	// A router that shuts down refuses what it can't finish. Its caller is sent to another router.
 	refuseShuttingDown = refusal{http.StatusServiceUnavailable, "the router is shutting down", 100 * time.Millisecond}
 	refuseCutOff       = refusal{http.StatusGatewayTimeout, "the router shut down while the target worked", 0}
@@ -62,14 +64,17 @@
 	}
 }
 
-// limitRefusal sets the deadlines of a refusal. The server reads the rest of a short body before it sends the answer.
+// limitRefusal sets the deadlines of a refusal. The server reads the rest of a short body before it sends the answer. The
+// connection may be evicted meanwhile, and the answer is sent nevertheless.
 func (x *exchange) limitRefusal() {
 	control := http.NewResponseController(x.w)
 	until := x.s.deps.Clock.Now().Add(refusalTime)
 	_ = control.SetWriteDeadline(until.Add(refusalTime))
-	switch {
-	case x.bodyRead:
-	case x.deadline.IsZero() || until.Before(x.deadline):
+	if x.bodyRead || x.r.ContentLength == 0 {
+		return
+	}
+	if x.deadline.IsZero() || until.Before(x.deadline) {
 		_ = control.SetReadDeadline(until)
 	}
+	conns.RequestOf(x.r.Context()).BodyBegins(0)
 }
