Let the next process fetch the final reports of its VM

A final report reached six routers, but the rows of the process were closed by whichever wrote first for its successor: under load TestStopWhileStoreAway failed once, because the successor wrote for itself and knew none of the reports (15,692 tokens counted in place of 212).

The next process asks the six for the reports of its VM when it starts, and its claims carry them, so that any writer closes the rows by them.

--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -30,6 +30,10 @@
 	Leaves bool `cbor:"7,keyasint,omitempty"`
 	// Keep says that the claim of a router that leaves is to be kept until its rows are closed, because it cannot be written.
 	Keep bool `cbor:"11,keyasint,omitempty"`
+	// Departures holds the final reports of earlier processes of the VM, by which the writer closes their rows.
+	Departures []Departure `cbor:"13,keyasint,omitempty"`
+	// AsksDepartures says that the claim only asks for such reports. Probe is set too.
+	AsksDepartures bool `cbor:"14,keyasint,omitempty"`
 	// AsksClock says that the claim only asks for the router's clock. Probe is set too.
 	AsksClock bool `cbor:"12,keyasint,omitempty"`
 	// Probe says that the claim only asks whether the writer would serve a claim.
@@ -63,6 +67,8 @@
 	AllowancesStored bool                      `cbor:"3,keyasint,omitempty"`
 	// AllowancesUnsent says that the allowances were not sent to the store and will not be sent.
 	AllowancesUnsent bool `cbor:"6,keyasint,omitempty"`
+	// Departures holds the final reports that a claimant has asked for.
+	Departures []Departure `cbor:"7,keyasint,omitempty"`
 	// Clocks holds lower bounds of the clocks of VMs when the answer was sent, in Unix milliseconds.
 	Clocks map[ident.VMID]int64 `cbor:"4,keyasint,omitempty"`
 }
--- a/core/quota/departures.go
+++ b/core/quota/departures.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -45,6 +47,17 @@
 	return true
 }
 
+// OfVM returns the kept departures of the processes of a VM.
+func (d *Departures) OfVM(vm ident.VMID) []Departure {
+	var out []Departure
+	for _, id := range slices.Sorted(maps.Keys(d.kept)) {
+		if k := d.kept[id]; k.VM == vm {
+			out = append(out, k.Departure)
+		}
+	}
+	return out
+}
+
 // Of returns the departure of a router, if one is kept.
 func (d *Departures) Of(id ident.RouterID) (Departure, bool) {
 	k, ok := d.kept[id]
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -246,11 +246,11 @@
 
 // Departure is the final report of a process that stops. Writes is greater than the number of any of its claims.
 type Departure struct {
-	Router       ident.RouterID
-	VM           ident.VMID
-	StartVersion ident.ObjectVersion
-	Writes       uint64
-	Spent        map[ident.OrgID]ident.Tokens
+	Router       ident.RouterID               `cbor:"1,keyasint"`
+	VM           ident.VMID                   `cbor:"2,keyasint"`
+	StartVersion ident.ObjectVersion          `cbor:"3,keyasint"`
+	Writes       uint64                       `cbor:"4,keyasint"`
+	Spent        map[ident.OrgID]ident.Tokens `cbor:"5,keyasint,omitempty"`
 	// Assumed is the part of Spent that is only assumed to be spent.
-	Assumed map[ident.OrgID]ident.Tokens
+	Assumed map[ident.OrgID]ident.Tokens `cbor:"6,keyasint,omitempty"`
 }
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -75,6 +75,9 @@
 	s.claims = &claimSender{
 		s: s, ledgers: lc, members: fleet.members, selector: elect.New(fleet.members), lastAnswer: make(map[ident.VMID]time.Duration),
 	}
+	if !s.cfg.FirstStart {
+		s.fetchDepartures(ctx)
+	}
 	s.startLending(fleet.members)
 	s.changes.Store(newChangeFeed(s, fleet.members))
 	done := make(chan struct{})
@@ -120,6 +123,8 @@
 	// lastAnswer holds the uptime at the last answer of each writer. A claim states the time since then, from which the
 	// writer bounds the time at which the claim was made.
 	lastAnswer map[ident.VMID]time.Duration
+	// departures holds the final reports of earlier processes of this VM until a writer has closed their rows.
+	departures []quota.Departure
 }
 
 // run sends claims until the context ends.
@@ -245,6 +250,7 @@
 		}
 	}
 	claim := accounts.PlanClaim(cs.ledgers.startedAt, cs.s.deps.VMClock.Now())
+	claim.Departures = cs.departures
 	claim.SinceAnswer = claim.Allowances.Sent.Uptime - cs.lastAnswer[writer.VM]
 	outcome, err := cs.s.sendClaim(ctx, writer, claim)
 	cs.s.deps.Metrics.countStoreCall("claim", err)
@@ -262,6 +268,9 @@
 		return err
 	}
 	accounts.CommitClaim(claim, outcome, cs.s.deps.VMClock.Now().Uptime)
+	if len(outcome.Grants) == len(claim.Needs) {
+		cs.departures = nil // the first claim covers every organisation
+	}
 	cs.unconfirmed = !outcome.AllowancesStored
 	if cs.unconfirmed {
 		return errAllowancesUnconfirmed
--- a/io/edge/leave.go
+++ b/io/edge/leave.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumsaddle/core/elect"
+	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/quota"
 	"geraniumsaddle/io/store"
 )
@@ -75,6 +76,28 @@
 	s.deps.Log.Info("final report of the unspent tokens given to other routers", "routers", kept.Load())
 }
 
+// fetchDepartures asks the routers that may keep final reports of earlier processes of this VM, keeps what they have and
+// passes it to the writers with the claims.
+func (s *Server) fetchDepartures(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, m := range s.departureKeepers() {
+		wg.Go(func() {
+			answer, err := s.sendClaim(ctx, m, &quota.Claim{Router: s.self, Probe: true, AsksDepartures: true})
+			if err != nil {
+				s.deps.Log.Debug("final reports of earlier processes not known", "vm", m.VM, "error", err)
+				return
+			}
+			s.writer.mu.Lock()
+			defer s.writer.mu.Unlock()
+			s.writer.keepDepartures(answer.Departures, ident.VMID(s.cfg.VM), s.deps.VMClock.Now().Uptime)
+		})
+	}
+	wg.Wait()
+	s.claims.departures = s.writer.departuresOf(ident.VMID(s.cfg.VM))
+}
+
 // departureKeepers returns the routers that are most preferred as writers, whether they served lately or not.
 func (s *Server) departureKeepers() []elect.Member {
 	now := s.deps.Clock.Now()
--- a/io/edge/writer.go
+++ b/io/edge/writer.go
@@ -87,6 +87,9 @@
 // submit queues a claim and waits until it is written. A probe is answered without queueing. The error is errRefused if
 // the claim has had no effect and never will.
 func (w *claimWriter) submit(ctx context.Context, claim *quota.Claim) (*quota.Outcome, error) {
+	if claim.AsksDepartures {
+		return &quota.Outcome{Departures: w.departuresOf(ident.VMID(claim.Router.Name()))}, nil
+	}
 	if claim.AsksClock {
 		return w.s.clockAnswer(), nil
 	}
@@ -149,6 +152,22 @@
 	return &quota.Outcome{}, nil
 }
 
+// keepDepartures keeps the final reports that a claim of a later process of the VM carries. The caller holds mu.
+func (w *claimWriter) keepDepartures(departures []quota.Departure, vm ident.VMID, now time.Duration) {
+	for _, departure := range departures {
+		if departure.VM == vm && string(vm) == departure.Router.Name() {
+			w.departures.Keep(departure, now)
+		}
+	}
+}
+
+// departuresOf returns the final reports of the processes of a VM that are kept here.
+func (w *claimWriter) departuresOf(vm ident.VMID) []quota.Departure {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.departures.OfVM(vm)
+}
+
 // departureOf returns the final report of a router, if one is kept here.
 func (w *claimWriter) departureOf(id ident.RouterID) (quota.Departure, bool) {
 	w.mu.Lock()
@@ -211,6 +230,7 @@
 		return nil, errRefused
 	}
 	w.s.accounts.ObserveClaim(claim, w.lastAnswer[claim.Router], now)
+	w.keepDepartures(claim.Departures, claim.VM, now)
 	if superseded := w.waiting[claim.Router]; superseded != nil {
 		superseded.done <- claimResult{err: errRefused}
 	}
