Tell followers of a rewind at once

Followers learned of a rewind when their watcher had listed the objects anew. A watcher now forgets its changes as soon as the era rises, so that they ask the store at once.

--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -170,6 +170,14 @@
 	}
 }
 
+// reset forgets all changes, because the store has lost some of them. The routers that wait for changes ask the store then.
+func (f *changeFeed) reset() {
+	f.mu.Lock()
+	clear(f.histories)
+	f.mu.Unlock()
+	f.changed.wakeAll()
+}
+
 func (f *changeFeed) since(kind object.Kind, from ident.ObjectVersion) (change.Batch, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/edge/rewind.go
+++ b/io/edge/rewind.go
@@ -90,6 +90,9 @@
 	s.targets.SetStoreUnreachable(s.storeMonitor.isUnreachable(), s.deps.Clock.Now())
 	s.targets.RecordRewind(s.deps.Clock.Now())
 	s.watchRestart.wakeAll()
+	if feed := s.changes.Load(); feed != nil {
+		feed.reset()
+	}
 	trigger(r.detected)
 	trigger(s.grantsNow)
 	trigger(s.allowancesNow)
