Let requests that wait for memory give up without regard to each other

Cause: a request gave up only if no waiting request had got memory for 2 s. The goroutines showed all of them in Reserve.

Change: one in four gives up after each 2 s of its own wait.

--- a/io/conns/evict.go
+++ b/io/conns/evict.go
@@ -13,8 +13,8 @@
 const (
 	// roomWait is how long a connection or a request that isn't passed on waits for the memory of evicted connections.
 	roomWait = 250 * time.Millisecond
-	// stuckTime is how long no request that was passed on may get the memory that it waits for, before one in giveUpShare of
-	// them gives up. They may wait for each other, and hold what others need until their deadlines.
+	// stuckTime is how long a request that was passed on waits for memory until one in giveUpShare of such requests gives up,
+	// and the others wait as long again. They may wait for each other, and hold what others need until their deadlines.
 	stuckTime   = 2 * time.Second
 	giveUpShare = 4
 	// evictionShare is the part of the limit, one in evictionShare, that an eviction frees at least, so that the
@@ -28,8 +28,8 @@
 )
 
 // Reserve reserves memory, and evicts connections if there is no room. Then it waits for up to the given time. If that is
-// zero, it waits until the context ends, or gives up while those that wait get nothing for stuckTime. The error is ErrFull or
-// that of the context. Without a budget it does nothing.
+// zero, it waits until the context ends, but may give up after each stuckTime. The error is ErrFull or that of the context.
+// Without a budget it does nothing.
 func (s *Set) Reserve(ctx context.Context, class budget.Class, n ident.Bytes, wait time.Duration) error {
 	b := s.cfg.Memory
 	if b == nil || b.Reserve(class, n) {
@@ -44,9 +44,6 @@
 	for {
 		room := b.Room()
 		if b.Reserve(class, n) {
-			if wait == 0 {
-				s.lastGrant.Store(s.cfg.Clock.Now().UnixNano())
-			}
 			return nil
 		}
 		if !s.makeRoom(n) && wait > 0 {
@@ -55,7 +52,7 @@
 		select {
 		case <-room:
 		case <-t.Chan():
-			if wait > 0 || s.givesUp() {
+			if wait > 0 || rand.IntN(giveUpShare) == 0 {
 				return ErrFull
 			}
 			t.Reset(stuckTime)
@@ -65,12 +62,6 @@
 	}
 }
 
-// givesUp reports whether a request that has waited for stuckTime gives up.
-func (s *Set) givesUp() bool {
-	stuck := s.cfg.Clock.Now().UnixNano()-s.lastGrant.Load() >= int64(stuckTime)
-	return stuck && rand.IntN(giveUpShare) == 0
-}
-
 // Release ends a reservation.
 func (s *Set) Release(class budget.Class, n ident.Bytes) {
 	if s.cfg.Memory != nil && n > 0 {
--- a/io/conns/set.go
+++ b/io/conns/set.go
@@ -69,8 +69,6 @@
 	// evicting is held while connections are chosen for eviction, and evictions counts them by stage.
 	evicting  sync.Mutex
 	evictions [budget.Evicted + 1]atomic.Uint64
-	// lastGrant is when a request that was passed on last got memory that it had waited for, in Unix nanoseconds.
-	lastGrant atomic.Int64
 	// shareScan is when stalled bodies were last searched for, and shareFreed whether there were any. evicting guards them.
 	shareScan  time.Time
 	shareFreed bool
