--- a/io/conns/memory.go
+++ b/io/conns/memory.go
@@ -258,7 +258,7 @@
 		return false
 	}
 	m.stage = budget.Evicted
-	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // Only a closed connection refuses it.
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // Only a closed connection refuses it.
 	return true
 }
 
