Remove unused fields of a test

Cause: staticcheck reports two fields of a fake caller that nothing reads. Change: removed. Result: staticcheck and golangci-lint: 0 issues.

--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -144,11 +144,7 @@
 }
 
 // callerModel is a caller that sends one request, waits as it is told, and gives up at its deadline.
-type callerModel struct {
-	r       Request
-	urgent  bool
-	servedA bool
-}
+type callerModel struct{ r Request }
 
 // TestOverload plays twice the load that the targets can run for 20 s. It guards against serving urgent requests less often
 // than less urgent ones, against one organisation that takes the room of the others, and against sends to full targets.
@@ -227,7 +223,7 @@
 				r.Org = "calm"
 			}
 			asked[key(r)]++
-			arrive(&callerModel{r: r})
+			arrive(&callerModel{r})
 		}
 	}
 	share := func(k string) float64 { return float64(served[k]) / float64(asked[k]) }
