--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -273,6 +273,19 @@
 	return nil
 }
 
+// restart starts a process that has ended, with the settings of a fleet that has started before.
+func (f *fleet) restart(r *router) error {
+	b, err := os.ReadFile(r.settings)
+	if err != nil {
+		return err
+	}
+	text := strings.Replace(string(b), `"bootstrap":true`, `"bootstrap":false`, 1)
+	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return f.startRouter(r)
+}
+
 func (r *router) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + r.ready + "/readyz")
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -8,8 +8,10 @@
 )
 
 var cases = map[string]func(*fleet, bool) (bool, error){
-	"drain":  runDrain,
-	"poison": runPoison,
+	"drain":   runDrain,
+	"memory":  runMemory,
+	"prepaid": runPrepaid,
+	"poison":  runPoison,
 }
 
 func main() { os.Exit(runCase()) }
