--- a/review/standins-2/drain.go
+++ b/review/standins-2/drain.go
@@ -115,11 +115,14 @@
 			runs[r.id] = true
 		}
 	}
-	failed := 0
+	failed, lost := 0, 0
 	for _, a := range answers {
 		f.record.printf("request %s sent at %.3f s: %d, run: %v", a.id, a.sent.Sub(f.record.start).Seconds(), a.status, runs[a.id])
 		if a.status != http.StatusOK {
 			failed++
+			if runs[a.id] {
+				lost++
+			}
 		}
 	}
 	late := 0
@@ -136,6 +139,6 @@
 		f.record.say("%s: the last request reached it %.3f s after the removal of its entry; %d came later than drain_ms", engines[i].id, last.Seconds(), lateHere)
 		late += lateHere
 	}
-	f.record.say("%d of %d requests were not answered with 200", failed, len(answers))
+	f.record.say("%d of %d requests were not answered with 200; %d of these had begun to run", failed, len(answers), lost)
 	return late > 0, nil
 }
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -125,12 +125,16 @@
 		return
 	}
 	defer e.running.Add(-1)
+	streams := strings.HasPrefix(r.URL.Path, "/chat/")
+	if !streams {
+		e.recordRun(run{attempt, r.URL.Path, time.Now(), n})
+	}
 	if !sleep(r, e.work) {
-		return // dropped, as its connection was closed before its first token
+		return // dropped, as its connection was closed; a model engine has not begun to run it before its first token
+	}
+	if streams {
+		e.recordRun(run{attempt, r.URL.Path, time.Now(), n})
 	}
-	e.mu.Lock()
-	e.runs = append(e.runs, run{attempt, r.URL.Path, time.Now(), n})
-	e.mu.Unlock()
 	what := replyWhole
 	if e.decide != nil {
 		what = e.decide(r)
@@ -140,11 +144,11 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	case replyCrash:
-		e.crash(w)
+		e.crash()
 		return
 	}
 	h.Set("Engine-Stamp", "stamp-"+attempt)
-	if !strings.HasPrefix(r.URL.Path, "/chat/") {
+	if !streams {
 		_, _ = io.WriteString(w, "done "+attempt+"\n")
 		return
 	}
@@ -162,15 +166,14 @@
 }
 
 // crash ends the engine while it begins to write an answer.
-func (e *engine) crash(http.ResponseWriter) {
+func (e *engine) crash() {
 	e.mu.Lock()
-	s, id := e.server, e.id
+	s := e.server
 	e.server = nil
 	e.mu.Unlock()
 	if s == nil {
 		panic(http.ErrAbortHandler) // another request has crashed it already
 	}
-	_ = id
 	_ = s.Close()
 	if e.onCrash != nil {
 		go e.onCrash()
@@ -188,6 +191,12 @@
 	}
 }
 
+func (e *engine) recordRun(r run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, r)
+}
+
 func (e *engine) copyRuns() []run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -9,6 +9,7 @@
 
 var cases = map[string]func(*fleet, bool) (bool, error){
 	"drain":   runDrain,
+	"drill":   runDrill,
 	"memory":  runMemory,
 	"prepaid": runPrepaid,
 	"poison":  runPoison,
