--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Crowds of requests that are legal in size and describe prompts of very many parts.
+# Engines crash while they read long requests that they have begun to answer.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/geraniumsaddle ] && [ -x target/review-2/standins ] || { echo "build first: deploy/system.toml, review/build-2.sh" >&2; exit 2; }
-exec target/review-2/standins memory review/6/record.txt
+exec target/review-2/standins early review/6/record.txt
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(*fleet, bool) (bool, error){
 	"drain":  runDrain,
 	"drill":  runDrill,
+	"early":  runEarly,
 	"memory": runMemory,
 	"poison": runPoison,
 }
@@ -17,6 +18,9 @@
 func main() { os.Exit(runCase()) }
 
 func runCase() int {
+	if len(os.Args) == 4 && os.Args[1] == "engine" {
+		return serveEngine(os.Args[2], os.Args[3])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-2 CASE RECORD")
 		return 2
