--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -33,9 +33,11 @@
 
 // router is one router process.
 type router struct {
-	name, front, ready, settings string
-	cmd                          *exec.Cmd
-	exited                       chan struct{}
+	name, zone, front, ready, settings string
+	// gate carries the router's calls of the store.
+	gate   *routerGate
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // record writes record.txt.
@@ -158,6 +160,75 @@
 	}
 }
 
+// routerGate passes the calls of one router on. While the router is cut off, its calls get no answer.
+type routerGate struct {
+	next http.Handler
+
+	mu  sync.Mutex
+	cut bool
+	// since is when the last watch of each kind began, and watches counts those of the configuration.
+	since   map[string]time.Time
+	watches int
+}
+
+func (g *routerGate) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+func (g *routerGate) isCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
+}
+
+// watchOf returns when the last watch of a kind began.
+func (g *routerGate) watchOf(kind string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.since[kind]
+}
+
+// watchCount returns the number of watches of the configuration.
+func (g *routerGate) watchCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watches
+}
+
+// ServeHTTP serves one call.
+func (g *routerGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if kind, ok := strings.CutPrefix(r.URL.Path, "/objects/"); ok && r.URL.Query().Has("watch") {
+		g.mu.Lock()
+		g.since[kind] = time.Now()
+		if kind == "config" {
+			g.watches++
+		}
+		g.mu.Unlock()
+	}
+	if g.isCut() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	g.next.ServeHTTP(&gatedWriter{ResponseWriter: w, g: g, r: r}, r)
+}
+
+// gatedWriter holds back the answers that a cut has caught.
+type gatedWriter struct {
+	http.ResponseWriter
+	g *routerGate
+	r *http.Request
+}
+
+func (w *gatedWriter) WriteHeader(status int) {
+	if w.g.isCut() {
+		<-w.r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // fleetConfig says how routers are started.
 type fleetConfig struct {
 	routers  int
@@ -165,6 +236,8 @@
 	maxFDs   int
 	graceS   float64
 	zones    []string
+	// grown selects the bounds of the grown sheet.
+	grown bool
 }
 
 // newFleet starts a store. It listens on the loopback interface.
@@ -203,14 +276,15 @@
 
 // start starts the store's server and the routers, and waits until all are ready.
 func (f *fleet) start(cfg fleetConfig) error {
-	ln, err := listen()
-	if err != nil {
-		return err
-	}
-	go func() { _ = (&http.Server{Handler: f.gate}).Serve(ln) }()
 	for i := range cfg.routers {
+		ln, err := listen()
+		if err != nil {
+			return err
+		}
+		gate := &routerGate{next: f.gate, since: make(map[string]time.Time)}
+		go func() { _ = (&http.Server{Handler: gate}).Serve(ln) }()
 		zone := cfg.zones[i%len(cfg.zones)]
-		r := &router{name: fmt.Sprintf("edge-%s-%d", zone, i+1)}
+		r := &router{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, gate: gate}
 		if r.front, err = freeAddr(); err != nil {
 			return err
 		}
@@ -228,6 +302,9 @@
 "bounds":{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"ack_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":%g,"loss_slack_ms":200,"config_ms":2000,"regress_slack_ms":250,"outer_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,"retry_budget_slack":58,"exposure_share":0.1,"exposure_slack":50,"rollback_ms":5000,"recover_s":12,"pass_ms":120,"reuse_window_s":7.1,"settle_ms":1500},
 "provider":{"address":%q,"form":"objects","writes_per_s":400,"reads_per_s":2000,"history_s":20,"value_bytes":1048576,"ttl_min_ms":1000}}`,
 			r.name, loopbackIP(), zone, r.front, r.ready, peerPort, peerPort, cfg.memoryMB, cfg.maxFDs, cfg.graceS, ln.Addr())
+		if cfg.grown {
+			text = strings.NewReplacer(`"contact_ms":3000`, `"contact_ms":4000`, `"drain_ms":2000`, `"drain_ms":3000`, `"config_ms":2000`, `"config_ms":3000`).Replace(text)
+		}
 		if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -8,11 +8,12 @@
 )
 
 var cases = map[string]func(*fleet, bool) (bool, error){
-	"drain":  runDrain,
-	"drill":  runDrill,
-	"early":  runEarly,
-	"memory": runMemory,
-	"poison": runPoison,
+	"drain":    runDrain,
+	"drill":    runDrill,
+	"early":    runEarly,
+	"memory":   runMemory,
+	"watchers": runWatchers,
+	"poison":   runPoison,
 }
 
 func main() { os.Exit(runCase()) }
