--- a/review/standins-2/early.go
+++ b/review/standins-2/early.go
@@ -233,6 +233,7 @@
 		if err != nil {
 			return false, err
 		}
+		releaseAddrs() // the engine listens there at once
 		e := &linkedEngine{f: f, n: n, private: private, uploads: make(chan string, 64)}
 		if e.link, err = listen(); err != nil {
 			return false, err
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -255,13 +256,16 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp", loopbackIP()+":0") }
 
+// heldAddrs keeps free addresses from being handed out twice until releaseAddrs.
+var heldAddrs []io.Closer
+
 // freeAddr returns a free address of the loopback interface.
 func freeAddr() (string, error) {
 	ln, err := listen()
 	if err != nil {
 		return "", err
 	}
-	defer func() { _ = ln.Close() }()
+	heldAddrs = append(heldAddrs, ln)
 	return ln.Addr().String(), nil
 }
 
@@ -270,10 +274,17 @@
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = c.Close() }()
+	heldAddrs = append(heldAddrs, c)
 	return c.LocalAddr().(*net.UDPAddr).Port, nil
 }
 
+func releaseAddrs() {
+	for _, c := range heldAddrs {
+		_ = c.Close()
+	}
+	heldAddrs = nil
+}
+
 // start starts the store's server and the routers, and waits until all are ready.
 func (f *fleet) start(cfg fleetConfig) error {
 	for i := range cfg.routers {
@@ -310,6 +321,7 @@
 		}
 		f.routers = append(f.routers, r)
 	}
+	releaseAddrs()
 	for _, r := range f.routers {
 		if err := f.startRouter(r); err != nil {
 			return err
