Date the answers of watchers and bound their age by the settings

Cause: a watcher that is cut off from the store in silence answers 'no changes' until its own call has failed, and the answer did not say how old it was.

Change: each answer has the age of what the watcher knows, dated by the uptime of the VM: a watch confirms its sending, and its wait if the store waited for all of it. A follower relies on it up to three quarters of config_ms, drain_ms, evacuate_ms or rollback_ms, then asks the other watcher and the store itself. A watcher's watch waits no longer than 65% of the bound. A router of an earlier release tells no age and is not relied on.

--- a/core/change/history.go
+++ b/core/change/history.go
@@ -1,10 +1,15 @@
 // Package change keeps the latest changes of the objects of one kind, so that a router that watches the store can pass
 // them on to routers that do not.
 //
-// The package does no I/O and reads no clock.
+// What it passes on is as old as the watcher's own knowledge, so that a history is dated, and AgeLimits say how old it may
+// be. The package does no I/O and reads no clock.
 package change
 
-import "geraniumsaddle/core/ident"
+import (
+	"time"
+
+	"geraniumsaddle/core/ident"
+)
 
 const (
 	// maxBytes bounds the values in a history, and so the size of a batch: many routers receive the same batch at once
@@ -38,15 +43,18 @@
 	base, version ident.ObjectVersion
 	events        []Event
 	bytes         ident.Bytes
+	// confirmed is the uptime of the VM until which there were no other changes, or zero if that is unknown.
+	confirmed time.Duration
 }
 
-// Append adds the changes after a version. If these do not follow the history, it begins anew with them. The oldest
-// changes are dropped when the history is full.
-func (h *History) Append(from ident.ObjectVersion, b Batch) {
+// Append adds the changes after a version. There were no others until confirmed, an uptime of the VM. If these do not follow the
+// history, it begins anew with them. The oldest changes are dropped when the history is full.
+func (h *History) Append(from ident.ObjectVersion, b Batch, confirmed time.Duration) {
 	if from != h.version || h.base == 0 {
 		*h = History{base: from}
 	}
 	h.version = max(from, b.Version)
+	h.confirmed = max(h.confirmed, confirmed)
 	for _, e := range b.Events {
 		h.events = append(h.events, e)
 		h.bytes += e.size()
@@ -66,6 +74,9 @@
 	return h.bytes > maxBytes || len(h.events)-dropped > maxEvents || dropped > 0 && h.events[dropped].Version == h.base
 }
 
+// Confirmed returns the uptime of the VM until which the history lacks no change, or zero if that is unknown.
+func (h *History) Confirmed() time.Duration { return h.confirmed }
+
 // Since returns the changes after a version, and false if the history does not hold all of them. It holds none of those in
 // an era of the store that it has not seen.
 func (h *History) Since(from ident.ObjectVersion) (Batch, bool) {
--- a/core/change/history_test.go
+++ b/core/change/history_test.go
@@ -32,7 +32,7 @@
 				b.Events = append(b.Events, Event{Name: fmt.Sprint(len(all)), Version: b.Version, Value: value})
 			}
 			all = append(all, b.Events...)
-			h.Append(from, b)
+			h.Append(from, b, 0)
 			version = b.Version
 			if h.bytes > maxBytes || len(h.events) > maxEvents {
 				t.Fatalf("%d bytes in %d events", h.bytes, len(h.events))
@@ -72,10 +72,10 @@
 		return v
 	}
 	var h History
-	h.Append(version(1, 7), Batch{Version: version(1, 9), Events: []Event{{Name: "lost", Version: version(1, 9)}}})
+	h.Append(version(1, 7), Batch{Version: version(1, 9), Events: []Event{{Name: "lost", Version: version(1, 9)}}}, 0)
 	_, ok := h.Since(version(2, 3))
 	is.True(!ok) // the watcher does not know of the later era
-	h.Append(version(2, 3), Batch{Version: version(2, 5), Events: []Event{{Name: "a", Version: version(2, 5)}}})
+	h.Append(version(2, 3), Batch{Version: version(2, 5), Events: []Event{{Name: "a", Version: version(2, 5)}}}, 0)
 	_, ok = h.Since(version(1, 7))
 	is.True(!ok) // the follower does not know of it
 	b, ok := h.Since(version(2, 3))
@@ -90,11 +90,11 @@
 	var h History
 	_, ok := h.Since(0)
 	is.True(!ok) // nothing is known
-	h.Append(7, Batch{Version: 9, Events: []Event{{Name: "a", Version: 8}, {Name: "b", Version: 9}}})
+	h.Append(7, Batch{Version: 9, Events: []Event{{Name: "a", Version: 8}, {Name: "b", Version: 9}}}, 0)
 	b, ok := h.Since(8)
 	is.True(ok)
 	is.Equal(b, Batch{Version: 9, Events: []Event{{Name: "b", Version: 9}}})
-	h.Append(9, Batch{Version: 10, Events: []Event{{Name: "large", Version: 10, Value: make([]byte, maxBytes+1)}}})
+	h.Append(9, Batch{Version: 10, Events: []Event{{Name: "large", Version: 10, Value: make([]byte, maxBytes+1)}}}, 0)
 	_, ok = h.Since(9)
 	is.True(!ok) // the change cannot be passed on
 	b, ok = h.Since(10)
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"geraniumsaddle/core/change"
 	"geraniumsaddle/core/cold"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/object"
@@ -47,6 +48,8 @@
 	coalesceDelay        = 200 * time.Millisecond
 	coalesceDelayWatcher = 400 * time.Millisecond
 	coalesceDelayLarge   = 900 * time.Millisecond
+	// defaultChangeTime is the time within which a change has to be known if the settings say nothing.
+	defaultChangeTime = 2 * time.Second
 	// recoveryWatchTimeout is the maximum timeout of the first watch after a failure.
 	recoveryWatchTimeout = 50 * time.Millisecond
 )
@@ -54,17 +57,25 @@
 // errWatchRestarted means that a watch was canceled because another one has failed.
 var errWatchRestarted = errors.New("watch was restarted")
 
+// syncPoint says what a router knows of the objects of one kind.
+type syncPoint struct {
+	// version is the version up to which it knows all changes, or zero before the objects are listed.
+	version ident.ObjectVersion
+	// confirmed is the uptime of the VM until which there were no later changes.
+	confirmed time.Duration
+}
+
 // watchKind lists the objects of a kind and then watches their changes until the context ends. It lists them again if
 // changes may have been missed.
 func (s *Server) watchKind(ctx context.Context, kind object.Kind, handler watchHandler) {
-	var from ident.ObjectVersion
+	var known syncPoint
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
-		if from == 0 {
-			from, err = s.listAll(ctx, kind, handler)
+		if known.version == 0 {
+			known, err = s.listAll(ctx, kind, handler)
 		} else {
-			from, err = s.pollOnce(ctx, kind, from, s.watchTimeout(kind, failures), handler)
+			known, err = s.pollOnce(ctx, kind, known, s.watchTimeout(kind, known, failures), handler)
 		}
 		if ctx.Err() != nil {
 			return
@@ -84,6 +95,31 @@
 	}
 }
 
+// uptime returns the uptime of the VM, which dates what a router knows: unlike the process's clock it goes on while the VM is
+// suspended.
+func (s *Server) uptime() time.Duration { return s.deps.VMClock.Now().Uptime }
+
+// ageLimits returns the limits on the age of what a router knows of a kind of objects through watchers.
+func (s *Server) ageLimits(kind object.Kind) change.AgeLimits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	knownWithin := defaultChangeTime
+	switch kind {
+	case platform.KindConfig:
+		knownWithin = s.bounds.ConfigTime
+	case platform.KindTarget:
+		knownWithin = s.bounds.DrainTime
+	case platform.KindEvacuation:
+		knownWithin = s.bounds.EvacuationTime
+	case platform.KindRelease:
+		knownWithin = s.bounds.RollbackTime
+	}
+	if knownWithin <= 0 {
+		knownWithin = defaultChangeTime
+	}
+	return change.NewAgeLimits(knownWithin)
+}
+
 // isLargeFleet reports whether the fleet has more than DirectFleet routers. Their calls of the store are then costly.
 func (s *Server) isLargeFleet() bool { return s.accounts.RouterCount() > s.deps.DirectFleet }
 
@@ -101,48 +137,52 @@
 }
 
 // watchTimeout returns the time after which the store answers a watch without changes. After a failure it is short,
-// because the answer shows that the store is reachable again.
-func (s *Server) watchTimeout(kind object.Kind, failures int) time.Duration {
-	if failures > 0 {
+// because the answer shows that the store is reachable again. A watcher has what it knows confirmed in time for the routers
+// that follow it.
+func (s *Server) watchTimeout(kind object.Kind, known syncPoint, failures int) time.Duration {
+	feed := s.changes.Load()
+	switch {
+	case failures > 0:
 		return min(recoveryWatchTimeout, s.watchTimeouts[kind])
-	}
-	if s.isLargeFleet() && !s.changes.Load().watches() {
+	case feed.watches():
+		return min(s.watchTimeouts[kind], s.ageLimits(kind).WatchWait(s.uptime()-known.confirmed))
+	case s.isLargeFleet():
 		return largeWatchTimeouts[kind]
 	}
 	return s.watchTimeouts[kind]
 }
 
-// listAll passes all objects of a kind to the handler and returns the version from which to watch.
-func (s *Server) listAll(ctx context.Context, kind object.Kind, handler watchHandler) (ident.ObjectVersion, error) {
+// listAll passes all objects of a kind to the handler and returns the point from which to watch.
+func (s *Server) listAll(ctx context.Context, kind object.Kind, handler watchHandler) (syncPoint, error) {
 	var objects []store.Object
-	var version ident.ObjectVersion
+	known := syncPoint{confirmed: s.uptime()}
 	after := ""
 	for {
 		p, err := s.deps.Store.List(ctx, kind, after)
 		s.deps.Metrics.countStoreCall("list "+string(kind), err)
 		if err != nil {
-			return 0, err
+			return syncPoint{}, err
 		}
 		if p.Unreadable > 0 {
 			s.deps.Log.Warn("unreadable objects skipped", "kind", kind, "objects", p.Unreadable)
 		}
-		if version == 0 {
-			version = p.Version
+		if known.version == 0 {
+			known.version = p.Version
 		}
 		objects = append(objects, p.Objects...)
 		if p.Next == "" {
 			handler.applyList(objects)
-			return version, nil
+			return known, nil
 		}
 		after = p.Next
 	}
 }
 
-// pollOnce passes the next changes of a kind to the handler and returns the version from which to continue, or zero if
-// the objects have to be listed again.
-func (s *Server) pollOnce(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration,
+// pollOnce passes the next changes of a kind to the handler and returns the point from which to continue, or the zero value
+// if the objects have to be listed again.
+func (s *Server) pollOnce(ctx context.Context, kind object.Kind, known syncPoint, wait time.Duration,
 	handler watchHandler,
-) (ident.ObjectVersion, error) {
+) (syncPoint, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	restart := s.watchRestart.channel()
@@ -153,20 +193,20 @@
 		case <-ctx.Done():
 		}
 	}()
-	ev, err := s.nextChanges(ctx, kind, from, wait)
+	ev, confirmed, err := s.nextChanges(ctx, kind, known, wait)
 	switch {
 	case errors.Is(context.Cause(ctx), errWatchRestarted):
-		return from, errWatchRestarted
+		return known, errWatchRestarted
 	case errors.Is(err, store.ErrCompacted):
-		s.deps.Log.Info("history of changes was compacted; listing the objects again", "kind", kind, "from", from)
+		s.deps.Log.Info("history of changes was compacted; listing the objects again", "kind", kind, "from", known.version)
 		s.watchRestart.wakeAll()
-		return 0, nil
+		return syncPoint{}, nil
 	case errors.Is(err, context.DeadlineExceeded):
 		// The next watch tells whether the store was unreachable or has compacted its history.
 		s.watchRestart.wakeAll()
-		return from, err
+		return known, err
 	case err != nil:
-		return from, err
+		return known, err
 	}
 	if ev.Unreadable > 0 {
 		s.deps.Log.Warn("unreadable changes skipped", "kind", kind, "changes", ev.Unreadable)
@@ -174,56 +214,63 @@
 	for _, e := range ev.Events {
 		handler.applyEvent(e)
 	}
-	return max(from, ev.Version), nil
+	return syncPoint{max(known.version, ev.Version), confirmed}, nil
 }
 
-// nextChanges returns the next changes of a kind: from the store in a small fleet and on a watcher, otherwise from a
-// watcher if there is one that has them.
-func (s *Server) nextChanges(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
+// nextChanges returns the next changes of a kind and the uptime until which there were no others: from the store in a small
+// fleet and on a watcher, otherwise from a watcher if there is one that has them.
+func (s *Server) nextChanges(ctx context.Context, kind object.Kind, known syncPoint, wait time.Duration) (store.PollResult, time.Duration, error) {
 	feed := s.changes.Load()
 	switch {
 	case feed == nil:
-		return s.pollStore(ctx, kind, from, wait)
+		return s.pollStore(ctx, kind, known.version, wait)
 	case feed.watches():
-		feed.append(kind, from, store.PollResult{Version: from})
-		res, err := s.pollStore(ctx, kind, from, wait)
+		feed.append(kind, known.version, store.PollResult{Version: known.version}, known.confirmed)
+		res, confirmed, err := s.pollStore(ctx, kind, known.version, wait)
 		if err == nil {
-			feed.append(kind, from, res)
+			feed.append(kind, known.version, res, confirmed)
 		}
-		return res, err
+		return res, confirmed, err
 	}
-	res, err := feed.follow(ctx, kind, from)
+	res, confirmed, err := feed.follow(ctx, kind, known)
 	feed.following.Store(err == nil)
 	switch {
 	case err == nil || ctx.Err() != nil:
-		return res, err
+		return res, confirmed, err
 	case errors.Is(err, errStoreAway) && feed.trustsStoreAway(kind):
-		return res, &store.Error{Kind: store.ErrUnavailable, Call: "watch " + string(kind), Err: err}
+		return res, 0, &store.Error{Kind: store.ErrUnavailable, Call: "watch " + string(kind), Err: err}
 	}
 	if !errors.Is(err, errNoWatcher) {
 		wait = followerWait // a watcher answers, so this router follows it again after one call
 	}
-	res, err = s.pollStore(ctx, kind, from, wait)
+	res, confirmed, err = s.pollStore(ctx, kind, known.version, wait)
 	if ctx.Err() == nil {
 		feed.recordStoreCall(kind, err)
 	}
-	return res, err
+	return res, confirmed, err
 }
 
 // pollStore polls the store itself. If the configuration does not arrive in time it is read instead: the changes of an
-// outage are many whole configurations, of which only the last one matters.
-func (s *Server) pollStore(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
+// outage are many whole configurations, of which only the last one matters. The result was complete when the call began,
+// and also when the store had waited as long as it may without a change.
+func (s *Server) pollStore(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, time.Duration, error) {
+	wait = wait.Truncate(time.Millisecond) // as the store counts
+	confirmed := s.uptime()
 	res, err := s.deps.Store.Poll(ctx, kind, from, wait)
 	s.deps.Metrics.countStoreCall("watch "+string(kind), err)
+	if err == nil && len(res.Events) == 0 && s.uptime()-confirmed >= wait {
+		confirmed += wait
+	}
 	if kind != platform.KindConfig || !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
-		return res, err
+		return res, confirmed, err
 	}
+	confirmed = s.uptime()
 	o, getErr := s.deps.Store.Get(ctx, platform.ConfigKey)
 	s.deps.Metrics.countStoreCall("get "+string(kind), getErr)
 	if getErr != nil || o.Version < from {
-		return res, err
+		return res, confirmed, err
 	}
-	return store.PollResult{Version: o.Version, Events: []store.Event{{Object: o}}}, nil
+	return store.PollResult{Version: o.Version, Events: []store.Event{{Object: o}}}, confirmed, nil
 }
 
 // configHandler applies changes of the operator's configuration.
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -73,10 +73,10 @@
 		peer.TokenHold{Request: "r1", Org: "o", Tokens: 7, TTL: time.Second, Wait: time.Millisecond},
 		peer.TokenHeld{Result: quota.HoldResult{Verdict: quota.Insufficient}, Total: 9, StoreUnreachable: true},
 		peer.TokenSettle{Request: "r1", Used: 5},
-		peer.ChangesWanted{Kind: "targets", From: 7},
+		peer.ChangesWanted{Kind: "targets", From: 7, Wait: time.Second},
 		peer.Changes{Batch: change.Batch{Version: 9, Events: []change.Event{
 			{Name: "t1", Version: 8, Value: []byte("{}"), Status: []byte("1")}, {Name: "t2", Version: 9, Deleted: true},
-		}}},
+		}}, Age: time.Second, Held: time.Millisecond},
 		peer.Poison{Report: poison.Report{
 			Losses:      []poison.Loss{{Target: poison.Target{ID: "t", Born: 4}, Service: "llm", Age: time.Second, Prompts: []poison.Prompt{{"a", "b"}}}},
 			Clearances:  []poison.Clearance{{Part: poison.Part{Service: "llm", ID: "a"}, Age: time.Second}},
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -322,10 +322,19 @@
 type ChangesWanted struct {
 	Kind object.Kind         `cbor:"1,keyasint"`
 	From ident.ObjectVersion `cbor:"2,keyasint"`
+	// Wait is the longest wait for a change. Zero, which routers of earlier releases send, selects the default.
+	Wait time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Changes answers ChangesWanted.
-type Changes struct{ change.Batch }
+type Changes struct {
+	change.Batch
+	// Age is the age of what the sender knew when it answered: there may be later changes that it had not heard of. Zero,
+	// which routers of earlier releases send, means unknown.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	// Held is the time for which the sender held the call.
+	Held time.Duration `cbor:"4,keyasint,omitempty"`
+}
 
 // Poison carries evidence on parts of prompts that crash targets, and the quarantined parts.
 type Poison struct{ poison.Report }
