Find parts that crash targets in prompts of any length

Cause: the evidence kept the last 16 parts of a prompt; the part was in no loss and in no check.

Change: all parts of a prompt count. A loss holds a set of parts instead of prompts; bounds are those of the whole evidence (32,768 accused parts, 256 losses) and drop what proves least: answered parts, parts of a single loss, losses of a rack. The same holds for the other bounds of the evidence: 32 prompts a loss, 64 losses, 64 quarantined parts, and answers beyond 512 in a message, which were never told.

--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -25,7 +25,7 @@
 // quarantineNext quarantines the part with the most evidence, if that is enough, and reports whether it did.
 func (t *Tracker) quarantineNext(now time.Time) bool {
 	best := t.mostAccused(now)
-	if best == nil || t.held[best.part] == nil && !t.makeRoom() {
+	if best == nil || t.held[best.part] == nil && !t.makeRoom(best.last().at) {
 		return false
 	}
 	q := &quarantine{
@@ -43,21 +43,31 @@
 	return true
 }
 
-// makeRoom reports whether another part can be held. If needed, it forgets the part whose quarantine ended first.
-func (t *Tracker) makeRoom() bool {
+// makeRoom reports whether another part can be held, whose last loss was at a time. If needed, it forgets the part on probation whose
+// quarantine ended first, or else the part that has ended no target for longest, unless the other one has ended none for
+// even longer.
+func (t *Tracker) makeRoom(lossAt time.Time) bool {
 	if len(t.held) < maxQuarantined {
 		return true
 	}
 	var first *quarantine
 	for _, part := range t.sortedHeld() {
-		if q := t.held[part]; !q.active && (first == nil || q.until.Before(first.until)) {
+		q := t.held[part]
+		switch {
+		case first == nil || first.active && !q.active:
+			first = q
+		case first.active != q.active:
+		case q.active && q.lossAt.Before(first.lossAt) || !q.active && q.until.Before(first.until):
 			first = q
 		}
 	}
-	if first == nil {
+	if first.active && !first.lossAt.Before(lossAt) {
 		return false
 	}
 	delete(t.held, first.Part)
+	if first.active {
+		t.events = append(t.events, Released{first.Part, ReleasedForOthers})
+	}
 	return true
 }
 
@@ -71,7 +81,7 @@
 func (t *Tracker) mostAccused(now time.Time) *accused {
 	var best *accused
 	t.decideAt = time.Time{}
-	for _, a := range t.accusations() {
+	for _, a := range t.accusations(t.policy.MinLosses) {
 		at, enough := t.sufficesAt(a)
 		switch {
 		case !enough:
@@ -96,20 +106,20 @@
 	)
 }
 
-// accusations returns the parts that unexplained losses accuse.
-func (t *Tracker) accusations() map[Part]*accused {
+// accusations returns the parts that unexplained losses accuse, without those that fewer than minLosses name, unless they were
+// quarantined before.
+func (t *Tracker) accusations(minLosses int) map[Part]*accused {
 	found := make(map[Part]*accused)
 	for _, target := range t.sortedTargets() {
 		l := t.losses[target]
 		if l.void || t.explained(l) {
 			continue
 		}
-		for _, p := range l.prompts {
-			for _, id := range p {
-				part := Part{l.service, id}
-				if l.at.After(t.parts[part].answeredAt) {
-					accuse(found, part, accusation{target, l}, p)
-				}
+		for id, prompts := range l.parts {
+			part := Part{l.service, id}
+			s := t.parts[part]
+			if l.at.After(s.answeredAt) && (s.losses >= minLosses || t.held[part] != nil) {
+				accuse(found, part, accusation{target, l}, prompts)
 			}
 		}
 	}
@@ -119,17 +129,17 @@
 	return found
 }
 
-// accuse adds a loss that counts against a part because of one prompt. The prompts of a loss are added one after another.
-func accuse(found map[Part]*accused, part Part, l accusation, p Prompt) {
+// accuse adds a loss that counts against a part because of prompts.
+func accuse(found map[Part]*accused, part Part, l accusation, prompts []string) {
 	a := found[part]
 	if a == nil {
 		a = &accused{part: part, prompts: make(map[string]bool)}
 		found[part] = a
 	}
-	a.prompts[p[len(p)-1]] = true
-	if n := len(a.losses); n == 0 || a.losses[n-1].target != l.target {
-		a.losses = append(a.losses, l)
+	for _, last := range prompts {
+		a.prompts[last] = true
 	}
+	a.losses = append(a.losses, l)
 }
 
 func (a *accused) last() accusation { return a.losses[len(a.losses)-1] }
--- a/core/poison/report.go
+++ b/core/poison/report.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -18,23 +20,35 @@
 	return news{losses: make(map[Target]bool), clearances: make(map[Part]bool), quarantines: make(map[Part]bool)}
 }
 
-// News returns what has become known since the last call, from this router's targets or from other routers.
+// News returns what has become known since the last call, from this router's targets or from other routers. What exceeds
+// the bounds of a report is left for the next one.
 func (t *Tracker) News(now time.Time) Report {
 	n := t.news
 	t.news = newNews()
 	var r Report
+	room := maxReportedParts
 	for _, target := range t.sortedTargets() {
-		if n.losses[target] {
-			r.Losses = append(r.Losses, t.lossReport(target, now))
+		if !n.losses[target] {
+			continue
 		}
-	}
-	for part := range n.clearances {
-		if s := t.parts[part]; s != nil && len(r.Clearances) < maxClearances {
-			s.toldAt = s.answeredAt
-			r.Clearances = append(r.Clearances, Clearance{part, now.Sub(s.answeredAt)})
+		if room <= 0 {
+			t.news.losses[target] = true
+			continue
+		}
+		l := t.lossReport(target, now, room)
+		room -= l.partCount()
+		r.Losses = append(r.Losses, l)
+	}
+	told := t.mostAccusedFirst(n.clearances)
+	for i, part := range told {
+		if i >= maxClearances {
+			t.news.clearances[part] = true
+			continue
 		}
+		s := t.parts[part]
+		s.toldAt = s.answeredAt
+		r.Clearances = append(r.Clearances, Clearance{part, now.Sub(s.answeredAt)})
 	}
-	slices.SortFunc(r.Clearances, func(a, b Clearance) int { return compareParts(a.Part, b.Part) })
 	for _, part := range t.sortedHeld() {
 		if n.quarantines[part] {
 			r.Quarantines = append(r.Quarantines, t.held[part].report(now))
@@ -43,38 +57,83 @@
 	return r
 }
 
+// mostAccusedFirst returns the known ones of some parts in the order in which others should learn that they were answered: those
+// that most losses accuse first.
+func (t *Tracker) mostAccusedFirst(parts map[Part]bool) []Part {
+	var known []Part
+	for part := range parts {
+		if s := t.parts[part]; s != nil && !s.answeredAt.IsZero() {
+			known = append(known, part)
+		}
+	}
+	slices.SortFunc(known, func(a, b Part) int {
+		return cmp.Or(-cmp.Compare(t.parts[a].losses, t.parts[b].losses), compareParts(a, b))
+	})
+	return known
+}
+
 // Summary returns what a router needs that knows nothing: the quarantined parts, those on probation, and recent losses
-// with the answers that clear their parts.
+// with the answers that clear their parts. Of losses that exceed the bounds of a report, the latest are told.
 func (t *Tracker) Summary(now time.Time) Report {
 	var r Report
 	for _, part := range t.sortedHeld() {
 		r.Quarantines = append(r.Quarantines, t.held[part].report(now))
 	}
 	cleared := make(map[Part]bool)
-	for _, target := range t.sortedTargets() {
-		l := t.losses[target]
-		if now.Sub(l.at) > reportedLossAge {
-			continue
+	recent := slices.DeleteFunc(t.sortedTargets(), func(target Target) bool { return now.Sub(t.losses[target].at) > reportedLossAge })
+	slices.SortStableFunc(recent, func(a, b Target) int { return t.losses[b].at.Compare(t.losses[a].at) })
+	room := maxReportedParts
+	for _, target := range recent {
+		for id := range t.losses[target].parts {
+			cleared[Part{t.losses[target].service, id}] = true
 		}
-		r.Losses = append(r.Losses, t.lossReport(target, now))
-		for _, p := range l.prompts {
-			for _, id := range p {
-				cleared[Part{l.service, id}] = true
-			}
+		if room > 0 {
+			l := t.lossReport(target, now, room)
+			room -= l.partCount()
+			r.Losses = append(r.Losses, l)
 		}
 	}
-	for part := range cleared {
-		if s := t.parts[part]; s != nil && !s.answeredAt.IsZero() && len(r.Clearances) < maxClearances {
-			r.Clearances = append(r.Clearances, Clearance{part, now.Sub(s.answeredAt)})
+	for _, part := range t.mostAccusedFirst(cleared) {
+		if len(r.Clearances) < maxClearances {
+			r.Clearances = append(r.Clearances, Clearance{part, now.Sub(t.parts[part].answeredAt)})
 		}
 	}
-	slices.SortFunc(r.Clearances, func(a, b Clearance) int { return compareParts(a.Part, b.Part) })
 	return r
 }
 
-func (t *Tracker) lossReport(target Target, now time.Time) Loss {
+// lossReport returns a loss with about as many parts as there is room for, the most useful ones, and without those that were
+// answered since.
+func (t *Tracker) lossReport(target Target, now time.Time, room int) Loss {
 	l := t.losses[target]
-	return Loss{Target: target, Service: l.service, Age: now.Sub(l.at), Prompts: l.prompts}
+	byLast := make(map[string]Prompt)
+	pairs := t.pairsOf(l)
+	for _, p := range slices.Backward(pairs) {
+		if p.usefulness() == 0 || room <= 0 {
+			break
+		}
+		for _, last := range l.parts[p.id] {
+			if p.id != last {
+				byLast[last] = append(byLast[last], p.id)
+			} else if byLast[last] == nil {
+				byLast[last] = Prompt{}
+			}
+			room--
+		}
+	}
+	out := Loss{Target: target, Service: l.service, Age: now.Sub(l.at)}
+	for _, last := range slices.Sorted(maps.Keys(byLast)) {
+		out.Prompts = append(out.Prompts, append(byLast[last], last))
+	}
+	return out
+}
+
+// partCount returns the number of parts of all prompts of a loss.
+func (l Loss) partCount() int {
+	n := 0
+	for _, p := range l.Prompts {
+		n += len(p)
+	}
+	return n
 }
 
 func (q *quarantine) report(now time.Time) Quarantine {
@@ -138,7 +197,7 @@
 		t.news.clearances[r.Part] = true // the sender does not know of the answer
 		return
 	}
-	if known == nil && !t.makeRoom() {
+	if known == nil && !t.makeRoom(lossAt) {
 		return
 	}
 	r.Strikes = max(r.Strikes, 1)
@@ -146,7 +205,7 @@
 	q := &quarantine{Quarantine: r, at: at, lossAt: lossAt, until: at.Add(t.extended(r.Term))}
 	q.active = now.Before(q.until)
 	t.held[r.Part] = q
-	t.observePart(r.Part, lossAt)
+	_ = t.observePart(r.Part, lossAt)
 	t.news.quarantines[r.Part] = true
 	if q.active && (known == nil || !known.active) {
 		t.events = append(t.events, Quarantined{Quarantine: r})
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -16,10 +17,12 @@
 type Tracker struct {
 	policy Policy
 	losses map[Target]*loss
-	// parts holds the parts that losses or quarantines name, and recent when parts were answered lately.
-	parts  map[Part]*partState
-	recent recentAnswers
-	held   map[Part]*quarantine
+	// parts holds the parts that losses or quarantines name, and recent when parts were answered lately. accusationCount is the
+	// number of parts that all losses accuse.
+	parts           map[Part]*partState
+	accusationCount int
+	recent          recentAnswers
+	held            map[Part]*quarantine
 	// news holds what other routers have not been told yet.
 	news news
 	// changed is set when losses or quarantines have changed since the last decision. decideAt is when the evidence that
@@ -29,17 +32,11 @@
 	events   []Event
 }
 
-type loss struct {
-	service ident.ServiceID
-	// at is when the target ended, and knownAt when this router learned of it.
-	at, knownAt time.Time
-	prompts     []Prompt
-	// void says that the loss counts against no part: the part that explained it was released.
-	void bool
-}
-
 // partState is what is known of the answers to requests with a part.
 type partState struct {
+	id string
+	// losses is the number of losses that accuse the part.
+	losses     int
 	answeredAt time.Time
 	// toldAt is the newest answer that other routers know of.
 	toldAt time.Time
@@ -72,7 +69,7 @@
 		return Part{}, false
 	}
 	for _, id := range p {
-		part := Part{service, id}
+		part := Part{service, partID(id)}
 		if q := t.held[part]; q != nil && q.active {
 			return part, true
 		}
@@ -90,7 +87,7 @@
 // RecordAnswer records that a target has answered a request with a prompt.
 func (t *Tracker) RecordAnswer(service ident.ServiceID, p Prompt, now time.Time) {
 	for i, id := range p {
-		part := Part{service, id}
+		part := Part{service, partID(id)}
 		if i+1 < len(p) {
 			t.recent.record(part, now)
 		}
@@ -115,7 +112,7 @@
 	}
 	s.answeredAt = at
 	if s.worthTelling() {
-		t.news.clearances[part] = true
+		t.news.clearances[Part{part.Service, s.id}] = true
 	}
 	t.release(part, at)
 }
@@ -132,10 +129,6 @@
 	return s.answeredAt.After(s.accusedAt) && !s.toldAt.After(s.accusedAt)
 }
 
-func (l *loss) accuses(id string) bool {
-	return slices.ContainsFunc(l.prompts, func(p Prompt) bool { return slices.Contains(p, id) })
-}
-
 // release ends the quarantine of a part that was answered after the last loss that counts against it.
 func (t *Tracker) release(part Part, answeredAt time.Time) {
 	q := t.held[part]
@@ -161,62 +154,45 @@
 	}
 	known := t.losses[l.Target]
 	if known != nil && at.Sub(known.at) > replacedLossAge {
-		delete(t.losses, l.Target)
+		t.forgetLoss(l.Target)
 		known = nil
 	}
 	isNew := known == nil
 	if isNew {
-		t.forgetOldestLoss()
-		known = &loss{service: l.Service, at: at, knownAt: now}
+		t.makeRoomForLoss()
+		known = &loss{service: l.Service, at: at, knownAt: now, parts: make(map[string][]string)}
 		t.losses[l.Target] = known
 	}
 	if at.Before(known.at) {
 		known.at = at
 	}
 	for _, p := range l.Prompts {
-		if len(known.prompts) >= maxPrompts || slices.ContainsFunc(known.prompts, func(o Prompt) bool { return slices.Equal(o, p) }) {
-			continue
+		if t.addPrompt(known, p) {
+			isNew = true
 		}
-		known.prompts = append(known.prompts, NewPrompt(p))
-		isNew = true
 	}
 	if isNew {
 		t.changed = true
-		t.observe(known)
+		t.makeRoomForParts()
 	}
 	return isNew
 }
 
-// observe begins to record the answers of the parts that a loss accuses.
-func (t *Tracker) observe(l *loss) {
-	for _, p := range l.prompts {
-		for _, id := range p {
-			t.observePart(Part{l.service, id}, l.at)
-		}
-	}
-}
-
-func (t *Tracker) observePart(part Part, accusedAt time.Time) {
+// observePart begins to record the answers of a part that a loss accuses.
+func (t *Tracker) observePart(part Part, accusedAt time.Time) *partState {
 	s := t.parts[part]
 	if s == nil {
-		s = &partState{answeredAt: t.recent.lastOf(part)}
+		part.ID = strings.Clone(part.ID)
+		s = &partState{id: part.ID, answeredAt: t.recent.lastOf(part)}
 		t.parts[part] = s
 	}
 	if accusedAt.After(s.accusedAt) {
 		s.accusedAt = accusedAt
 	}
 	if s.worthTelling() {
-		t.news.clearances[part] = true
-	}
-}
-
-// forgetOldestLoss makes room for another loss.
-func (t *Tracker) forgetOldestLoss() {
-	if len(t.losses) < maxLosses {
-		return
+		t.news.clearances[Part{part.Service, s.id}] = true
 	}
-	oldest := slices.MinFunc(t.sortedTargets(), func(a, b Target) int { return t.losses[a].at.Compare(t.losses[b].at) })
-	delete(t.losses, oldest)
+	return s
 }
 
 // sortedTargets returns the lost targets in a fixed order, so that decisions do not depend on the order of a map.
@@ -262,7 +238,7 @@
 func (t *Tracker) expire(now time.Time) {
 	for target, l := range t.losses {
 		if now.Sub(l.at) > t.policy.Memory {
-			delete(t.losses, target)
+			t.forgetLoss(target)
 			t.changed = true
 		}
 	}
@@ -285,17 +261,9 @@
 // forgetParts forgets the answers of parts that no loss names and that are in no quarantine and were in none that may
 // still be reported.
 func (t *Tracker) forgetParts(now time.Time) {
-	named := make(map[Part]bool, len(t.parts))
-	for _, l := range t.losses {
-		for _, p := range l.prompts {
-			for _, id := range p {
-				named[Part{l.service, id}] = true
-			}
-		}
-	}
 	for part, s := range t.parts {
 		mayReturn := !s.clearedAt.IsZero() && now.Sub(s.clearedAt) < 2*t.policy.MaxTerm
-		if !named[part] && t.held[part] == nil && !mayReturn {
+		if s.losses == 0 && t.held[part] == nil && !mayReturn {
 			delete(t.parts, part)
 		}
 	}
--- a/core/poison/tracker_test.go
+++ b/core/poison/tracker_test.go
@@ -130,6 +130,15 @@
 		},
 		[]string{"zbad", "zevil"},
 	},
+	{
+		"two guilty parts at once", "a guilty part that shares its targets' ends with another one",
+		[]step{
+			crash(0, "a", "f/zbad/1", "f/zevil/2"), crash(500, "b", "f/zevil/3"), crash(900, "c", "f/zbad/4"), answer(1000, "f/x/9"),
+			crash(1300, "d", "f/zbad/5", "f/zevil/6"), answer(1400, "f/x/9"), {at: ms(1900)}, crash(2500, "e", "f/zbad/7"), crash(3000, "g", "f/zbad/8"), answer(3100, "f/x/9"),
+			crash(3500, "h", "f/zevil/9"), crash(4000, "i", "f/zevil/10"), answer(4100, "f/x/9"),
+		},
+		[]string{"zbad", "zevil"},
+	},
 	{
 		"answer after the quarantine", "a quarantine that stays although a target has answered",
 		[]step{
@@ -224,13 +233,14 @@
 // TestBoundedMemory guards against memory that grows with the number of losses, prompts or parts that others report.
 func TestBoundedMemory(t *testing.T) {
 	is := is.New(t)
+	const prompts, parts = 8, 64
 	now := time.Unix(1000, 0)
 	tracker := New(DefaultPolicy(0))
 	for i := range 2 * maxLosses {
 		var l Loss
 		l.Service, l.Target.ID = service, ident.TargetID(fmt.Sprint("t", i))
-		for j := range 2 * maxPrompts {
-			p := make([]string, 2*maxPromptParts)
+		for j := range prompts {
+			p := make([]string, parts)
 			for k := range p {
 				p[k] = fmt.Sprintf("%0100d", i*10000+j*100+k)
 			}
@@ -238,12 +248,154 @@
 		}
 		q := Quarantine{Part: Part{service, fmt.Sprint("q", i)}, Age: time.Second, LossAge: time.Second}
 		tracker.Merge(Report{Losses: []Loss{l}, Quarantines: []Quarantine{q}}, now)
+		is.True(len(tracker.losses) <= maxLosses)
+		is.True(tracker.accusationCount <= maxAccusations)
+		is.True(len(tracker.Summary(now).Losses) <= maxLosses)
+		is.True(tracker.lossReport(l.Target, now, maxReportedParts).partCount() <= 2*maxReportedParts)
 	}
-	tracker.Advance(now)
-	is.Equal(len(tracker.losses), maxLosses)
+	tracker.Advance(now.Add(time.Hour))
+	is.Equal(len(tracker.losses), 0)
+	is.Equal(tracker.accusationCount, 0)
 	is.Equal(len(tracker.held), maxQuarantined)
-	is.True(len(tracker.parts) <= (maxLosses+1)*maxPrompts*maxPromptParts+maxQuarantined)
+	is.Equal(len(tracker.parts), maxQuarantined)
+	tracker.Merge(Report{Losses: []Loss{{Service: service, Prompts: []Prompt{{strings.Repeat("x", 100)}}}}}, now.Add(time.Hour))
 	for part := range tracker.parts {
 		is.True(len(part.ID) <= maxPartID)
 	}
 }
+
+// longPrompt returns a prompt of n parts: shared ones, the given one at a place, and one of the request alone.
+func longPrompt(n, place int, part, own string) Prompt {
+	p := make(Prompt, n)
+	for i := range p {
+		p[i] = fmt.Sprintf("s%x", i)
+	}
+	p[place] = part
+	p[n-1] = own
+	return p
+}
+
+// TestLongPrompts guards against a part that crashes targets and is never found because its prompts have many parts, wherever
+// it stands, and against a sound part of these prompts that is quarantined in its place.
+func TestLongPrompts(t *testing.T) {
+	for _, n := range []int{2, 16, 17, 100, 3900} {
+		for _, place := range []int{0, n / 2, n - 2} {
+			if place > n-2 {
+				continue // the last part of a prompt never is the one
+			}
+			t.Run(fmt.Sprintf("%d of %d", place, n), func(t *testing.T) {
+				is := is.New(t)
+				now := time.Unix(1000, 0)
+				// Each router has a part of the requests. The last one has just started.
+				routers := []*Tracker{New(DefaultPolicy(0)), New(DefaultPolicy(0)), New(DefaultPolicy(0))}
+				for i := range 4 {
+					now = now.Add(600 * time.Millisecond)
+					for j, r := range routers {
+						r.RecordAnswer(service, longPrompt(n, place, "zsound", fmt.Sprint("own-", i, j)), now.Add(-100*time.Millisecond))
+					}
+					bad := longPrompt(n, place, "zbad", fmt.Sprint("bad-", i))
+					open := longPrompt(n, place, "zsound", fmt.Sprint("open-", i))
+					target := Target{ID: ident.TargetID(fmt.Sprint("t", i))}
+					routers[i%3].RecordLoss(Loss{Target: target, Service: service, Prompts: []Prompt{open, bad}}, now)
+					exchange(routers, now)
+					for j, r := range routers {
+						r.RecordAnswer(service, longPrompt(n, place, "zsound", fmt.Sprint("later-", i, j)), now.Add(100*time.Millisecond))
+					}
+					exchange(routers, now.Add(120*time.Millisecond))
+				}
+				now = now.Add(time.Second)
+				for _, r := range routers {
+					r.Advance(now)
+					_, found := r.Quarantined(service, longPrompt(n, place, "zbad", "bad-9"))
+					is.True(found)
+					part, found := r.Quarantined(service, longPrompt(n, place, "zsound", "own-9"))
+					if found {
+						t.Errorf("the sound part %v is quarantined", part)
+					}
+				}
+			})
+		}
+	}
+}
+
+// exchange passes the news of each router on to the others until there are none.
+func exchange(routers []*Tracker, now time.Time) {
+	for range 20 {
+		for i, r := range routers {
+			report := r.News(now)
+			for j, other := range routers {
+				if i != j {
+					other.Merge(report, now)
+				}
+			}
+		}
+	}
+	for _, r := range routers {
+		r.Advance(now)
+	}
+}
+
+// TestManyOpenRequests guards against a part that crashes targets and is never found because more requests than fit into the
+// evidence were open at the target, or because parts that are answered are kept in its place.
+func TestManyOpenRequests(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tracker := New(DefaultPolicy(0))
+	for i := range 3 {
+		now = now.Add(500 * time.Millisecond)
+		l := Loss{Target: Target{ID: ident.TargetID(fmt.Sprint("t", i))}, Service: service}
+		for j := range 300 {
+			// Each of 30 families shares its parts.
+			p := longPrompt(200, 0, "f", fmt.Sprint("own-", i, j))
+			for k := 1; k < len(p)-1; k++ {
+				p[k] = fmt.Sprintf("%d-%s", j%30, p[k])
+			}
+			l.Prompts = append(l.Prompts, p)
+			tracker.RecordAnswer(service, append(p[:199:199], fmt.Sprint("answered-", i, j)), now.Add(-time.Millisecond))
+		}
+		l.Prompts = append(l.Prompts, Prompt{"f", "zbad", fmt.Sprint("bad-", i)})
+		tracker.RecordLoss(l, now)
+		for j := range 30 {
+			tracker.RecordAnswer(service, l.Prompts[j], now.Add(time.Millisecond))
+		}
+		tracker.Advance(now)
+	}
+	now = now.Add(time.Second)
+	tracker.Advance(now)
+	_, found := tracker.Quarantined(service, Prompt{"f", "zbad", "bad-9"})
+	is.True(found)
+	is.Equal(len(tracker.List(now)), 1)
+}
+
+// TestLostRack guards against evidence on a part that crashes targets and is dropped because many others are lost at once.
+func TestLostRack(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	tracker := New(DefaultPolicy(0))
+	var steps []step
+	for i := range 2 {
+		steps = append(steps, crash(500*i, fmt.Sprint("bad-", i), fmt.Sprintf("f/zbad/%d", i)), answer(500*i+10, "f/x/1"))
+	}
+	for i := range 4 * maxLosses {
+		steps = append(steps, crash(1000+i/100, fmt.Sprint("rack-", i), fmt.Sprintf("g%d/y/%d", i%9, i)))
+	}
+	steps = append(steps, crash(1600, "bad-2", "f/zbad/2"), answer(1700, "f/x/2"))
+	is.Equal(play(tracker, start, steps), []string{"zbad"})
+}
+
+// TestManyQuarantines guards against a part that is sent on to targets because many others are quarantined already.
+func TestManyQuarantines(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	tracker := New(DefaultPolicy(0))
+	for i := range maxQuarantined {
+		q := Quarantine{Part: Part{service, fmt.Sprint("old-", i)}, Age: time.Minute, LossAge: time.Minute + time.Duration(i), Strikes: 1}
+		tracker.Merge(Report{Quarantines: []Quarantine{q}}, start)
+	}
+	play(tracker, start, threeCrashes)
+	_, found := tracker.Quarantined(service, prompt("f/bad/9"))
+	is.True(found)
+	_, found = tracker.Quarantined(service, prompt(fmt.Sprint("old-", maxQuarantined-1, "/9")))
+	is.True(!found) // the longest without a loss
+	is.Equal(len(tracker.held), maxQuarantined)
+}
--- a/core/poison/types.go
+++ b/core/poison/types.go
@@ -1,11 +1,10 @@
 package poison
 
 import (
-	"strconv"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumsaddle/core/ident"
 )
 
@@ -13,14 +12,11 @@
 const (
 	// maxPartID is the longest ID of a part in bytes. A longer one is replaced by its hash.
 	maxPartID = 64
-	// maxPromptParts bounds the parts of a prompt, and maxPrompts the prompts of one loss.
-	maxPromptParts = 16
-	maxPrompts     = 32
-	// maxLosses and maxQuarantined bound the losses and the quarantined parts that are remembered.
-	maxLosses      = 64
-	maxQuarantined = 64
-	// maxClearances bounds the answers in a report.
-	maxClearances = 512
+	// maxQuarantined bounds the quarantined parts that are remembered.
+	maxQuarantined = 256
+	// maxClearances bounds the answers in a report, and maxReportedParts the parts of its losses.
+	maxClearances    = 2048
+	maxReportedParts = 8192
 )
 
 // Part identifies a part of the prompts of a service.
@@ -32,22 +28,14 @@
 // Prompt holds the IDs of the parts of a prompt, in order. The last part is specific to one request or conversation.
 type Prompt []string
 
-// NewPrompt returns a prompt within the bounds. Of a longer one the last parts are kept, because a first part that many
-// requests share is soon cleared anyway.
-func NewPrompt(ids []string) Prompt {
-	ids = ids[max(len(ids)-maxPromptParts, 0):]
-	p := make(Prompt, len(ids))
-	for i, id := range ids {
-		p[i] = partID(id)
-	}
-	return p
-}
-
+// partID returns the ID under which a part is known. The hash of a long ID is one for which nobody can choose another ID with
+// the same hash, because a caller would clear or quarantine the parts of others with it.
 func partID(id string) string {
 	if len(id) <= maxPartID {
 		return id
 	}
-	return "xxh64-" + strconv.FormatUint(xxhash.Sum64String(id), 16)
+	sum := sha256.Sum256([]byte(id))
+	return "sha256-" + hex.EncodeToString(sum[:16])
 }
 
 // Target is one start of a target.
@@ -63,7 +51,8 @@
 	Service ident.ServiceID `cbor:"2,keyasint"`
 	// Age is how long ago the target ended.
 	Age time.Duration `cbor:"3,keyasint"`
-	// Prompts are those of the requests that the target had not begun to answer.
+	// Prompts are those of the requests that the target had not begun to answer. In a report they lack the parts that were
+	// answered since.
 	Prompts []Prompt `cbor:"4,keyasint"`
 }
 
@@ -123,6 +112,8 @@
 const (
 	ReleasedByAnswer ReleaseReason = "a request with the part was answered, or an operator lifted the quarantine"
 	ReleasedByTerm   ReleaseReason = "the term of the quarantine ended"
+	// ReleasedForOthers means that too many parts have ended targets since.
+	ReleasedForOthers ReleaseReason = "more parts are quarantined than can be remembered"
 )
 
 func (Quarantined) event() {}
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -15,7 +15,6 @@
 	"geraniumsaddle/core/elect"
 	"geraniumsaddle/core/ident"
 	"geraniumsaddle/core/place"
-	"geraniumsaddle/core/poison"
 	"geraniumsaddle/core/route"
 	"geraniumsaddle/core/stream"
 	"geraniumsaddle/io/conns"
@@ -70,8 +69,7 @@
 	buffers []*buffer
 	// requestHeld is what is reserved for the request beside its buffers.
 	requestHeld ident.Bytes
-	// prompt holds the parts of the prompt, once they were needed, and quarantinedPart the one that is quarantined.
-	prompt          poison.Prompt
+	// quarantinedPart is the part of the prompt that is quarantined.
 	quarantinedPart string
 
 	// The remaining fields are for the log line and the metrics. The estimates and prefixOwner are those of the last
--- a/io/edge/poison.go
+++ b/io/edge/poison.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -70,9 +71,6 @@
 
 // quarantined returns the quarantined part of a request's prompt, if there is one.
 func (g *poisonGuard) quarantined(service ident.ServiceID, p poison.Prompt) (poison.Part, bool) {
-	if len(p) == 0 {
-		return poison.Part{}, false
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.tracker.Quarantined(service, p)
@@ -80,9 +78,6 @@
 
 // recordAnswer records that a target has answered a request with the prompt.
 func (g *poisonGuard) recordAnswer(service ident.ServiceID, p poison.Prompt) {
-	if len(p) == 0 {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.RecordAnswer(service, p, g.now())
@@ -91,9 +86,6 @@
 // suspect records that a connection to a target broke before it began to answer a request with the prompt. If the target
 // accepts no new connection, it has ended.
 func (g *poisonGuard) suspect(t place.Target, p poison.Prompt) {
-	if len(p) == 0 {
-		return
-	}
 	key := poison.Target{ID: t.ID, Born: t.Born}
 	at := g.now()
 	g.mu.Lock()
@@ -124,13 +116,22 @@
 	}
 	g.s.deps.Metrics.countLoss(t.Service)
 	g.s.deps.Log.Info("target ended with unanswered requests", "target", t.ID, "service", t.Service, "born", t.Born,
-		"requests", len(prompts), "prompts", prompts[:min(len(prompts), maxLoggedPrompts)], "error", err)
+		"requests", len(prompts), "prompts", loggedPrompts(prompts), "error", err)
 	trigger(g.wake)
 }
 
 // maxLoggedPrompts bounds the prompts in a log line.
 const maxLoggedPrompts = 4
 
+// loggedPrompts returns the first parts of the first prompts for the log.
+func loggedPrompts(prompts []poison.Prompt) []poison.Prompt {
+	var logged []poison.Prompt
+	for _, p := range prompts[:min(len(prompts), maxLoggedPrompts)] {
+		logged = append(logged, p[:min(len(p), maxLoggedParts)])
+	}
+	return logged
+}
+
 // merge adds the report of another router.
 func (g *poisonGuard) merge(r poison.Report) {
 	g.mu.Lock()
@@ -220,28 +221,34 @@
 	return lifted
 }
 
-// promptParts returns the parts of the request's prompt, or nil if it has none.
-func (x *exchange) promptParts() poison.Prompt {
+// promptBuffers holds buffers for the parts of prompts, of which a head may list thousands.
+var promptBuffers = sync.Pool{New: func() any { return new(poison.Prompt) }}
+
+// withPrompt calls f with the parts of the request's prompt, unless it has none. f must not keep them.
+func (x *exchange) withPrompt(f func(poison.Prompt)) {
 	p := x.requestHeaders.Prompt
-	if p == nil || x.route == nil || !x.route.UsesEngine {
-		return nil
+	if p == nil || x.route == nil || !x.route.UsesEngine || len(p.Parts) == 0 {
+		return
 	}
-	if x.prompt == nil {
-		ids := make([]string, len(p.Parts))
-		for i, part := range p.Parts {
-			ids[i] = part.ID
-		}
-		x.prompt = poison.NewPrompt(ids)
+	buffer := promptBuffers.Get().(*poison.Prompt)
+	defer promptBuffers.Put(buffer)
+	*buffer = (*buffer)[:0]
+	for _, part := range p.Parts {
+		*buffer = append(*buffer, part.ID)
 	}
-	return x.prompt
+	f(*buffer)
+	clear(*buffer) // the IDs are parts of the request's head
 }
 
 // quarantined reports whether a part of the request's prompt is quarantined.
 func (x *exchange) quarantined() bool {
-	part, found := x.s.poison.quarantined(x.service, x.promptParts())
-	if found {
-		x.quarantinedPart = part.ID
-	}
+	found := false
+	x.withPrompt(func(p poison.Prompt) {
+		var part poison.Part
+		if part, found = x.s.poison.quarantined(x.service, p); found {
+			x.quarantinedPart = part.ID
+		}
+	})
 	return found
 }
 
@@ -251,11 +258,13 @@
 	if x.ctx.Err() != nil || x.sendEvents >= beginningEvents || errors.Is(err, send.ErrNotSent) || !isBrokenConn(err) {
 		return
 	}
-	x.s.poison.suspect(t, x.promptParts())
+	x.withPrompt(func(p poison.Prompt) { x.s.poison.suspect(t, slices.Clone(p)) })
 }
 
 // clearPrompt records that a target has answered the request.
-func (x *exchange) clearPrompt() { x.s.poison.recordAnswer(x.service, x.promptParts()) }
+func (x *exchange) clearPrompt() {
+	x.withPrompt(func(p poison.Prompt) { x.s.poison.recordAnswer(x.service, p) })
+}
 
 // isBrokenConn reports whether a send failed because the target closed or reset the connection.
 func isBrokenConn(err error) bool {
