Count a watcher as out of date for one kind of objects only

Cause: a watch that had begun before the router joined the fleet lasted up to 10 s, so that what the watcher knew of releases counted as too old, and the watcher was then left aside for configuration and targets too. A call that was given up early, because little time was left, counted as a watcher that does not answer.

Change: the backoff for old knowledge is counted for each kind, a watcher begins its watches anew when it joins, and a call that was given up early says nothing of the watcher.

--- a/core/change/age.go
+++ b/core/change/age.go
@@ -42,5 +42,8 @@
 	return wait, max(min(wait+maxCallDelay, left), callMargin)
 }
 
+// Patient reports whether a call that was given up after a timeout has left the watcher its time beyond the wait.
+func Patient(wait, timeout time.Duration) bool { return timeout >= wait+maxCallDelay }
+
 // TooOld reports whether a router may no longer rely on knowledge of an age.
 func (l AgeLimits) TooOld(age time.Duration) bool { return age >= l.Max }
--- a/io/edge/changes.go
+++ b/io/edge/changes.go
@@ -48,6 +48,8 @@
 	mu sync.Mutex
 	// failures keeps the watchers that did not answer from being asked for a while.
 	failures *elect.Selector
+	// tooOld does the same for those whose knowledge of one kind was too old.
+	tooOld map[object.Kind]*elect.Selector
 	// askedAt is when another router last asked for changes.
 	askedAt time.Time
 	// storeFailedAt is when the store last failed to answer this router about a kind, and empty after an answer.
@@ -61,7 +63,7 @@
 	s.deps.Log.Info("changes of the store come through watchers", "watchers", watchers, "watcher", isWatcher)
 	return &changeFeed{
 		s: s, isWatcher: isWatcher, changed: newBroadcast(), watchers: watchers, failures: elect.New(watchers),
-		histories: make(map[object.Kind]*change.History), storeFailedAt: make(map[object.Kind]time.Time),
+		tooOld: make(map[object.Kind]*elect.Selector), histories: make(map[object.Kind]*change.History), storeFailedAt: make(map[object.Kind]time.Time),
 	}
 }
 
--- a/io/edge/claims.go
+++ b/io/edge/claims.go
@@ -81,7 +81,11 @@
 	s.startLending(fleet.members)
 	stopReports := s.startReports(ctx, fleet.members)
 	defer stopReports()
-	s.changes.Store(newChangeFeed(s, fleet.members))
+	feed := newChangeFeed(s, fleet.members)
+	s.changes.Store(feed)
+	if feed.isWatcher {
+		s.watchRestart.wakeAll() // The watches that wait are longer than those of a watcher may be.
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -31,6 +31,7 @@
 	errNoHistory = errors.New("the watcher does not have all of the changes")
 	errStoreAway = errors.New("the watchers cannot reach the store")
 	errTooOld    = errors.New("what the watcher knows is too old")
+	errImpatient = errors.New("the watcher has not answered before what this router knows is too old")
 )
 
 // errChangesAnswer means that the answer to a call for changes has an unexpected type.
@@ -60,12 +61,12 @@
 // have all changes, and errStoreAway if all say that the store is unreachable.
 func (f *changeFeed) follow(ctx context.Context, kind object.Kind, known syncPoint) (store.PollResult, time.Duration, error) {
 	err := errNoWatcher
-	for _, watcher := range f.candidates() {
+	for _, watcher := range f.candidates(kind) {
 		answer, confirmed, callErr := f.call(ctx, watcher, kind, known)
 		if ctx.Err() != nil {
 			return store.PollResult{}, 0, ctx.Err()
 		}
-		f.recordAnswer(watcher.VM, callErr)
+		f.recordAnswer(kind, watcher.VM, callErr)
 		if errors.Is(callErr, errTooOld) {
 			f.s.deps.Log.Info("what the watcher knows is too old", "watcher", watcher.VM, "kind", kind, "age_ms", answer.Age.Milliseconds())
 		}
@@ -85,12 +86,14 @@
 	return store.PollResult{}, 0, err
 }
 
-// candidates returns the watchers that are not in backoff.
-func (f *changeFeed) candidates() []elect.Member {
+// candidates returns the watchers that are not in backoff for a kind.
+func (f *changeFeed) candidates(kind object.Kind) []elect.Member {
 	now := f.s.deps.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(f.watchers), func(m elect.Member) bool { return f.failures.Avoided(m.VM, now) })
+	return slices.DeleteFunc(slices.Clone(f.watchers), func(m elect.Member) bool {
+		return f.failures.Avoided(m.VM, now) || f.tooOld[kind] != nil && f.tooOld[kind].Avoided(m.VM, now)
+	})
 }
 
 // call asks a watcher for the changes of a kind. What it answers was complete when the call arrived, later by the time for
@@ -105,6 +108,9 @@
 	m := peer.ChangesWanted{Kind: kind, From: known.version, Wait: max(wait, time.Nanosecond)}
 	answer, err := f.s.peerTransport.Call(ctx, watcher.Addr, m)
 	f.s.deps.Metrics.countChangesCall(err)
+	if errors.Is(err, context.DeadlineExceeded) && !change.Patient(wait, timeout) {
+		return peer.Changes{}, 0, errImpatient
+	}
 	if err != nil {
 		return peer.Changes{}, 0, err
 	}
@@ -120,16 +126,25 @@
 }
 
 // recordAnswer records whether a watcher answered. One that answers without having the changes is asked again next time, but
-// not one whose knowledge is too old.
-func (f *changeFeed) recordAnswer(vm ident.VMID, err error) {
+// not one whose knowledge of a kind is too old. A call that was given up early says nothing.
+func (f *changeFeed) recordAnswer(kind object.Kind, vm ident.VMID, err error) {
+	now := f.s.deps.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.tooOld[kind] == nil {
+		f.tooOld[kind] = elect.New(f.watchers)
+	}
 	var failure peer.Failure
-	if err == nil || errors.As(err, &failure) {
+	switch {
+	case err == nil || errors.As(err, &failure):
 		f.failures.RecordSuccess(vm)
-		return
+		f.tooOld[kind].RecordSuccess(vm)
+	case errors.Is(err, errTooOld):
+		f.failures.RecordSuccess(vm)
+		f.tooOld[kind].RecordFailure(vm, now)
+	case !errors.Is(err, errImpatient):
+		f.failures.RecordFailure(vm, now)
 	}
-	f.failures.RecordFailure(vm, f.s.deps.Clock.Now())
 }
 
 func pollResult(kind object.Kind, b change.Batch) store.PollResult {
