Reserve raises that the operator writes again after a rewind

Cause: the reserve for lost routers was counted from the total of the older copy. When the raise had been written again, the difference counted as free, although the lost routers had spent of it. An organisation that the copy did not have had no reserve.

Change: the reserve says which totals it covers. With a lost VM each rise within 30 s after the recovery goes to the reserve; a router that has seen the whole time ends it. A second rewind carries it on.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -117,6 +117,8 @@
 	startVersion ident.ObjectVersion
 	// era is the latest known era of the store.
 	era ident.Era
+	// raises are the totals of the time after the latest rewind.
+	raises raises
 }
 
 // sendings holds the uptimes at which allowances were sent: the confirmed ones, and the last of those that may take
--- a/core/quota/claim.go
+++ b/core/quota/claim.go
@@ -124,6 +124,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.updateRates(at.Uptime)
+	a.noteRaises(at.Uptime)
 	a.writes++
 	c := &Claim{
 		Router: a.cfg.Self, VM: a.cfg.VM, Writes: a.writes, StartVersion: a.startVersion, Started: started,
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -85,12 +85,15 @@
 	vms   []*testVM
 	clock time.Duration
 	total ident.Tokens
+	// configured returns the total that a router reads when it starts.
+	configured func() ident.Tokens
 	// spent counts the tokens that targets have delivered or may have delivered.
 	spent ident.Tokens
 }
 
 func newTestFleet(t *rapid.T) *testFleet {
 	f := &testFleet{t: t, store: newTestStore(), total: 8_000, clock: time.Hour}
+	f.configured = func() ident.Tokens { return f.total }
 	for i := range rapid.IntRange(1, 4).Draw(t, "vms") {
 		f.vms = append(f.vms, &testVM{id: ident.VMID(fmt.Sprint("vm", i)), booted: f.clock})
 		f.start(f.vms[i])
@@ -103,7 +106,7 @@
 	id := ident.NewRouterID(string(v.id), uint64(v.starts))
 	a := NewAccounts(Config{Self: id, VM: v.id, HoldOff: time.Second, SpareHorizon: time.Second, GrantHorizon: 10 * time.Second,
 		IdleShare: 0.2, LowHorizon: 3 * time.Second, LivenessTimeout: 4 * time.Second})
-	a.SetTotal(testOrg, f.total)
+	a.SetTotal(testOrg, f.configured())
 	v.router = &testRouter{accounts: a, id: id, started: v.now(f.clock)}
 }
 
--- a/core/quota/plan.go
+++ b/core/quota/plan.go
@@ -158,6 +158,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.updateRates(now.Uptime)
+	a.noteRaises(now.Uptime)
 	allowances := &Allowances{
 		Format: Format, Era: a.era, Sent: now, HoldOff: a.cfg.HoldOff, Clocks: a.clocks(now.Uptime),
 		Rows: make(map[ident.OrgID]Allowance),
@@ -193,7 +194,8 @@
 	}
 }
 
-// ObserveLedger records from a ledger that was just read which holders are alive and what their clocks show.
+// ObserveLedger records from a ledger that was just read which holders are alive and what their clocks show. After a rewind it
+// reserves in it what the operator has written again.
 func (a *Accounts) ObserveLedger(shard Shard, l *Ledger, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -214,6 +216,7 @@
 		}
 	}
 	a.ledgerReadAt[shard] = now
+	a.coverRaises(shard, l, now)
 }
 
 // recordObservation records a write of another holder if it is newer than the last known one.
--- a/core/quota/rewind.go
+++ b/core/quota/rewind.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"geraniumsaddle/core/ident"
 )
@@ -34,11 +35,18 @@
 	Settled  bool                          `json:"settled,omitempty"`
 	// Reserve is what lost VMs may have been granted beyond their rows.
 	Reserve map[ident.OrgID]ident.Tokens `json:"reserve,omitempty"`
+	// Totals are the paid tokens that the reserve covers. What organisations seem to pay beyond them was also lost with the
+	// store, as long as the operator writes again what was lost. It is nil after that time, and without a lost VM.
+	Totals map[ident.OrgID]ident.Tokens `json:"totals,omitempty"`
 	// Unheard holds the holders of lost VMs that had rows and did not report. Such a holder may have returned tokens in the
 	// lost time, which another lost one may have been granted, so that its rows free no tokens.
 	Unheard map[ident.RouterID]bool `json:"unheard,omitempty"`
 }
 
+// rewriteTime is the time after a recovery within which the operator writes again what the store has lost. It is that of the
+// oldest copies.
+const rewriteTime = 30 * time.Second
+
 // Report is what a router brings to the recovery of a ledger.
 type Report struct {
 	// Self and VM identify the process.
@@ -206,12 +214,32 @@
 			maps.Copy(unheard, l.Recovery.Unheard)
 		}
 	}
+	totals := joinTotals(base, other)
 	base.closeReserve()
-	base.Recovery = &Recovery{Era: r.Era, Base: position, Reported: make(map[ident.VMID]ident.RouterID), Lost: lost, Unheard: unheard}
+	base.Recovery = &Recovery{Era: r.Era, Base: position, Reported: make(map[ident.VMID]ident.RouterID), Lost: lost, Unheard: unheard,
+		Totals: totals}
 	base.Era, base.Seq = stored.Era, max(stored.Seq, base.Seq)
 	return base
 }
 
+// joinTotals returns the totals that the reserves of ledgers cover, or nil if neither ledger waits for the operator to write
+// again what an earlier rewind has lost.
+func joinTotals(ledgers ...*Ledger) map[ident.OrgID]ident.Tokens {
+	var totals map[ident.OrgID]ident.Tokens
+	for _, l := range ledgers {
+		if l == nil || l.Recovery == nil || l.Recovery.Totals == nil {
+			continue
+		}
+		if totals == nil {
+			totals = make(map[ident.OrgID]ident.Tokens)
+		}
+		for id, n := range l.Recovery.Totals {
+			totals[id] = max(totals[id], n)
+		}
+	}
+	return totals
+}
+
 // rebase replaces the base of a recovery by a newer value and keeps the rows that were reported.
 func (l *Ledger) rebase(known *Ledger) *Ledger {
 	out := known.clone()
@@ -231,6 +259,7 @@
 			l.Recovery.setUnheard(id)
 		}
 	}
+	l.Recovery.Totals = joinTotals(l, out)
 	out.closeReserve()
 	out.Recovery, out.Era, out.Seq = l.Recovery, l.Era, max(l.Seq, out.Seq)
 	out.Recovery.Base = known.position()
@@ -321,7 +350,7 @@
 			delete(r.Lost, report.VM)
 		}
 		if len(r.Lost) == 0 {
-			r.Reserve = nil
+			r.Reserve, r.Totals = nil, nil
 		}
 	case reported || r.Lost[report.VM]:
 	case report.KnowsVM:
@@ -380,10 +409,70 @@
 		}
 	}
 	r.Reserve = make(map[ident.OrgID]ident.Tokens)
+	if r.Totals == nil {
+		r.Totals = make(map[ident.OrgID]ident.Tokens)
+	}
 	for id, acc := range a.orgs {
-		if unallotted := acc.total - l.Granted(id); a.layout.ShardOf(id) == shard && unallotted > 0 {
+		if a.layout.ShardOf(id) != shard {
+			continue
+		}
+		if unallotted := acc.total - l.Granted(id); unallotted > 0 {
 			r.Reserve[id] = unallotted
 		}
+		r.Totals[id] = max(r.Totals[id], acc.total)
+	}
+}
+
+// reserveRaise sets aside what is unallotted of an organisation's tokens up to a total, as far as no reserve covers it.
+func (l *Ledger) reserveRaise(id ident.OrgID, total ident.Tokens) {
+	r := l.Recovery
+	if total <= r.Totals[id] {
+		return
+	}
+	if n := min(total-r.Totals[id], total-l.Granted(id)); n > 0 {
+		if r.Reserve == nil {
+			r.Reserve = make(map[ident.OrgID]ident.Tokens)
+		}
+		r.Reserve[id] += n
+	}
+	r.Totals[id] = total
+}
+
+// raises are the totals that a process has seen while the operator writes again what the store has lost in a rewind.
+type raises struct {
+	era    ident.Era
+	since  time.Duration
+	totals map[ident.OrgID]ident.Tokens
+}
+
+// noteRaises notes the totals within rewriteTime after this process has seen a recovery.
+func (a *Accounts) noteRaises(now time.Duration) {
+	if a.raises.era == 0 || now-a.raises.since >= rewriteTime {
+		return
+	}
+	for id, acc := range a.orgs {
+		a.raises.totals[id] = max(a.raises.totals[id], acc.total)
+	}
+}
+
+// coverRaises reserves what organisations seem to have paid since a recovery with lost VMs, while the operator writes again
+// what was lost: lost routers may have been granted it before. Later changes bring new tokens.
+func (a *Accounts) coverRaises(shard Shard, l *Ledger, now time.Duration) {
+	r := l.Recovery
+	if r == nil || !r.Settled || r.Totals == nil {
+		return
+	}
+	if a.raises.era != r.Era {
+		a.raises = raises{era: r.Era, since: now, totals: make(map[ident.OrgID]ident.Tokens)}
+	}
+	a.noteRaises(now)
+	for id, total := range a.raises.totals {
+		if a.layout.ShardOf(id) == shard {
+			l.reserveRaise(id, total)
+		}
+	}
+	if now-a.raises.since >= rewriteTime {
+		r.Totals = nil
 	}
 }
 
--- a/core/quota/rewind_test.go
+++ b/core/quota/rewind_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -20,11 +21,11 @@
 	// report writes back what a router knows, known includes the newest ledger in it, and freeze grants nothing until all have
 	// reported. reserve sets aside what lost VMs may have been granted, and lostVMs counts VMs whose process is new as lost.
 	report, known, freeze, reserve, lostVMs bool
-	// eraOfAllowances ignores allowances from before the rewind.
-	eraOfAllowances bool
+	// eraOfAllowances ignores allowances from before the rewind. raises reserves what the operator writes again.
+	eraOfAllowances, raises bool
 }
 
-var allRewindSafeguards = rewindSafeguards{true, true, true, true, true, true}
+var allRewindSafeguards = rewindSafeguards{true, true, true, true, true, true, true}
 
 // rewindFleet is a fleet whose store goes back.
 type rewindFleet struct {
@@ -35,13 +36,47 @@
 	memories map[ident.RouterID]*Memory
 	// heard is when each router first saw each era.
 	heard map[string]time.Duration
+	// writtenAgain is when the operator writes again what the store has lost.
+	writtenAgain time.Duration
+}
+
+// configName is the object with the total that the organisation has paid for.
+const configName = "config"
+
+// putTotal writes the total that the organisation has paid for.
+func (f *rewindFleet) putTotal() {
+	f.store.write(configName, f.store.versions[configName], []byte(strconv.FormatInt(int64(f.total), 10)))
+}
+
+func (f *rewindFleet) storedTotal() ident.Tokens {
+	n, _ := strconv.ParseInt(string(f.store.values[configName]), 10, 64)
+	return ident.Tokens(n)
+}
+
+// raise raises the total.
+func (f *rewindFleet) raise(n ident.Tokens) {
+	f.total += n
+	f.putTotal()
+}
+
+// configure lets a router read the total. An older one never replaces a newer one.
+func (f *rewindFleet) configure(v *testVM) {
+	if f.clock >= f.writtenAgain && f.storedTotal() < f.total {
+		f.putTotal()
+	}
+	if r := v.router; !r.cut {
+		r.accounts.SetTotal(testOrg, max(f.storedTotal(), r.accounts.Balance(testOrg).Total))
+	}
 }
 
 func newRewindFleet(t *rapid.T, safe rewindSafeguards) *rewindFleet {
-	return &rewindFleet{
+	f := &rewindFleet{
 		testFleet: newTestFleet(t), safe: safe, era: 1,
 		memories: make(map[ident.RouterID]*Memory), heard: make(map[string]time.Duration),
 	}
+	f.putTotal()
+	f.configured = f.storedTotal
+	return f
 }
 
 // save remembers the state of the store, to which it can go back.
@@ -96,6 +131,9 @@
 		return
 	}
 	l := f.readLedger()
+	if !f.safe.raises && l.Recovery != nil {
+		l.Recovery.Totals = nil
+	}
 	from := f.store.versions["ledger"]
 	report := f.reportOf(r)
 	r.accounts.SetEra(f.era)
@@ -151,6 +189,9 @@
 		r.accounts.AbortClaim()
 		return
 	}
+	if !f.safe.raises && l.Recovery != nil {
+		l.Recovery.Totals = nil
+	}
 	f.closePredecessors(v, l)
 	now := writer.now(f.clock).Uptime
 	w.accounts.ObserveLedger(0, l, now)
@@ -257,6 +298,112 @@
 	}
 }
 
+// playRaise raises the total and lets the routers spend some of it, takes the store back to before the change, with the loss of
+// routers around that time, and plays random steps while the operator writes the change again. It may do so twice. It reports
+// whether more tokens were spent than prepaid.
+func (f *rewindFleet) playRaise() (overspent bool) {
+	draw := func(name string, n int) int { return rapid.IntRange(0, n).Draw(f.t, name) }
+	for _, v := range f.vms {
+		f.syncGrants(v)
+		f.syncAllowances(v)
+	}
+	for range 1 + draw("further_rewinds", 1) {
+		f.past = nil
+		f.save()
+		f.raise(ident.Tokens(1+draw("raise", 3)) * 4_000)
+		for _, v := range f.vms {
+			f.configure(v)
+		}
+		f.steps(draw("steps_before", 120))
+		f.rewind()
+		f.writtenAgain = f.clock + time.Duration(draw("written_again_s", 8))*time.Second
+		for range draw("kills", 2*len(f.vms)) {
+			f.kill(f.vm(), false)
+			f.steps(draw("steps_between", 5))
+		}
+		f.steps(120)
+	}
+	return f.spent > f.total
+}
+
+// steps plays random steps of requests, writes and reads of the configuration.
+func (f *rewindFleet) steps(n int) {
+	actions := f.actions()
+	actions["request"] = func() { f.request(f.vm()) }
+	actions["grants"] = func() { f.syncGrants(f.vm()) }
+	actions["config"] = func() { f.configure(f.vm()) }
+	names := []string{"request", "request", "request", "request", "grants", "grants", "allowances", "time", "settle", "config"}
+	for range n {
+		actions[rapid.SampledFrom(names).Draw(f.t, "action")]()
+	}
+}
+
+// TestRaiseLostInRewind guards against tokens that are granted twice because the store has also lost the change that paid for
+// them: those who were granted them are gone, and the change is written again later.
+func TestRaiseLostInRewind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newRewindFleet(t, allRewindSafeguards)
+		if f.playRaise() {
+			t.Fatalf("%d of %d tokens are spent", f.spent, f.total)
+		}
+	})
+}
+
+// TestRaiseReserveIsNeeded guards against a model of lost changes that would not notice the loss of a safeguard.
+func TestRaiseReserveIsNeeded(t *testing.T) {
+	const maxSeeds = 3000
+	for _, tc := range []struct {
+		name string
+		off  func(*rewindSafeguards)
+	}{
+		{"raises", func(s *rewindSafeguards) { s.raises = false }},
+		{"reserve", func(s *rewindSafeguards) { s.reserve = false }},
+		{"lost VMs", func(s *rewindSafeguards) { s.lostVMs = false }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			safe := allRewindSafeguards
+			tc.off(&safe)
+			play := rapid.Custom(func(t *rapid.T) bool { return newRewindFleet(t, safe).playRaise() })
+			for seed := range maxSeeds {
+				if play.Example(seed) {
+					t.Logf("noticed with seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not noticed with %d seeds", maxSeeds)
+		})
+	}
+}
+
+// TestNewTokensAfterRewind guards against a reserve that takes what an organisation pays after the operator has had time to write
+// again what was lost.
+func TestNewTokensAfterRewind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newRewindFleet(t, allRewindSafeguards)
+		f.playRaise()
+		f.store.late = nil
+		sync := func() {
+			for _, v := range f.vms {
+				v.router.cut = false
+				f.configure(v)
+				for range 20 { // some writes are lost
+					f.syncGrants(v)
+				}
+			}
+		}
+		for range 4 {
+			sync()
+			f.clock += rewriteTime / 3
+		}
+		granted := f.readLedger().Granted(testOrg)
+		f.raise(100_000)
+		sync()
+		if got := f.readLedger(); got.Reserved(testOrg) > granted || got.Recovery != nil && got.Recovery.Totals != nil {
+			t.Fatalf("%d tokens are reserved, %d were granted before 100,000 more were paid", got.Reserved(testOrg), granted)
+		}
+	})
+}
+
 // TestReturnedTokensOfLostHolder guards against tokens that a lost holder returned in the lost time, that another lost one
 // was granted, and that are granted once more when the first one reports late, stops, or is followed by another process.
 func TestReturnedTokensOfLostHolder(t *testing.T) {
