Keep the parts of a prompt in no more memory than their line

Cause: each part was a record of 24 bytes in a slice that had grown by doubling: 354,398 bytes were allocated for a head of 15,599, of which the budget counted 2 bytes for each byte.

Change: the parts of a prompt are one string, no longer than their line of the head, which is read part by part.

--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -74,10 +74,12 @@
 		return demand{}
 	}
 	d := demand{output: p.lengths.Expect(r.Route, r.Prompt.OutputHint, r.Prompt.MaxOutput)}
-	d.allTokens = uncachedTokens(r.Prompt, false)
+	// Every target is assumed to cache the first part, and one that caches the shared prefix all parts but the last.
+	first, prefix := r.Prompt.Parts.cachedTokens()
+	d.allTokens = max(r.Prompt.Input-first, 0)
 	d.ownTokens = d.allTokens
-	if part, ok := r.Prompt.sharedPart(); ok {
-		d.ownTokens = uncachedTokens(r.Prompt, true)
+	if part, ok := r.Prompt.Parts.shared(); ok {
+		d.ownTokens = max(r.Prompt.Input-prefix, 0)
 		d.shared = partHash(part)
 		wide := p.selfSufficient && p.rates.Prefill(float64(d.allTokens-d.ownTokens)) > farCost
 		d.owners = p.ownersOf(ownerKey{d.shared, wide})
@@ -164,15 +166,3 @@
 		}
 	}
 }
-
-// uncachedTokens returns the number of prompt tokens that a target has to prefill. Every target is assumed to cache the
-// first part, and one that caches the shared prefix all parts but the last.
-func uncachedTokens(p *Prompt, cached bool) ident.Tokens {
-	n := p.Input
-	for i, part := range p.Parts {
-		if i+1 < len(p.Parts) && (cached || i == 0) {
-			n -= part.Tokens
-		}
-	}
-	return max(n, 0)
-}
--- a/core/place/fleet_test.go
+++ b/core/place/fleet_test.go
@@ -26,7 +26,7 @@
 }
 
 func testPrompt(part string) *Prompt {
-	return &Prompt{Input: 9000, MaxOutput: 80, Parts: []Part{{"common", 2500}, {part, 3800}, {"own", 2700}}}
+	return &Prompt{Input: 9000, MaxOutput: 80, Parts: NewParts(Part{"common", 2500}, Part{part, 3800}, Part{"own", 2700})}
 }
 
 func testRequest(p *Prompt) Request {
--- a/core/place/load_failures_test.go
+++ b/core/place/load_failures_test.go
@@ -190,7 +190,7 @@
 
 // shortPrompt returns a prompt whose shared part takes less time to read than the way to another failure domain.
 func shortPrompt(part string) *Prompt {
-	return &Prompt{Input: 9000, MaxOutput: 80, Parts: []Part{{"common", 2500}, {part, 800}, {"own", 5700}}}
+	return &Prompt{Input: 9000, MaxOutput: 80, Parts: NewParts(Part{"common", 2500}, Part{part, 800}, Part{"own", 5700})}
 }
 
 // newDomainFleet returns the fleet of a router in one of two failure domains with 20 engines each.
--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -57,11 +57,12 @@
 		start = max(start, e.ends[n-simSlots])
 	}
 	tokens, cached := 0, true
-	for i, part := range p.Parts {
+	parts := slices.Collect(p.Parts.All())
+	for i, part := range parts {
 		cached = cached && e.cache[part.ID]
 		if !cached {
 			tokens += int(part.Tokens)
-			if i+1 < len(p.Parts) {
+			if i+1 < len(parts) {
 				e.sharedRead += int(part.Tokens)
 			}
 		}
@@ -213,8 +214,8 @@
 	p := &Prompt{
 		Input: c.common + c.shared + ident.Tokens(c.own), MaxOutput: ident.Tokens(2 * c.output),
 		OutputHint: ident.Tokens(float64(output) * (0.4 + 1.2*s.rng.Float64())),
-		Parts: []Part{{c.route, c.common}, {fmt.Sprint(c.route, part), c.shared},
-			{fmt.Sprint("own", s.seq), ident.Tokens(c.own)}},
+		Parts: NewParts(Part{c.route, c.common}, Part{fmt.Sprint(c.route, part), c.shared},
+			Part{fmt.Sprint("own", s.seq), ident.Tokens(c.own)}),
 	}
 	s.offer(c, router, p, output, s.now, nil)
 }
--- a/core/place/prompt.go
+++ b/core/place/prompt.go
@@ -2,12 +2,6 @@
 
 import "geraniumsaddle/core/ident"
 
-// Part is a section of a prompt that other requests may share.
-type Part struct {
-	ID     string
-	Tokens ident.Tokens
-}
-
 // Prompt describes a request to a model engine.
 type Prompt struct {
 	Model string
@@ -15,21 +9,12 @@
 	Input, MaxOutput ident.Tokens
 	// OutputHint is the caller's estimate of the output tokens, or zero. It is often far off.
 	OutputHint ident.Tokens
-	// Parts are in prompt order. The last one is specific to the request or its conversation.
-	Parts []Part
+	Parts      Parts
 }
 
 // MaxTokens returns the maximum number of tokens that the request can use.
 func (p *Prompt) MaxTokens() ident.Tokens { return p.Input + p.MaxOutput }
 
-// sharedPart returns the last part that other requests may share, and false if there is none.
-func (p *Prompt) sharedPart() (Part, bool) {
-	if p == nil || len(p.Parts) < 2 {
-		return Part{}, false
-	}
-	return p.Parts[len(p.Parts)-2], true
-}
-
 // rendezvousScore returns the rendezvous hashing score of a target for a part; the target with the highest score owns
 // the part. The arguments are hashes of their IDs.
 func rendezvousScore(part, target uint64) uint64 {
--- a/io/edge/poison.go
+++ b/io/edge/poison.go
@@ -227,13 +227,13 @@
 // withPrompt calls f with the parts of the request's prompt, unless it has none. f must not keep them.
 func (x *exchange) withPrompt(f func(poison.Prompt)) {
 	p := x.requestHeaders.Prompt
-	if p == nil || x.route == nil || !x.route.UsesEngine || len(p.Parts) == 0 {
+	if p == nil || x.route == nil || !x.route.UsesEngine || p.Parts == "" {
 		return
 	}
 	buffer := promptBuffers.Get().(*poison.Prompt)
 	defer promptBuffers.Put(buffer)
 	*buffer = (*buffer)[:0]
-	for _, part := range p.Parts {
+	for part := range p.Parts.All() {
 		*buffer = append(*buffer, part.ID)
 	}
 	f(*buffer)
--- a/io/edge/send.go
+++ b/io/edge/send.go
@@ -145,7 +145,10 @@
 		return nil
 	}
 	ids := make([]string, 0, maxLoggedParts)
-	for _, part := range p.Parts[:min(len(p.Parts), maxLoggedParts)] {
+	for part := range p.Parts.All() {
+		if len(ids) == maxLoggedParts {
+			break
+		}
 		ids = append(ids, part.ID)
 	}
 	return ids
