Don't take the store for unreachable when one watch is cut off

Cause: net/http sends a GET once more by itself when a kept connection ends. The watch began anew with its whole wait within its time limit and ended by the limit; the router took the store for unreachable, and entries that vanish then are used for 2 s more.

One that was cut off (store.ErrWatchCut) is repeated at once with a short wait; only if that fails too is the store unreachable.

--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -70,19 +70,26 @@
 func (s *Server) watchKind(ctx context.Context, kind object.Kind, handler watchHandler) {
 	var known syncPoint
 	failures := 0
+	wasCut := false
 	for ctx.Err() == nil {
 		var err error
 		if known.version == 0 {
 			known, err = s.listAll(ctx, kind, handler)
 		} else {
-			known, err = s.pollOnce(ctx, kind, known, s.watchTimeout(kind, known, failures), handler)
+			known, err = s.pollOnce(ctx, kind, known, s.watchTimeout(kind, known, failures, wasCut), handler)
 		}
-		if ctx.Err() != nil {
+		isCut := errors.Is(err, store.ErrWatchCut)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if errors.Is(err, errWatchRestarted) {
+		case errors.Is(err, errWatchRestarted):
+			continue
+		case isCut && !wasCut:
+			s.deps.Log.Debug("watch was cut off; watching again", "kind", kind, "error", err)
+			wasCut = true // The next watch tells whether the store is reachable.
 			continue
 		}
+		wasCut = false
 		s.storeMonitor.observe(err)
 		if err == nil {
 			failures = 0
@@ -136,13 +143,13 @@
 	return coalesceDelayLarge
 }
 
-// watchTimeout returns the time after which the store answers a watch without changes. After a failure it is short,
+// watchTimeout returns the time after which the store answers a watch without changes. After a failure or a cut it is short,
 // because the answer shows that the store is reachable again. A watcher has what it knows confirmed in time for the routers
 // that follow it.
-func (s *Server) watchTimeout(kind object.Kind, known syncPoint, failures int) time.Duration {
+func (s *Server) watchTimeout(kind object.Kind, known syncPoint, failures int, wasCut bool) time.Duration {
 	feed := s.changes.Load()
 	switch {
-	case failures > 0:
+	case failures > 0 || wasCut:
 		return min(recoveryWatchTimeout, s.watchTimeouts[kind])
 	case feed.watches():
 		return min(s.watchTimeouts[kind], s.ageLimits(kind).WatchWait(s.uptime()-known.confirmed))
@@ -244,7 +251,7 @@
 		wait = followerWait // a watcher answers, so this router follows it again after one call
 	}
 	res, confirmed, err = s.pollStore(ctx, kind, known.version, wait)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, store.ErrWatchCut) {
 		feed.recordStoreCall(kind, err)
 	}
 	return res, confirmed, err
--- a/io/edge/watch_test.go
+++ b/io/edge/watch_test.go
@@ -1,11 +1,18 @@
 package edge
 
 import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"geraniumsaddle/core/ident"
+	"geraniumsaddle/core/object"
+	"geraniumsaddle/io/store"
 	"geraniumsaddle/platform"
 	"geraniumsaddle/platform/fakes"
 )
@@ -46,3 +53,40 @@
 		env.waitFor("the configuration", func() bool { return env.configVersion() == want })
 	}
 }
+
+// cutOnce is a store that cuts off the next watch of a kind that waits.
+type cutOnce struct {
+	store.PollingStore
+	kind object.Kind
+	cut  atomic.Bool
+}
+
+func (s *cutOnce) Poll(ctx context.Context, kind object.Kind, from ident.ObjectVersion, wait time.Duration) (store.PollResult, error) {
+	if kind == s.kind && s.cut.CompareAndSwap(true, false) {
+		return store.PollResult{}, &store.Error{Kind: store.ErrUnavailable, Call: "poll", Err: store.ErrWatchCut}
+	}
+	return s.PollingStore.Poll(ctx, kind, from, wait)
+}
+
+// TestCutWatchOfTargets guards against a router that takes the store for unreachable because one watch was cut off, and so
+// sends to a target for seconds after its entry was removed.
+func TestCutWatchOfTargets(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	cuts := &cutOnce{kind: platform.KindTarget}
+	var lines logBuffer
+	env := newTestEnvWith(t, func(_ *platform.Settings, d *Deps) {
+		cuts.PollingStore = d.Store
+		d.Store = cuts
+		d.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+	})
+	env.addTarget("short-lived", "desk")
+	serving := func() bool { return slices.Contains(env.server.targets.IDs(), "short-lived") }
+	env.waitFor("the target", serving)
+	cuts.cut.Store(true)
+	env.addTarget("other", "desk") // ends the watch that waits; the next one is cut off
+	env.waitFor("the cut", func() bool { return !cuts.cut.Load() })
+	env.store.Delete("servers", "short-lived")
+	env.waitFor("the removal", func() bool { return !serving() })
+	is.Equal(lines.linesContaining("store is unreachable"), "")
+}
--- a/io/store/errors.go
+++ b/io/store/errors.go
@@ -29,6 +29,9 @@
 	// ErrCompacted means that the events that a watch asks for are no longer in the history. The caller lists the objects
 	// again.
 	ErrCompacted = errors.New("watch history is compacted")
+	// ErrWatchCut means that the connection of a watch ended before its answer. It is also an ErrUnavailable, but the store may cut
+	// off a watch at any time, so that it does not show that the store is unreachable.
+	ErrWatchCut = errors.New("watch was cut off")
 	// ErrInvalid means that the request or its response is malformed.
 	ErrInvalid = errors.New("invalid platform call or answer")
 )
