--- a/core/quota/rewind.go
+++ b/core/quota/rewind.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"geraniumsaddle/core/ident"
 )
@@ -43,10 +42,6 @@
 	Unheard map[ident.RouterID]bool `json:"unheard,omitempty"`
 }
 
-// rewriteTime is the time after a recovery within which the operator writes again what the store has lost. It is that of the
-// oldest copies.
-const rewriteTime = 30 * time.Second
-
 // Report is what a router brings to the recovery of a ledger.
 type Report struct {
 	// Self and VM identify the process.
@@ -67,54 +62,6 @@
 	Expired bool
 }
 
-// Memory is what a router process remembers of one ledger across rewinds of the store. The zero value remembers nothing.
-type Memory struct {
-	// value is the newest value that needs no report of this process, or that was stored with one, and era its era.
-	value []byte
-	era   ident.Era
-	// settled says that the value takes grants.
-	settled bool
-	// knows is the latest era in which this process could tell the ledger of an earlier one, and reported the latest in
-	// which it has done so.
-	knows, reported ident.Era
-}
-
-// Complete fills in what this process brings to a ledger that was read in the era of the report. A process that has
-// seen no more than an unfinished recovery in which its VM was lost still knows nothing of the processes before it.
-func (m *Memory) Complete(r Report) (Report, error) {
-	if m.era != 0 {
-		known, err := DecodeLedger(m.value)
-		if err != nil {
-			return Report{}, err
-		}
-		r.Known = known
-		isLost := known.recovering() && known.Recovery.Lost[r.VM]
-		if known.isBefore(r.Era) && !isLost {
-			m.knows = r.Era
-		}
-	}
-	r.KnowsVM = r.KnowsVM || m.knows == r.Era
-	r.Done = m.reported == r.Era
-	return r, nil
-}
-
-// IsCurrent reports whether a ledger that was just read needs no report of this process and nothing that it remembers.
-func (m *Memory) IsCurrent(l *Ledger, r Report) bool {
-	isHeard := l.Recovery == nil || l.Recovery.Settled && !l.Recovery.Lost[r.VM] && !l.Recovery.Unheard[r.Self]
-	return r.Era == 0 || l.Era == r.Era && m.era == r.Era && isHeard
-}
-
-// HasReported reports whether this process has seen a value of the era that takes grants.
-func (m *Memory) HasReported(era ident.Era) bool { return m.era >= era && m.settled }
-
-// Remember keeps an encoded value of the ledger that needs no report of this process, or that was stored with one.
-// settled says that it takes grants.
-func (m *Memory) Remember(value []byte, era ident.Era, settled bool) {
-	if era != 0 {
-		m.value, m.era, m.reported, m.settled = value, era, era, settled
-	}
-}
-
 // Stamp marks a value that is about to be written in an era. A platform without eras needs no marks.
 func (l *Ledger) Stamp(era ident.Era) {
 	if era != 0 {
@@ -222,24 +169,6 @@
 	return base
 }
 
-// joinTotals returns the totals that the reserves of ledgers cover, or nil if neither ledger waits for the operator to write
-// again what an earlier rewind has lost.
-func joinTotals(ledgers ...*Ledger) map[ident.OrgID]ident.Tokens {
-	var totals map[ident.OrgID]ident.Tokens
-	for _, l := range ledgers {
-		if l == nil || l.Recovery == nil || l.Recovery.Totals == nil {
-			continue
-		}
-		if totals == nil {
-			totals = make(map[ident.OrgID]ident.Tokens)
-		}
-		for id, n := range l.Recovery.Totals {
-			totals[id] = max(totals[id], n)
-		}
-	}
-	return totals
-}
-
 // rebase replaces the base of a recovery by a newer value and keeps the rows that were reported.
 func (l *Ledger) rebase(known *Ledger) *Ledger {
 	out := known.clone()
@@ -423,59 +352,6 @@
 	}
 }
 
-// reserveRaise sets aside what is unallotted of an organisation's tokens up to a total, as far as no reserve covers it.
-func (l *Ledger) reserveRaise(id ident.OrgID, total ident.Tokens) {
-	r := l.Recovery
-	if total <= r.Totals[id] {
-		return
-	}
-	if n := min(total-r.Totals[id], total-l.Granted(id)); n > 0 {
-		if r.Reserve == nil {
-			r.Reserve = make(map[ident.OrgID]ident.Tokens)
-		}
-		r.Reserve[id] += n
-	}
-	r.Totals[id] = total
-}
-
-// raises are the totals that a process has seen while the operator writes again what the store has lost in a rewind.
-type raises struct {
-	era    ident.Era
-	since  time.Duration
-	totals map[ident.OrgID]ident.Tokens
-}
-
-// noteRaises notes the totals within rewriteTime after this process has seen a recovery.
-func (a *Accounts) noteRaises(now time.Duration) {
-	if a.raises.era == 0 || now-a.raises.since >= rewriteTime {
-		return
-	}
-	for id, acc := range a.orgs {
-		a.raises.totals[id] = max(a.raises.totals[id], acc.total)
-	}
-}
-
-// coverRaises reserves what organisations seem to have paid since a recovery with lost VMs, while the operator writes again
-// what was lost: lost routers may have been granted it before. Later changes bring new tokens.
-func (a *Accounts) coverRaises(shard Shard, l *Ledger, now time.Duration) {
-	r := l.Recovery
-	if r == nil || !r.Settled || r.Totals == nil {
-		return
-	}
-	if a.raises.era != r.Era {
-		a.raises = raises{era: r.Era, since: now, totals: make(map[ident.OrgID]ident.Tokens)}
-	}
-	a.noteRaises(now)
-	for id, total := range a.raises.totals {
-		if a.layout.ShardOf(id) == shard {
-			l.reserveRaise(id, total)
-		}
-	}
-	if now-a.raises.since >= rewriteTime {
-		r.Totals = nil
-	}
-}
-
 // putOwnRows puts this router's rows into the ledger exactly as it may spend them. If the recovery has settled without
 // it, the row grows out of the reserve.
 func (a *Accounts) putOwnRows(shard Shard, l *Ledger, at Moment) {
--- a/io/edge/poison.go
+++ b/io/edge/poison.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"io"
 	"math"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"geraniumsaddle/core/ident"
@@ -268,6 +266,5 @@
 
 // isBrokenConn reports whether a send failed because the target closed or reset the connection.
 func isBrokenConn(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
-		errors.Is(err, syscall.EPIPE) || errors.Is(err, errEventTruncated)
+	return send.EndsConnection(err) || errors.Is(err, errEventTruncated)
 }
--- a/io/engine/send/ending.go
+++ b/io/engine/send/ending.go
@@ -25,6 +25,12 @@
 	ackPollInterval = 20 * time.Millisecond
 )
 
+// EndsConnection reports whether a call failed because the other side has ended or reset the connection.
+func EndsConnection(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE)
+}
+
 // AwaitEnd decides whether the end of a connection, on which a request was written, ends a complete response without a
 // length. It returns nil if so, and an error that matches io.ErrUnexpectedEOF if the response was cut.
 //
--- a/io/engine/send/send.go
+++ b/io/engine/send/send.go
@@ -27,8 +27,8 @@
 	ErrRejected = errors.New("request was rejected by the target")
 )
 
-// errStatus means that the status of a response is outside of the range that HTTP defines, as a target in trouble may send.
-var errStatus = errors.New("status of the response is out of range")
+// ErrStatus means that the status of a response is outside of the range that HTTP defines, as a target in trouble may send.
+var ErrStatus = errors.New("status of the response is out of range")
 
 // The range of the statuses of responses.
 const (
@@ -36,6 +36,9 @@
 	maxStatus = 599
 )
 
+// ValidStatus reports whether the status of a response is in the range that HTTP defines.
+func ValidStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // Error is the failure of one request.
 type Error struct {
 	// Class is ErrNotSent, ErrOutcomeUnknown or ErrRejected.
@@ -164,9 +167,9 @@
 	r.GetBody = nil
 	r.ContentLength = int64(len(body))
 	resp, err := t.http.RoundTrip(r)
-	if err == nil && (resp.StatusCode < minStatus || resp.StatusCode > maxStatus) {
+	if err == nil && !ValidStatus(resp.StatusCode) {
 		_ = resp.Body.Close()
-		return nil, &Error{Class: ErrOutcomeUnknown, Status: resp.StatusCode, Err: errStatus}
+		return nil, &Error{Class: ErrOutcomeUnknown, Status: resp.StatusCode, Err: ErrStatus}
 	}
 	if err == nil {
 		if isUnframed(resp) {
--- a/io/relay/send.go
+++ b/io/relay/send.go
@@ -24,15 +24,6 @@
 
 var errUnmatched = errors.New("responses on the connection belong to other requests")
 
-// errStatus means that the status of a response is outside of the range that HTTP defines, as a target in trouble may send.
-var errStatus = errors.New("status of the response is out of range")
-
-// The range of the statuses of responses.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // Request is a request to one target.
 type Request struct {
 	// PoolKey identifies the target whose connections may be reused. An address alone doesn't, as it may pass from one
@@ -165,8 +156,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
-			return nil, fmt.Errorf("%w: %03d", errStatus, resp.StatusCode)
+		if !send.ValidStatus(resp.StatusCode) {
+			return nil, fmt.Errorf("%w: %03d", send.ErrStatus, resp.StatusCode)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
