Charge the parts of a prompt by themselves, not every head by half as much again

The budget counted 3 bytes for each byte of every head because of the parts of prompts. 400 partial heads of 60 KB, which fitted into the limit of a 134 MB machine before, had to be evicted then. Now the string of the parts is counted by itself once the head is whole, before the body is read.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -40,9 +40,8 @@
 	// target with its buffers, and the head of an answer.
 	RequestCost ident.Bytes = 16 << 10
 	// headByteCost and headLineCost are the memory in bytes for each byte and each line of a head. net/http keeps a copy of
-	// each line, and sizes the map of the headers from the lines that it has buffered. The parts of a prompt take no more
-	// than their line once more.
-	headByteCost = 3
+	// each line, and sizes the map of the headers from the lines that it has buffered.
+	headByteCost = 2
 	headLineCost = 128
 	// memoryShare is the share of the process's memory for the limit, in percent. The heap may be half as large again as
 	// what is in use, because of the garbage collector's setting.
--- a/io/edge/exchange.go
+++ b/io/edge/exchange.go
@@ -67,8 +67,8 @@
 	sendEvents int
 	// buffers holds the reservations of memory for the body and the answers.
 	buffers []*buffer
-	// requestHeld is what is reserved for the request beside its buffers.
-	requestHeld ident.Bytes
+	// requestHeld is what is reserved for the request beside its buffers, and promptHeld what is for the parts of its prompt.
+	requestHeld, promptHeld ident.Bytes
 	// quarantinedPart is the part of the prompt that is quarantined.
 	quarantinedPart string
 
@@ -137,6 +137,9 @@
 	if limits.MaxHeader > 0 && headerSize(x.r) > limits.MaxHeader {
 		return refuseHeadersTooLarge, false
 	}
+	if refused, ok := x.holdPrompt(); !ok {
+		return refused, false
+	}
 	x.route = x.table.Match(x.r.Host, x.r.URL.Path)
 	if x.route == nil {
 		return refuseNoRoute, false
@@ -244,6 +247,7 @@
 	x.settleTokens()
 	x.releaseBuffers()
 	x.s.callers.Release(budget.Answers, x.requestHeld)
+	x.s.callers.Release(budget.Heads, x.promptHeld)
 	total := x.s.deps.Clock.Since(x.started)
 	class, routeName, org := "none", "", ident.OrgID("")
 	if x.route != nil {
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -21,6 +21,9 @@
 // freeAnswerHead is the cost in bytes up to which the head of an answer is part of budget.RequestCost.
 const freeAnswerHead ident.Bytes = 8 << 10
 
+// freePromptSize is the size in bytes up to which the parts of a prompt are part of budget.RequestCost.
+const freePromptSize ident.Bytes = 1 << 10
+
 // memoryWait is how long a request that hasn't been passed on to a target waits for memory of evicted connections.
 const memoryWait = 250 * time.Millisecond
 
@@ -67,6 +70,22 @@
 	return x.s.callers.Reserve(x.ctx, class, n, 0)
 }
 
+// holdPrompt reserves what the parts of the request's prompt take beyond the head, before its body is read.
+func (x *exchange) holdPrompt() (refusal, bool) {
+	if x.requestHeaders.Prompt == nil {
+		return refusal{}, true
+	}
+	n := ident.Bytes(len(x.requestHeaders.Prompt.Parts))
+	if n <= freePromptSize {
+		return refusal{}, true
+	}
+	if x.reserve(budget.Heads, n) != nil {
+		return refuseNoMemory, false
+	}
+	x.promptHeld = n
+	return refusal{}, true
+}
+
 // holdRequest reserves what the request takes at a target, before it is passed on.
 func (x *exchange) holdRequest() (refusal, bool) {
 	if x.reserve(budget.Answers, budget.RequestCost) != nil {
