Bound the time for which a watcher may say that it held a call

Found by reading: the answer of a watcher is dated by the time for which it says that it held the call, and nothing bounded that time. A watcher that says an hour would make old knowledge count as recent for an hour at each follower. No such answer was seen.

Change: the time is at most that between the sending and the answer, and a negative one counts as none. TestConfirmedIsNeverLater has 5 cases; with the sum used before, an hour held gives a date 59 min 58 s after the answer.

--- a/core/change/age.go
+++ b/core/change/age.go
@@ -45,5 +45,12 @@
 // Patient reports whether a call that was given up after a timeout has left the watcher its time beyond the wait.
 func Patient(wait, timeout time.Duration) bool { return timeout >= wait+maxCallDelay }
 
+// Confirmed returns the uptime until which an answer of a watcher was complete. The call was sent and answered at uptimes of the
+// caller; the watcher held it for a time, and what it knew had an age. It can't have held it for longer than the call took, so
+// that a wrong time doesn't make old knowledge last.
+func Confirmed(sent, answered, held, age time.Duration) time.Duration {
+	return sent + min(max(held, 0), answered-sent) - max(age, 0)
+}
+
 // TooOld reports whether a router may no longer rely on knowledge of an age.
 func (l AgeLimits) TooOld(age time.Duration) bool { return age >= l.Max }
--- a/core/change/age_test.go
+++ b/core/change/age_test.go
@@ -49,3 +49,19 @@
 		}
 	}
 }
+
+// TestConfirmedIsNeverLater guards against an answer that dates what its sender knows later than it was answered, by which a
+// router would rely on it for as long as the sender says.
+func TestConfirmedIsNeverLater(t *testing.T) {
+	for _, c := range []struct{ held, age, want time.Duration }{
+		{0, time.Second, 9 * time.Second},
+		{time.Second, time.Second, 10 * time.Second},
+		{time.Hour, 1, 12*time.Second - 1},
+		{time.Hour, -time.Hour, 12 * time.Second},
+		{-time.Hour, 0, 10 * time.Second},
+	} {
+		if got := change.Confirmed(10*time.Second, 12*time.Second, c.held, c.age); got != c.want {
+			t.Errorf("held %v, age %v: confirmed at %v, want %v", c.held, c.age, got, c.want)
+		}
+	}
+}
--- a/io/edge/follow.go
+++ b/io/edge/follow.go
@@ -118,8 +118,9 @@
 	if !ok {
 		return peer.Changes{}, 0, trace.Wrap(errChangesAnswer)
 	}
-	confirmed := sent + changes.Held - changes.Age
-	if changes.Age <= 0 || limits.TooOld(f.s.uptime()-confirmed) {
+	answered := f.s.uptime()
+	confirmed := change.Confirmed(sent, answered, changes.Held, changes.Age)
+	if changes.Age <= 0 || limits.TooOld(answered-confirmed) {
 		return changes, 0, errTooOld
 	}
 	return changes, confirmed, nil
