--- a/core/poison/decide.go
+++ b/core/poison/decide.go
@@ -168,17 +168,12 @@
 	if q := t.held[a.part]; q != nil && a.last().at.After(q.until) {
 		return a.last().at, true
 	}
-	occasions := 0
-	var occasion, knownAt time.Time
+	var knownAt time.Time
 	for i, l := range a.losses {
-		if occasions == 0 || l.at.Sub(occasion) >= t.policy.Spread {
-			occasions++
-			occasion = l.at
-		}
 		if l.knownAt.After(knownAt) {
 			knownAt = l.knownAt
 		}
-		if i+1 >= t.policy.MinLosses && occasions >= t.policy.MinOccasions {
+		if i+1 >= t.policy.MinLosses && t.occasions(a.losses[:i+1]) >= t.policy.MinOccasions {
 			return knownAt.Add(t.policy.Settle), true
 		}
 	}
