--- a/review/standins-3/badversion/main.go
+++ b/review/standins-3/badversion/main.go
@@ -20,8 +20,9 @@
 	service = "desk"
 	window  = 40 * time.Second
 	warmup  = 5 * time.Second
-	// work is what a request takes, and slowdown how many times as long a slow one does.
+	// work is what a request takes, and slowdown how many times as long a slow one does. latency is that between zones.
 	work     = 120 * time.Millisecond
+	latency  = 1400 * time.Microsecond
 	slowdown = 8
 	// badPart is the part of the requests that a bad version spoils.
 	badPart = 0.5
@@ -174,7 +175,7 @@
 	var engines []*kit.Engine
 	for i := range 6 {
 		e := &kit.Engine{ID: fmt.Sprintf("i-%s-%d", version, i+1), Service: service, Zone: w.fleet.Routers[i%3].Zone, Version: version,
-			Slots: 6, Queue: 24, Run: w.run}
+			Slots: 6, Queue: 24, Latency: latency, Run: w.run}
 		if err := e.Start(); err != nil {
 			return nil, err
 		}
--- a/review/standins-3/kit/engine.go
+++ b/review/standins-3/kit/engine.go
@@ -20,6 +20,8 @@
 type Engine struct {
 	ID, Service, Zone, Version string
 	Slots, Queue               int
+	// Latency is the time that a request and its answer take on the way, each.
+	Latency time.Duration
 	// Run answers a request that the engine runs. It returns false if the connection is to be closed.
 	Run func(e *Engine, j *Job) bool
 
@@ -163,6 +165,7 @@
 }
 
 func (e *Engine) handle(c net.Conn, req *http.Request, gone <-chan struct{}) bool {
+	time.Sleep(e.Latency)
 	j := &Job{
 		ID: req.Header.Get("Attempt-Id"), Method: req.Method, Path: req.RequestURI, Tenant: req.Header.Get("Tenant"),
 		Header: req.Header, Conn: c, Gone: gone, Deadline: time.Now().Add(time.Hour),
@@ -218,6 +221,7 @@
 
 // Answer sends a whole answer.
 func (e *Engine) Answer(j *Job, status int, body string) bool {
+	time.Sleep(e.Latency)
 	_, err := io.WriteString(j.Conn, e.Head(j, status)+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	return err == nil
 }
